--- /dev/null
+++ b/dykeshift/__init__.py
@@ -0,0 +1,1 @@
+"""dykeshift: the decisions of a load-balancing proxy, free of input and output."""
--- /dev/null
+++ b/dykeshift/benchlink.py
@@ -0,0 +1,325 @@
+"""Adapter between the simulator's wire and the decision module: translates, hosts instances, decides nothing.
+
+Run as `python -m dykeshift.benchlink`. Standard output carries the wire only.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from dykeshift.rules import Balancer
+from dykeshift.interface import (
+    Action,
+    AttemptEnd,
+    Cancel,
+    Fail,
+    Idempotency,
+    ListKind,
+    LoadReport,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Scope,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    SetTimer,
+    Settings,
+    Watch,
+)
+
+
+class Malformed(Exception):
+    """A message that the wire does not allow; its text is for people."""
+
+
+class SettingsError(Malformed):
+    """The settings lack something or hold something impossible."""
+
+
+_LIST_KINDS = {
+    "diff": ListKind.DELTA,
+    "snapshot": ListKind.FULL,
+    "disk": ListKind.CACHED,
+    "error": ListKind.FAILED,
+}
+_STATES = {"live": ServerState.READY, "quiescing": ServerState.DRAINING, "dead": ServerState.GONE}
+_OUTCOMES = {
+    "done": Outcome.OK,
+    "err": Outcome.ERROR,
+    "busy": Outcome.FULL,
+    "etimedout": Outcome.TIMEOUT,
+    "econnrefused": Outcome.CONNECT_FAILED,
+    "econnreset": Outcome.RESET,
+    "ecanceled": Outcome.CANCELLED,
+    "skipped": Outcome.NOT_SENT,
+}
+_IDEMPOTENCY = {"pure": Idempotency.SAFE, "token": Idempotency.KEYED, "side_effect": Idempotency.UNSAFE}
+_SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+_REPORT = {
+    "busy_reqs": "in_flight",
+    "pending": "queued",
+    "cpu_share": "utilization",
+    "svc_ms": "service_ms",
+    "served_ps": "served_per_s",
+    "failed_ps": "errors_per_s",
+}
+_FIELDS = {  # parts of each event line, its name included
+    "CONFIGURE": 4,
+    "SHUTDOWN": 2,
+    "ANNOUNCE": 5,
+    "SUBMIT": 10,
+    "STREAMING": 6,
+    "ANSWER": 9,
+    "GONE": 3,
+    "REMINDER": 3,
+    "PROBE_DONE": 6,
+    "NEIGHBOUR_SAYS": 4,
+    "M": 8,
+}
+
+
+def _need(table: dict[str, Any], key: str, path: str) -> Any:
+    if not isinstance(table, dict) or key not in table:
+        raise SettingsError(f"settings lack {path}{key}")
+    return table[key]
+
+
+def _word(table: dict[str, Any], text: Any, what: str) -> Any:
+    try:
+        return table[text]
+    except (KeyError, TypeError):
+        raise Malformed(f"{what} is {text!r}, expected one of {', '.join(table)}") from None
+
+
+def read_settings(text: str) -> Settings:
+    """Settings from the wire's JSON; unknown keys are skipped, a missing one is named."""
+    try:
+        raw = json.loads(text)
+    except ValueError as exc:
+        raise SettingsError(f"settings are not JSON: {exc}") from None
+    limits, rules = _need(raw, "bounds", ""), _need(raw, "obligations", "")
+    try:
+        worst = min(0.99, float(raw.get("goal", {}).get("worstClass", 0.0)))
+        classes = tuple(
+            RequestClass(
+                name=str(c.get("name", n)),
+                aim=int(_need(c, "goalTimeNs", f"services[{n}].")),
+                deadline=int(_need(c, "deadlineNs", f"services[{n}].")),
+                worth=float(_need(c, "worth", f"services[{n}].")),
+                late_share=float(c.get("lateShare", 0.0)),
+                idempotency=_word(_IDEMPOTENCY, _need(c, "idempotency", f"services[{n}]."), "idempotency"),
+                scope=_word(_SCOPES, c.get("group", "all"), "group"),
+                window=int(c.get("windowNs", 0)),
+                stream=bool(c.get("stream", False)),
+            )
+            for n, c in enumerate(_need(raw, "services", ""))
+        )
+        return Settings(
+            classes=classes,
+            balancers=max(1, int(_need(raw, "balancers", ""))),
+            zone=int(raw.get("az", 0)),
+            ask_discovery=_need(raw, "discovery", "") == "ask",
+            ask_every=int(rules.get("askEveryNs", 10_000_000_000)),
+            attempt_limit=max(1, int(_need(limits, "maxAttempts", "bounds."))),
+            copies_allowed=bool(_need(limits, "secondCopies", "bounds.")),
+            cancel_allowed=bool(_need(limits, "cancelling", "bounds.")),
+            cold_share=float(_need(rules, "coldFrom", "obligations.")),
+            cold_time=int(_need(rules, "coldNs", "obligations.")),
+            overload_multiple=float(_need(rules, "tipMultiple", "obligations.")),
+            overload_window=int(_need(rules, "fallNs", "obligations.")),
+            answer_slack=int(_need(rules, "answerSlackNs", "obligations.")),
+            step=int(raw.get("stepNs", 0)),
+            worth_by_work=raw.get("valueBy") == "work",
+            fairness=worst / (1 - worst),
+            retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
+        )
+    except (TypeError, ValueError, AttributeError) as exc:
+        raise SettingsError(f"settings hold a value of the wrong kind: {exc}") from None
+
+
+def _int(text: str) -> int:
+    return 0 if text == "-" else int(text)
+
+
+def _report(text: str) -> LoadReport | None:
+    if text == "-" or not text:
+        return None
+    values: dict[str, float] = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition(":")
+        if name in _REPORT:
+            values[_REPORT[name]] = float(value)
+    return LoadReport(**values) if values else None
+
+
+def _encode(i: int, actions: list[Action], out: list[str]) -> None:
+    for a in actions:
+        if isinstance(a, Send):
+            out.append(f"PLACE\t{i}\t{a.request_id}\t{a.server}\t{a.timeout}\n")
+        elif isinstance(a, SetTimer):
+            out.append(f"TIMER\t{i}\t{a.token}\t{a.at}\n")
+        elif isinstance(a, Cancel):
+            out.append(f"WITHDRAW\t{i}\t{a.request_id}\t{a.attempt}\n")
+        elif isinstance(a, Refuse):
+            out.append(f"DENY\t{i}\t{a.request_id}\t{a.retry_after}\n")
+        elif isinstance(a, Fail):
+            out.append(f"FINISH_ERROR\t{i}\t{a.request_id}\n")
+        elif isinstance(a, Watch):
+            out.append(f"WATCH\t{i}\t1\n")
+        elif isinstance(a, Log):
+            out.append(f"EMIT\t{i}\t{' '.join(a.text.split())}\n")
+
+
+class Link:
+    """Hosts the instances and turns one batch into one reply."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Balancer] = {}
+
+    def event(self, now: int, parts: list[str], entries: list[list[str]]) -> list[Action]:
+        """Give one event to its instance; what it wants done comes back."""
+        name, i = parts[0], int(parts[1])
+        if name == "CONFIGURE":
+            seed, settings = int(parts[2]), read_settings(parts[3])
+            self.instances[i] = Balancer(settings, seed)
+            return self._decide(self.instances[i].on_start, now)
+        if name == "SHUTDOWN":
+            self.instances.pop(i, None)
+            return []
+        balancer = self.instances.get(i)
+        if balancer is None:
+            raise Malformed(f"instance {i} has no CONFIGURE yet")
+        if name == "SUBMIT":
+            if not 0 <= _int(parts[6]) < len(balancer.settings.classes):
+                raise Malformed(f"kind {parts[6]} is no class of the settings")
+            request = Request(
+                id=parts[2],
+                klass=_int(parts[6]),
+                deadline=int(parts[8]),
+                cost_hint=_int(parts[7]),
+                retry=parts[5] == "1",
+                tenant=_int(parts[4]),
+                key=None if parts[9] == "-" else parts[9],
+            )
+            return self._decide(balancer.on_request, now, request)
+        if name == "ANSWER":
+            end = AttemptEnd(
+                request_id=parts[2],
+                attempt=int(parts[3]),
+                server=int(parts[4]),
+                outcome=_word(_OUTCOMES, parts[5], "how"),
+                latency=_int(parts[6]),
+                final=parts[7] == "1",
+                report=_report(parts[8]),
+            )
+            return self._decide(balancer.on_attempt_end, now, end)
+        if name == "REMINDER":
+            return self._decide(balancer.on_timer, now, parts[2])
+        if name == "GONE":
+            return self._decide(balancer.on_client_gone, now, parts[2])
+        if name == "STREAMING":
+            return self._decide(balancer.on_stream_started, now, parts[2], int(parts[3]))
+        if name == "ANNOUNCE":
+            rows = tuple(
+                ServerEntry(
+                    id=int(p[5]),
+                    zone=_int(p[7]),
+                    cell=_int(p[1]),
+                    kind=_int(p[2]),
+                    state=_word(_STATES, p[3], "availability"),
+                    weight=1.0 if p[4] == "-" else float(p[4]),
+                    started=_int(p[6]),
+                )
+                for p in entries
+            )
+            return self._decide(balancer.on_list, now, ServerList(_word(_LIST_KINDS, parts[3], "kind"), rows))
+        return []  # PROBE_DONE and NEIGHBOUR_SAYS: this module sends no probes and no messages
+
+    @staticmethod
+    def _decide(method: Callable[..., list[Action]], *args: Any) -> list[Action]:
+        try:
+            return method(*args)
+        except Exception as exc:
+            raise DecisionFault(f"{type(exc).__name__}: {exc}") from exc
+
+
+class DecisionFault(Exception):
+    """The decision code itself failed."""
+
+
+def _split(line: str, number: int) -> list[str]:
+    name = line.partition("\t")[0]
+    count = _FIELDS.get(name)
+    if count is None:
+        raise Malformed(f"line {number}: unknown event {name[:40]!r}")
+    parts = line.split("\t", count - 1) if name == "CONFIGURE" else line.split("\t")
+    if len(parts) != count:
+        raise Malformed(f"line {number}: {name} has {len(parts) - 1} fields, expected {count - 1}")
+    return parts
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answer batch after batch until the input ends."""
+    link = Link()
+    lines: Iterator[tuple[int, str]] = enumerate((raw.rstrip("\r\n") for raw in source), 1)
+    for number, head in lines:
+        sync = head.split("\t")
+        if sync[0] != "SYNC" or len(sync) != 3 or not sync[1].isdigit() or not sync[2].isdigit():
+            raise Malformed(f"line {number}: expected SYNC, clock time and batch number, got {head[:60]!r}")
+        now, out = int(sync[1]), list[str]()
+        while True:
+            number, line = next(lines, (number, ""))
+            if line == "END":
+                break
+            if not line:
+                raise Malformed(f"line {number}: batch {sync[2]} was cut short, expected an event or END")
+            parts = _split(line, number)
+            where = number
+            try:
+                if parts[0] == "M":
+                    raise Malformed("list entry outside an ANNOUNCE")
+                entries = []
+                for _ in range(int(parts[4]) if parts[0] == "ANNOUNCE" else 0):
+                    where, row = next(lines, (where, ""))
+                    if row.partition("\t")[0] != "M":
+                        raise Malformed("expected a list entry M")
+                    entries.append(_split(row, where))
+                number = where
+                _encode(int(parts[1]), link.event(now, parts, entries), out)
+            except DecisionFault as fault:
+                out.append(f"BUG\t{parts[1]}\t{fault}\n".replace("\r", " "))
+            except Malformed as exc:
+                text = str(exc)
+                raise Malformed(text if text.startswith("line ") else f"line {where}: {text}") from None
+            except ValueError as exc:
+                raise Malformed(f"line {where}: {parts[0]} expects a number: {exc}") from None
+        out.append(f"END\t{sync[2]}\n")
+        sink.write("".join(out))
+        sink.flush()
+
+
+def main() -> int:
+    gc.disable()  # the module makes no cycles; a collection in mid-batch would only cost time
+    try:
+        serve(sys.stdin, sys.stdout)
+    except Malformed as exc:
+        print(f"benchlink: {exc}", file=sys.stderr)
+        return 2
+    except UnicodeDecodeError as exc:
+        print(f"benchlink: input is not UTF-8: {exc}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 0
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dykeshift/rules.py
@@ -0,0 +1,459 @@
+"""All decisions of the balancer; its types, events and actions are in interface.py.
+
+Redundant-to-Idle-Queue (RIQ): draw a few servers for a request, copy a safe request to those
+that look idle, else send it once to a random one of them; cancel the losers at the first good
+answer. Every public method takes the time and returns the actions to carry out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from dykeshift.interface import NOT_RUN, Action, AttemptEnd, Cancel, Fail, Idempotency, ListKind, LoadReport
+from dykeshift.interface import Outcome, Refuse, Request, RequestClass, Scope, Send, ServerEntry, ServerList
+from dykeshift.interface import ServerState, SetTimer, Settings, Watch
+
+POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
+DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
+HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
+GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
+GROW, CUT = 2.0, 0.8  # room grows by this over the instances, who all grow at once; shrinks on failures
+ADMIT_UP, ADMIT_DOWN = 0.1, 0.05  # for a quick answer, for a slow one: up while a third are quick
+LEAST_ADMIT = 0.1  # enough to notice that answers are quick again
+REGROW = 0.1  # of a room below one, at the least, for each quick answer: two or three undo a cut
+CALM = 0.45  # of the aim: a server whose answers lately took longer is not idle, whoever keeps it busy
+EASY = 0.35  # of the aim: only answers within this make a room grow
+PATIENCE = 1.3  # times the usual latency: an attempt out for longer gets a delayed copy (paper, VIII)
+FIRST_GUESS = 0.25  # of the aim: usual latency until answers tell; twice it still leaves time to hold
+NEED = 2.0  # times the usual latency: with less than this left before the aim a request is not begun
+WAIT_SHARE = 0.4  # of the aim: no delayed copy before this, a second try still fits into the rest
+ROOM = 4.0  # what all instances together trust a server with before anything is known
+LEAST_ROOM = 0.05  # below one, a share of the time: a failing server is still tried now and then
+SAFETY = 0.5  # of the cold budget is used; the rest covers chance, handshakes and a small server of its kind
+LAPSE = 0.5  # of an overload window: credit with a cold server is kept no longer
+SMOOTH = 0.1  # weight of the newest sample in a running mean: about the last twenty samples count
+SOFTER, HARDER = 1.4, 0.3  # rooms grow on slower answers while servers warm up, on quicker ones in a crowd
+CROWD_STEP, CROWD_FREE = 0.02, 0.1  # one request's weight; part that may find no room before others wait
+BUSY = 0.8  # utilization reported: hardly ever without a queue
+PACE_SMOOTH = 0.2  # the same for one server's pace: it follows the last few answers
+WATCH_SHARE = 0.1  # of the longest time without asking: the first pause before a failed watch is repeated
+SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
+LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
+ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One server as this instance sees it."""
+
+    entry: ServerEntry
+    room: float  # how many of our attempts it has shown it carries at once
+    rank: float  # the servers that rank lowest are the pool
+    credit: float  # attempts that it may be sent while cold
+    credited: int  # requests that its credit has grown with
+    in_flight: int = 0
+    cut_at: int = 0
+    rest_until: int = 0
+    pace: float = 0.0  # running mean of its answers' latency, as a share of the aim
+    answered: bool = True  # has answered something since it was last idle of ours
+    quiet_since: int = 0  # its last answer, or what it was first sent after that
+    heard: bool = False  # has answered since its start
+    report: LoadReport | None = None
+    reported: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    server: Server
+    sent: int
+    end: Outcome | None = None  # None: still out
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request until it is answered and all its attempts have come back."""
+
+    request: Request
+    klass: RequestClass
+    arrived: int
+    attempts: list[Attempt] = field(default_factory=list)
+    live: int = 0
+    closed: bool = False
+    streaming: bool = False
+
+    def anchor(self) -> Attempt | None:
+        """The first attempt that may have run: it binds where and until when a repeat may go."""
+        return next((a for a in self.attempts if a.end not in NOT_RUN), None)
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = Random(seed).random
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []  # those that run
+        self.pool: list[Server] = []  # those of them that this instance keeps in touch with
+        self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
+        self.arrivals = 0.0  # requests in an overload window, running mean
+        self.open: dict[str, Open] = {}
+        self.usual = [c.aim * FIRST_GUESS for c in settings.classes]  # running mean of good answers' latency
+        self.easy = EASY
+        self.admit = 1.0  # part of the requests let in: falls while most answers of the whole pool are slow
+        self.crowd = 0.0  # rises while requests find no server with room; classes worth less than this wait
+        self.value = [1.0] * len(settings.classes)  # worth per work, as a share of the dearest class's
+        self.hints = [0.0] * len(settings.classes)  # running mean of the cost hints
+        self.yielded = 0.0  # part of the latest requests that a server answered
+        self.watch_failures = 0
+        self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.acts: list[Action] = []
+
+    def _done(self) -> list[Action]:
+        acts, self.acts = self.acts, []
+        return acts
+
+    # ---- the list of servers ----
+
+    def on_start(self, now: int) -> list[Action]:
+        if self.settings.ask_discovery:
+            self.acts.append(Watch())
+        return self.on_timer(now, "sweep")
+
+    def on_list(self, now: int, update: ServerList) -> list[Action]:
+        if update.kind is ListKind.FAILED:
+            if self.settings.ask_discovery:  # well before it counts as told; spread, as all may fail together
+                self.watch_failures = min(self.watch_failures + 1, 4)
+                pause = self.settings.ask_every * WATCH_SHARE * 2 ** (self.watch_failures - 1)
+                self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+            return self._done()
+        if update.kind is not ListKind.CACHED:
+            self.watch_failures = 0
+        if update.kind is not ListKind.DELTA:
+            listed = {e.id for e in update.entries}
+            for server in self.servers.values():
+                if server.entry.id not in listed:
+                    server.entry = replace(server.entry, state=ServerState.GONE)
+        rooms = [s.room for s in self.ready]  # one that comes later is trusted like those already there
+        room = sum(rooms) / len(rooms) if rooms else ROOM / self.settings.balancers
+        for entry in update.entries:
+            known = self.servers.get(entry.id)
+            if known is None or entry.started > known.entry.started:  # a new process: what was known is void
+                self.servers[entry.id] = Server(entry, room, self.random(), self.random(), self.arrived)
+            else:
+                known.entry = entry
+        self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
+        self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
+        self._gather(now)
+        return self._done()
+
+    def _gather(self, now: int) -> None:
+        """The pool: no more servers than this instance has requests for in an overload window.
+
+        Met more seldom, what was learned of a server is no longer true, and connections cost too much.
+        """
+        self.ready.sort(key=lambda s: s.rank)
+        met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
+        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
+        # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
+        self.whole = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
+
+    # ---- draw ----
+
+    def _draw(self, now: int, item: Open) -> list[Server]:
+        """Up to DRAW servers at random without replacement, of those that this request may go to."""
+        bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()  # few drop its repeats
+        pool, picked, aside = self.ready if bound else self.pool, list[Server](), list[Server]()
+        for i in range(len(pool)):
+            j = i + int(self.random() * (len(pool) - i))
+            pool[i], pool[j] = pool[j], pool[i]
+            if self._allowed(now, item, pool[i]):
+                (aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
+                if len(picked) == DRAW:
+                    break
+        # A trouble of the whole fleet must not shut it out: more than half are never left aside.
+        return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside)[:DRAW]
+
+    def _suspect(self, now: int, item: Open, server: Server) -> bool:
+        """A slow, stalled or hung server: left aside, so that it does not take the lone requests."""
+        quiet = now - server.quiet_since  # slow lately: others first, it would be driven into a jam
+        return server.pace > GOOD_SHARE and quiet < item.klass.aim or (
+            server.in_flight > 0 and quiet > PATIENCE * self._expected(item))
+
+    def _allowed(self, now: int, item: Open, server: Server) -> bool:
+        if any(attempt.server is server for attempt in item.attempts):
+            return False
+        anchor, scope = item.anchor(), item.klass.scope
+        if anchor is not None and item.klass.idempotency is Idempotency.KEYED and (
+                scope is Scope.CELL and server.entry.cell != anchor.server.entry.cell
+                or scope is Scope.ZONE and server.entry.zone != anchor.server.entry.zone):
+            return False
+        # Room prevents the jam in which every server holds more than it can finish in time.
+        return server.in_flight < server.room and now >= server.rest_until and self._cold_room(now, server)
+
+    def _may_send(self, now: int, item: Open) -> bool:
+        """Whether one more attempt breaks no rule, to a server that _allowed lets through."""
+        if item.closed or item.streaming or len(item.attempts) >= self.settings.attempt_limit:
+            return False
+        end = item.request.deadline
+        if not item.klass.late_share:
+            end = min(end, item.arrived + item.klass.aim)
+        if now >= end or (item.live and not self.settings.copies_allowed):
+            return False
+        anchor = item.anchor()
+        if anchor is None or item.klass.idempotency is Idempotency.SAFE:
+            return True
+        return item.klass.idempotency is Idempotency.KEYED and now < anchor.sent + item.klass.window
+
+    # ---- idle ----
+
+    def _idle(self, now: int, server: Server) -> bool:
+        if server.in_flight or not server.answered or not server.heard:
+            return False  # heard: at a start all would read idle to everyone at once
+        # Pace prevents many balancers, each with nothing there, from copying into a jam.
+        return server.pace <= CALM and not self._says_busy(server)
+
+    def _says_busy(self, server: Server) -> bool:
+        report = server.report
+        return report is not None and bool(report.queued or (report.utilization or 0.0) > BUSY)
+
+    def _says_free(self, now: int, server: Server) -> bool:
+        told = server.report is not None and server.report.utilization is not None
+        recent = now - server.reported < self.settings.overload_window
+        return told and recent and not self._says_busy(server)
+
+    # ---- copy or lone send ----
+
+    def on_request(self, now: int, request: Request) -> list[Action]:
+        klass = self.settings.classes[request.klass]
+        item = self.open[request.id] = Open(request, klass, now)
+        self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
+        if self.arrived == len(self.pool) and self.sweeps < 2:
+            self._gather(now)  # many requests: a start with few servers would refuse some of them
+        self.yielded *= 1 - SMOOTH
+        # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
+        (self._place if self.random() < self.admit else self._give_up)(now, item)
+        return self._done()
+
+    def _place(self, now: int, item: Open) -> None:
+        """RIQ for a request that has nothing out."""
+        dear = self.crowd > self.value[item.request.klass] and not item.attempts
+        drawn = [] if dear else self._draw(now, item)
+        if now == item.arrived:  # those made to wait count as well placed: low classes alone are not starved
+            self.crowd = min(1.0, max(0.0, self.crowd + CROWD_STEP * ((not drawn and not dear) - CROWD_FREE)))
+        if not drawn:
+            self._hold(now, item)
+            return
+        new = [s for s in drawn if not (s.heard or s.in_flight)]
+        idle = [s for s in drawn if self._idle(now, s)]
+        if self.random() * len(drawn) < len(new):
+            idle = new[:1]  # first contact as often as by random choice: else the few heard first keep all
+        idle.sort(key=lambda s: s.entry.zone != self.settings.zone)  # near before far, otherwise as drawn
+        copies = 1  # unless idle servers are plenty: a copy would take one from the next request
+        safe = item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
+        if safe and len(idle) * 2 > DRAW:
+            copies = max(1, self.settings.attempt_limit - 1 - len(item.attempts))
+        idle = idle[:copies]
+        for server in idle or [drawn[int(self.random() * len(drawn))]]:
+            self._send(now, item, server)
+        self._watch_over(now, item)
+
+    def _watch_over(self, now: int, item: Open) -> None:
+        if item.klass.idempotency is not Idempotency.UNSAFE and self._may_send(now, item):
+            wait = int(max(PATIENCE * self._expected(item), WAIT_SHARE * item.klass.aim))
+            self.acts.append(SetTimer("r:" + item.request.id, now + wait))
+
+    def _expected(self, item: Open) -> float:
+        n, hint = item.request.klass, item.request.cost_hint
+        return self.usual[n] * (hint / self.hints[n] if hint and self.hints[n] else 1.0)
+
+    def _copy_late(self, now: int, item: Open) -> None:
+        """The delayed copy: prevents a stalled server from taking with it all that it holds."""
+        if self._may_send(now, item):
+            idle = [s for s in self._draw(now, item) if self._idle(now, s)]
+            if idle:
+                self._send(now, item, idle[0])
+            self._watch_over(now, item)
+
+    def _send(self, now: int, item: Open, server: Server) -> None:
+        item.attempts.append(Attempt(server, now))
+        item.live += 1
+        server.in_flight += 1
+        if server.answered and server.in_flight == 1:
+            server.quiet_since, server.answered = now, False
+        server.credit -= 1
+        # What is late and worth nothing is called off at the aim: the server is freed for those in time.
+        timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
+        self.acts.append(Send(item.request.id, server.entry.id, timeout))
+
+    def _hold(self, now: int, item: Open) -> None:
+        """Nowhere to go: look again soon, and answer before an answer stops being worth waiting for."""
+        need = int(NEED * self._expected(item))  # what it will take: later than this it cannot be in time
+        until = min(item.request.deadline - self.settings.step, item.arrived + item.klass.aim - need)
+        if now >= until or not self._may_send(now, item):
+            self._give_up(now, item)
+            return
+        again = now + int(item.klass.aim * HOLD_SHARE)
+        self.acts.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
+
+    # ---- answer, cancel, retry ----
+
+    def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
+        item = self.open.get(end.request_id)
+        if item is None or end.attempt >= len(item.attempts) or item.attempts[end.attempt].end is not None:
+            return []
+        attempt = item.attempts[end.attempt]
+        attempt.end = end.outcome
+        item.live -= 1
+        self._learn(now, item, attempt.server, end)
+        if end.final and not item.closed:
+            self._close(item)
+        elif not item.closed and not item.live:
+            (self._place if self._may_send(now, item) else self._give_up)(now, item)
+        self._forget(item)
+        return self._done()
+
+    def on_stream_started(self, now: int, request_id: str, attempt: int) -> list[Action]:
+        item = self.open.get(request_id)
+        if item is not None and not item.closed:
+            item.streaming = True
+            self._cancel_others(item, attempt)
+        return self._done()
+
+    def on_client_gone(self, now: int, request_id: str) -> list[Action]:
+        item = self.open.get(request_id)
+        if item is not None and not item.closed:
+            self._close(item)
+        return self._done()
+
+    def _close(self, item: Open) -> None:
+        item.closed = True
+        self._cancel_others(item, -1)
+        self._forget(item)
+
+    def _cancel_others(self, item: Open, keep: int) -> None:
+        out = [n for n, a in enumerate(item.attempts) if a.end is None and n != keep]
+        self.acts += [Cancel(item.request.id, n) for n in out if self.settings.cancel_allowed]
+
+    def _forget(self, item: Open) -> None:
+        if item.closed and not item.live:
+            self.open.pop(item.request.id, None)
+
+    def _give_up(self, now: int, item: Open) -> None:
+        """The final answer that no server gave: refused where that is true to the client, else failed."""
+        kind = item.klass.idempotency
+        everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
+        harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
+        self.acts.append(Refuse(item.request.id) if harmless else Fail(item.request.id))
+        self._close(item)
+
+    # ---- health ----
+
+    def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
+        self._judge(now, item, server, end)
+        server.in_flight -= 1
+        if end.report is not None:
+            server.report, server.reported = end.report, now
+        if end.outcome in ANSWERS:
+            server.quiet_since, server.answered = now, True
+        if end.outcome is Outcome.OK:
+            server.heard, server.credit = True, server.credit + SAFETY  # it does more than it must by now
+            n = item.request.klass
+            self.usual[n] += SMOOTH * (end.latency - self.usual[n])
+            hint = item.request.cost_hint
+            self.hints[n] += (SMOOTH if self.hints[n] else 1.0) * (hint - self.hints[n])
+            self.yielded += SMOOTH
+
+    def _judge(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
+        share = end.latency / item.klass.aim
+        quick = share <= GOOD_SHARE
+        if end.outcome is Outcome.OK or share > server.pace:
+            server.pace += PACE_SMOOTH * (min(share, 2.0) - server.pace)
+        stall = end.outcome in LATE and (quick or self._says_free(now, server))  # or withdrawn early
+        if end.outcome in LATE and not stall:
+            self.admit = max(LEAST_ADMIT, self.admit - ADMIT_DOWN)
+        if end.outcome is Outcome.OK and quick:
+            self.admit = min(1.0, self.admit + ADMIT_UP)
+            if server.in_flight > server.room - 1 and share <= self.easy and not self._says_busy(server):
+                # A room below one is a share of the time and grows in proportion, as it is cut, at any size.
+                grow = GROW / self.settings.balancers
+                server.room += min(max(REGROW, grow) * server.room, grow / server.room)
+        elif not stall and end.outcome is not Outcome.NOT_SENT:
+            # Errors count like lateness: quick ones would else make the server look free.
+            usual = self.usual[item.request.klass]
+            if now - server.cut_at >= usual:  # one slow spell shows on all attempts it held: it counts once
+                server.cut_at = now
+                server.room = max(LEAST_ROOM, server.room * CUT)
+            rest = max(end.latency, usual) * (1 / server.room - 1)
+            if end.outcome is Outcome.FULL:
+                rest = max(rest, usual)  # its refusals come at once and would keep it the freest of all
+            if end.outcome is Outcome.CONNECT_FAILED:
+                server.rank += 1  # dead, or its connections are all taken by others: left to them
+            # Less than one at a time: many balancers with one attempt each do not jam a server.
+            server.rest_until = max(server.rest_until, now + int(rest))
+
+    # ---- cold budget ----
+
+    def _cold(self, now: int, server: Server) -> bool:
+        return server.entry.started > 0 and now < server.entry.started + self.settings.cold_time
+
+    def _warmth(self, now: int, server: Server) -> float:
+        """Least share of its capacity that a server has by now."""
+        if not self._cold(now, server):
+            return 1.0
+        cold = self.settings.cold_share
+        return cold + (1 - cold) * max(0, now - server.entry.started) / self.settings.cold_time
+
+    def _cold_room(self, now: int, server: Server) -> bool:
+        """Whether a cold server may be sent one more attempt: rule 4 over any number of balancers.
+
+        Credit grows with each request, so that the server gets from each instance at most SAFETY x
+        multiple x warmth of the work that one of its servers answers on average, and from all together no
+        more than that part of what a whole one carries. It starts at random, so that the instances take
+        turns where the share of each is far below one attempt a window, and what is not used lapses.
+        """
+        if not self._cold(now, server):
+            return True
+        served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
+        bears = SAFETY * self.settings.overload_multiple * self._warmth(now, server) * served
+        bears *= server.entry.weight / self.mean_weight / self.whole
+        server.credit += bears * (self.arrived - server.credited)
+        server.credited = self.arrived
+        most = 1 + bears * self.arrivals * LAPSE
+        if server.credit > most:
+            server.credit = most if most > 2 else server.credit % 1
+        return server.credit >= 1
+
+    # ---- timers ----
+
+    def on_timer(self, now: int, token: str) -> list[Action]:
+        if token == "sweep":
+            self._sweep(now)
+            self.acts.append(SetTimer("sweep", now + int(self.settings.overload_window * SWEEP_SHARE)))
+        elif token == "watch":
+            self.acts.append(Watch())
+        elif token.startswith("r:"):
+            item = self.open.get(token[2:])
+            if item is not None and not item.closed:
+                (self._copy_late if item.live else self._place)(now, item)
+        return self._done()
+
+    def _sweep(self, now: int) -> None:
+        self.sweeps += 1
+        fresh = max(SMOOTH, 1 / max(1, self.sweeps - 1))  # before there is a mean to smooth, the plain mean
+        self.arrivals += fresh * ((self.arrived - self.swept) / SWEEP_SHARE - self.arrivals)
+        self.swept = self.arrived
+        self._gather(now)
+        # Prevents rooms that grow through an overload, and all servers with them, from ending in a jam.
+        # While servers warm up help is on its way, and larger rooms bridge the time until then.
+        self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
+        self._appraise()
+        self.servers = {n: s for n, s in self.servers.items()
+                        if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
+
+    def _appraise(self) -> None:
+        """Worth of each class per work; where the worst class counts much, none is worth giving up."""
+        worths = [max(c.worth, 1e-9) for c in self.settings.classes]
+        costs = [1.0 if self.settings.worth_by_work else u for u in self.usual]
+        per_work = [w / c * sum(costs) / sum(worths) for w, c in zip(worths, costs, strict=True)]
+        fair = self.settings.fairness * len(worths)
+        self.value = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,328 @@
+"""One small test for each failure met: what the module did, and must not do again."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.harness import CLASSES, MS, Seen, World, entry, make_settings
+from dykeshift.interface import ListKind, LoadReport, Outcome, Request
+
+
+def fleet(n: int = 6, seed: int = 1, **changes: object) -> World:
+    world = World(make_settings(**changes), seed)
+    world.announce(ListKind.CACHED, *(entry(i) for i in range(n)))
+    return world
+
+
+def warm_up(world: World, rounds: int = 60, klass: int = 0, hint: int = 0) -> None:
+    """Every attempt answered quickly: the usual latency and the servers' rooms settle."""
+    for _ in range(rounds):
+        rid = world.submit(klass, hint=hint)
+        world.advance(30 * MS)
+        world.end_all(rid)
+
+
+def test_silent_fleet_is_not_filled_without_bound() -> None:
+    """Incidents i407c1f, i8d87b3, i4602e4: all servers held more than they could finish in time."""
+    world = fleet()
+    for _ in range(400):
+        world.submit(0)
+        world.advance(5 * MS)
+    held = len(world.out())
+    assert held <= 6 * 4, f"{held} attempts out on six silent servers"
+    refused = sum(s.final == "Refuse" for s in world.requests.values())
+    assert refused > 200
+    world.settle()
+
+
+def test_quick_errors_do_not_draw_the_traffic() -> None:
+    world = fleet()
+    warm_up(world)
+    bad, total = 0, 200
+    for n in range(300):
+        rid = world.submit(2)
+        world.advance(2 * MS)
+        server = world.requests[rid].servers[0]
+        bad += server == 0 and n >= 100
+        world.end(rid, 0, Outcome.ERROR if server == 0 else Outcome.OK)
+        world.end_all(rid)
+    assert bad < total / 12, f"{bad} of {total} went to the failing one of six servers"
+    world.settle()
+
+
+def test_hung_server_takes_few_irrevocable_requests() -> None:
+    """A server that takes work and answers nothing is left aside while others answer."""
+    world = fleet()
+    warm_up(world)
+    hung = 0
+    for n in range(400):
+        rid = world.submit(2)
+        world.advance(10 * MS)
+        for attempt, server in enumerate(world.requests[rid].servers):
+            if server == 0:
+                hung += n >= 100
+            elif world.requests[rid].ends[attempt] is None:
+                world.end(rid, attempt, Outcome.OK)
+    assert hung <= 6, f"{hung} of 300 unsafe requests went to the hung one of six servers"
+    world.settle()
+
+
+def test_stalled_attempt_gets_a_delayed_copy() -> None:
+    """Stalls of 140 to 230 ms on every server made all that they held late."""
+    world = fleet()
+    warm_up(world)
+    rid = world.submit(0)
+    before = len(world.requests[rid].servers)
+    world.advance(85 * MS)
+    assert len(world.requests[rid].servers) > before
+    late = len(world.requests[rid].servers) - 1
+    world.end(rid, late, Outcome.OK)
+    assert world.requests[rid].final == "OK"
+    world.settle()
+
+
+def test_slow_answers_end_copying() -> None:
+    """Incident i407c1f: many balancers, each with nothing out, copied into a fleet that was full."""
+    world = fleet()
+    for _ in range(60):
+        rid = world.submit(0)
+        world.advance(95 * MS)
+        for n, end in enumerate(world.requests[rid].ends):
+            if end is None:
+                slow = world.requests[rid].sent[n] == world.now - 95 * MS
+                world.end(rid, n, Outcome.OK if slow else Outcome.CANCELLED)
+    rid = world.submit(0)
+    assert len(world.requests[rid].servers) == 1
+    world.settle()
+
+
+def test_a_held_request_is_refused_while_it_could_not_be_in_time_anyway() -> None:
+    """Incident i3bc64d: requests begun with too little time left took the servers from those in time."""
+    world = fleet(1)
+    warm_up(world, hint=20 * MS)
+    for _ in range(40):
+        world.submit(0, hint=20 * MS)
+    light, heavy = world.submit(0, hint=20 * MS), world.submit(0, hint=80 * MS)
+    assert world.requests[heavy].final == "Refuse"
+    assert not world.requests[light].servers, "the one server is full"
+    world.advance(60 * MS)
+    assert not world.requests[light].final
+    world.advance(100 * MS)
+    assert world.requests[light].final == "Refuse"
+    world.settle()
+
+
+def trusted(balancers: int) -> float:
+    world = fleet(3, balancers=balancers)
+    for _ in range(60):
+        rids = [world.submit(2) for _ in range(12)]
+        world.advance(10 * MS)
+        for rid in rids:
+            world.end_all(rid)
+    rooms = [s.room for s in world.balancer.servers.values()]
+    world.settle()
+    return sum(rooms) / len(rooms)
+
+
+def test_many_balancers_each_trust_a_server_with_less() -> None:
+    """Incidents i1c51ca, i3b328d, ieb0e10: the rooms of sixteen instances grew at once, into a jam."""
+    few, many = trusted(4), trusted(16)
+    assert many < few * 0.6
+    assert many > 1, "quick answers under load still make rooms grow"
+
+
+def test_a_server_that_reports_itself_busy_gets_no_more_room() -> None:
+    """Incidents ieb0e10, i25554e: one's own quick answers say little where others fill the server."""
+    world = fleet(2)
+    busy = LoadReport(utilization=0.95)
+    for _ in range(60):
+        rids = [world.submit(2) for _ in range(8)]
+        world.advance(10 * MS)
+        for rid in rids:
+            for n, end in enumerate(world.requests[rid].ends):
+                if end is None:
+                    server = world.requests[rid].servers[n]
+                    world.end(rid, n, Outcome.OK, busy if server == 0 else None)
+    servers = world.balancer.servers
+    assert servers[0].room < servers[1].room / 2
+    world.settle()
+
+
+def crowded(**changes: object) -> tuple[World, dict[int, list[str]]]:
+    """Four times what one server answers, half of it cheap in worth (class 3), half dear (class 2)."""
+    classes = tuple(replace(c, worth=5.0 if n == 2 else 1.0) for n, c in enumerate(CLASSES))
+    world = fleet(1, classes=classes, **changes)
+    finals: dict[int, list[str]] = {2: [], 3: []}
+    for turn in range(1200):
+        klass = 2 + turn % 2
+        rid = world.submit(klass)
+        finals[klass].append(rid)
+        world.advance(8 * MS)
+        if turn % 4 == 0 and world.out():
+            world.end(*world.out()[0], Outcome.OK)
+    world.settle()
+    return world, finals
+
+
+def served(world: World, rids: list[str]) -> int:
+    return sum(world.requests[r].final == "OK" for r in rids)
+
+
+def test_in_a_crowd_the_least_worthy_class_waits_first() -> None:
+    """Incident i78a34d: all classes were refused alike, whatever their worth per work."""
+    world, rids = crowded()
+    assert served(world, rids[2]) > 2 * served(world, rids[3])
+    world, rids = crowded(fairness=1.0)
+    assert served(world, rids[2]) < 2 * served(world, rids[3]), "where the worst class counts much"
+
+
+def test_a_class_that_comes_alone_is_not_starved_by_its_low_worth() -> None:
+    world, _ = crowded()
+    world.announce(ListKind.DELTA, entry(1), entry(2))
+    rids = []
+    for _ in range(600):
+        rids.append(world.submit(3))
+        world.advance(8 * MS)
+        for rid, n in world.out():
+            world.end(rid, n, Outcome.OK)
+    assert served(world, rids[-100:]) > 90
+    world.settle()
+
+
+def test_no_copy_where_idle_servers_are_scarce() -> None:
+    """Incidents ieb0e10, i3b328d: copies took the last idle servers from the requests after them."""
+    world = fleet(5)
+    warm_up(world)
+    assert len(world.requests[world.submit(0)].servers) == 2, "five idle: one copy"
+    assert len(world.requests[world.submit(0)].servers) == 2, "three idle still"
+    assert len(world.requests[world.submit(0)].servers) == 1, "one idle"
+    world.settle()
+
+
+def test_every_server_is_met_soon_though_the_first_heard_stay_idle() -> None:
+    """A restarted balancer stuck to the few servers it had heard first: the others never read idle."""
+    world = fleet(8)
+    for _ in range(80):
+        rid = world.submit(2)
+        world.advance(10 * MS)
+        world.end_all(rid)
+    assert all(s.heard for s in world.balancer.servers.values())
+    world.settle()
+
+
+def test_a_fleet_too_large_for_few_requests_is_met_in_part() -> None:
+    """Incident iaeca7e: 138 balancers each connected to every server until its table was full."""
+    world = fleet(60)
+    for _ in range(300):
+        rid = world.submit(2)
+        world.advance(150 * MS)
+        world.end_all(rid)
+    met = {n for s in world.requests.values() for n in s.servers}
+    assert len(met) < 20
+    refusing = next(iter(met))
+    for _ in range(200):
+        rid = world.submit(2)
+        world.advance(150 * MS)
+        bad = refusing in world.requests[rid].servers
+        world.end_all(rid, Outcome.CONNECT_FAILED if bad else Outcome.OK)
+    tries = [s.servers for s in list(world.requests.values())[-150:]]
+    assert all(refusing not in t for t in tries)
+    assert all(s.entry.id != refusing for s in world.balancer.pool), "left to others"
+    world.settle()
+
+
+def test_first_trust_is_a_share_and_later_servers_are_trusted_like_the_others() -> None:
+    """Incident ibd67e9: eleven balancers filled every core within the first two seconds of an overload."""
+    world = fleet(3, balancers=16)
+    start = world.balancer.servers[0].room
+    assert start * 16 < 6
+    warm_up(world, 200, klass=2)
+    world.announce(ListKind.DELTA, entry(9))
+    rooms = [world.balancer.servers[n].room for n in range(3)]
+    assert start < sum(rooms) / 3 == world.balancer.servers[9].room
+    world.settle()
+
+
+def test_in_an_overload_rooms_grow_on_quicker_answers_only_unless_servers_are_warming_up() -> None:
+    """Incidents i3bc64d, i616169: rooms grew through an overload until every server choked."""
+    for started, grows in ((0, False), (1, True)):
+        world = fleet(2)
+        world.announce(ListKind.DELTA, entry(2, started=started and world.now))
+        world.balancer.crowd = 1.0
+        world.advance(400 * MS)  # the sweep sees the crowd
+        world.balancer.crowd = 1.0
+        before = world.balancer.servers[0].room
+        for _ in range(4):
+            for _ in range(6):
+                world.submit(2)
+            world.advance(120 * MS)  # .3 of the aim: quick enough without a crowd
+            for rid, n in world.out():
+                world.end(rid, n, Outcome.OK)
+        assert (world.balancer.servers[0].room > before) is grows
+        world.settle()
+
+
+def test_a_jam_of_the_whole_fleet_ends_at_the_door() -> None:
+    """Incident i3ee00a: at hundreds of balancers no single server's room stopped a burst in time."""
+    world = fleet(60, balancers=400)
+    for _ in range(60):  # all answers late, each server met once or twice
+        rid = world.submit(2)
+        world.advance(300 * MS)
+        world.end_all(rid)
+    assert world.balancer.admit < 0.5
+    world.announce(ListKind.FULL, *(entry(n) for n in range(100, 160)))  # not one of them rests yet
+    rids = [world.submit(2) for _ in range(8)]
+    refused = sum(world.requests[r].final == "Refuse" for r in rids)
+    assert refused >= 5, "each of the pool would take one"
+    world.settle()
+    for _ in range(300):
+        rid = world.submit(2)
+        world.advance(40 * MS)
+        world.end_all(rid)
+    assert world.balancer.admit == 1.0, "quick answers open it again"
+
+
+def test_late_attempts_at_a_server_with_free_cores_cost_it_nothing() -> None:
+    """sofia-readings: pauses and heavy requests cut the rooms of servers that had little to do."""
+    rooms = []
+    for utilization in (0.2, 0.95):
+        world = fleet(2)
+        for _ in range(30):
+            rid = world.submit(2)
+            world.advance(320 * MS)
+            for n, end in enumerate(world.requests[rid].ends):
+                if end is None:
+                    world.end(rid, n, Outcome.OK, LoadReport(utilization=utilization))
+        rooms.append(sum(s.room for s in world.balancer.servers.values()))
+        world.settle()
+    assert rooms[0] > 2 * rooms[1]
+
+
+def test_a_room_below_one_recovers_at_hundreds_of_instances() -> None:
+    """cardiff-push: rooms grew by 2/N of themselves and fell by a fifth; no server ever recovered."""
+    world = fleet(4, balancers=300)
+    server = world.balancer.servers[0]
+    before = server.room
+    for _ in range(120):
+        rid = world.submit(2)
+        world.advance(40 * MS)
+        world.end_all(rid)
+    assert server.room > 10 * before
+    world.settle()
+
+
+def test_marked_retries_do_not_enlarge_the_pool() -> None:
+    """cardiff-push big-1: retries doubled the requests, the pool grew with them and filled the tables."""
+    met = []
+    for retry in (False, True):
+        world = fleet(60)
+        for n in range(600):
+            again = retry and n % 4 != 0
+            request = Request(f"x{n}", 2, world.now + 1500 * MS, retry=again)
+            world.requests[request.id] = Seen(request, CLASSES[2])
+            world.play(world.balancer.on_request(world.now, request))
+            world.advance(40 * MS)
+            world.end_all(request.id)
+        met.append(len(world.balancer.pool))
+        world.settle()
+    assert met[1] < met[0] / 2
