Refusals say when to come back

Seen: Refuse carried no retry_after (rules.py, _give_up), so clients came back after their own 12 to 100 ms however full the fleet was. Change: the module's own pause between two looks, longer the smaller the part of requests that is let in, capped by the settings' limit.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -343,9 +343,14 @@
         kind = item.klass.idempotency
         everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
         harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
-        self.acts.append(Refuse(item.request.id) if harmless else Fail(item.request.id))
+        rid = item.request.id
+        self.acts.append(Refuse(rid, self._advice(item)) if harmless else Fail(rid))
         self._close(item)
 
+    def _advice(self, item: Open) -> int:
+        """When to come back: as soon as the module itself would look again, later the fewer are let in."""
+        return int(min(item.klass.aim * HOLD_SHARE / self.admit, self.settings.retry_advice_limit))
+
     # ---- health ----
 
     def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -214,3 +214,16 @@
     world.advance(30 * S)
     assert len(world.balancer.servers) == 6
     world.settle()
+
+
+@pytest.mark.parametrize(("limit", "admit", "least"), [
+    (0, 1.0, 0), (750 * MS, 1.0, 1), (30 * MS, 0.1, 30 * MS),
+])
+def test_a_refusal_says_when_to_come_back_within_the_limit(limit: int, admit: float, least: int) -> None:
+    world = World(make_settings(retry_advice_limit=limit))
+    world.balancer.admit = admit
+    world.submit(0)
+    world.advance(S)
+    (refusal,) = (a for a in world.actions if isinstance(a, Refuse))
+    assert least <= refusal.retry_after <= limit
+    world.settle()
