Mend what a review of the balancer found, each with a test

The timer is told again, the whole list asked for. - driver.py submit(): the guard could fire up to half a millisecond early. - upstream.py _room(): at the limit an attempt was given up although an idle connection could make room. - HEAD got an answer with a body; its connection now ends with it.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -22,6 +22,7 @@
 CLIENT_SHARE, UPSTREAM_SHARE = 0.4, 0.4  # of the descriptors; the rest is for accepting and discovery
 MOST_CONNECTIONS = 400  # of either kind: what their buffers may hold fits into the memory limit
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
+BACKLOG = 1024  # connections that may wait to be accepted
 TICK = 0.02  # seconds between two looks whether all is answered
 
 
@@ -41,16 +42,19 @@
     discovery.take_known(given.known)
     if not given.settings.ask_discovery:
         discovery.watch()
-    server = await loop.create_server(front.connect, *given.listen, backlog=1024)
+    try:
+        server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
+    except OSError as exc:
+        raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     gc.collect()
     gc.freeze()  # what lives as long as the program is not walked again by each collection
     if started is not None:
         started(front, server)
     await stop.wait()
-    await wind_down(front, server)
+    await wind_down(front, server, max((c.deadline for c in given.settings.classes), default=0) / 1e9)
 
 
-async def wind_down(front: Front, server: asyncio.Server) -> None:
+async def wind_down(front: Front, server: asyncio.Server, longest: float) -> None:
     """Let go of the clients: none is turned away while some may still come, all taken are answered."""
     loop = asyncio.get_running_loop()
     front.stopping = True
@@ -59,7 +63,8 @@
         front.close_idle()
         await asyncio.sleep(TICK)
     server.close()
-    while any(not client.between() for client in front.clients):
+    until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
+    while loop.time() < until and any(not client.between() for client in front.clients):
         front.close_idle()
         await asyncio.sleep(TICK)
 
@@ -75,9 +80,6 @@
     except config.ConfigError as exc:
         print(f"balancer: {exc}", file=sys.stderr)
         return 2
-    except OSError as exc:
-        print(f"balancer: cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}", file=sys.stderr)
-        return 2
     return 0
 
 
--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
 import httptools
 
-from dykeshift.node.http1 import MAX_BODY, Gatherer, TooLarge
+from dykeshift.node.http1 import MAX_BODY, Gatherer, TooLarge, has_input
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +55,7 @@
         """
         if self.transport is None or self.transport.is_closing() or self.stray:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
+        return not has_input(self.transport)
 
     def send(self, data: bytes, exchange: Exchange) -> None:
         assert self.transport is not None and self.exchange is None
@@ -89,8 +86,9 @@
             return
         sound = self.exchange is not None
         try:
-            self.count(len(data))
             self.parser.feed_data(data)
+            if self.answer is None:
+                self.count(len(data))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, TooLarge):
             sound = False
         if self.answer is not None:
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -25,7 +25,7 @@
 PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
-Apply = Callable[[ListKind, list[Listed]], None]
+Apply = Callable[[ListKind, list[Listed]], bool]
 
 
 def number_of(instance: str) -> int:
@@ -173,6 +173,7 @@
         except (ValueError, RecursionError) as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
-        self.generation = generation
-        self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
-        return True
+        sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
+        # What the module failed over it may hold in part: the whole list is asked for next.
+        self.generation = generation if sound else None
+        return sound
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -35,6 +35,7 @@
 
 # What is kept of the client's time for the way back: an answer that comes as it gives up is none.
 RETURN = 5_000_000
+TIMER_RETRY = 1.0  # seconds until a timer that the module failed in is told again
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +92,8 @@
         deadline = arrived + max(0, incoming.patience - RETURN)
         job = self.jobs[incoming.id] = Job(incoming, deadline, reply)
         left = deadline - time.monotonic_ns()
-        job.guard = self.loop.call_later(max(0, left) / 1e9, self._expire, job)
+        # Rounded up: a timer that fires early would let the module begin once more in the last instant.
+        job.guard = self.loop.call_later(max(0, left) / 1e9 + 0.001, self._expire, job)
         request = Request(id=incoming.id, klass=incoming.klass, deadline=deadline,
                           cost_hint=incoming.cost_hint, retry=incoming.retry)
         self._tell(self.balancer.on_request, request, job=job)
@@ -103,8 +105,11 @@
             self._tell(self.balancer.on_client_gone, request_id, job=job)
             self._forget(job)
 
-    def apply(self, kind: ListKind, listed: list[Listed]) -> None:
-        """Take over a list. Addresses first: what the module decides on it already goes by them."""
+    def apply(self, kind: ListKind, listed: list[Listed]) -> bool:
+        """Take over a list. Addresses first: what the module decides on it already goes by them.
+
+        False: the module failed over it and may hold only part of it.
+        """
         if kind is not ListKind.DELTA:
             for number in set(self.pool.upstreams) - {one.entry.id for one in listed}:
                 self._remove(number)
@@ -116,7 +121,7 @@
             ready = entry.state is ServerState.READY
             self.pool.put(entry.id, one.address, entry.started, ready)
             (self.ready.add if ready else self.ready.discard)(entry.id)
-        self._tell(self.balancer.on_list, ServerList(kind, tuple(one.entry for one in listed)))
+        return self._tell(self.balancer.on_list, ServerList(kind, tuple(one.entry for one in listed)))
 
     def discovery_failed(self) -> None:
         self._tell(self.balancer.on_list, ServerList(ListKind.FAILED))
@@ -149,20 +154,27 @@
 
     # ---- the module ----
 
-    def _tell(self, method: Callable[..., list[Action]], *args: object, job: Job | None = None) -> None:
+    def _tell(self, method: Callable[..., list[Action]], *args: object, job: Job | None = None) -> bool:
         """One event to the module, and what it wants done.
 
         Protects every other request from a fault in the module: this one fails, its attempts are
         called off, and what the module had noted so far is carried out, so that its counts stay true.
+        Says whether the module did its part.
         """
         try:
             actions = method(time.monotonic_ns(), *args)
         except Exception:
             log.exception("the module failed in %s", method.__name__)
-            actions = []
             if job is not None:
                 self._answer(job, FAILED)
+            return False
         self._do(actions)
+        return True
+
+    def _timer(self, token: str) -> None:
+        """Protects what the module does again and again, its watch among it, from ending with one fault."""
+        if not self._tell(self.balancer.on_timer, token):
+            self.loop.call_later(TIMER_RETRY, self._timer, token)
 
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
@@ -170,7 +182,7 @@
                 self._send(action)
             elif isinstance(action, SetTimer):
                 wait = max(0, action.at - time.monotonic_ns()) / 1e9
-                self.loop.call_later(wait, self._tell, self.balancer.on_timer, action.token)
+                self.loop.call_later(wait, self._timer, action.token)
             elif isinstance(action, Cancel):
                 self._cancel(action)
             elif isinstance(action, Refuse):
--- a/dykeshift/node/http1.py
+++ b/dykeshift/node/http1.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
+
 import httptools
 
 MAX_BODY = 64 * 1024
@@ -10,6 +13,13 @@
 FRAMING = 4  # a chunked body may take this many times its size on the wire, no more
 
 
+def has_input(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes or a close have arrived that the event loop has not come to yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class TooLarge(Exception):
     """A message outgrew its bounds; `status` is what a server answers to it."""
 
@@ -35,13 +45,13 @@
         self.in_head = True
 
     def count(self, size: int) -> None:
-        """Called with each piece before it is parsed.
+        """Called with each piece once it is parsed, unless it made a message whole.
 
         Protects the memory limit: the parser keeps an unfinished header, chunk extension or
         trailer without any call, so only the bytes fed to it tell how much that is.
         """
         self.fed += size
-        if self.in_head and self.fed > MAX_HEAD + self.max_body:
+        if self.in_head and self.fed > MAX_HEAD:
             raise TooLarge(431)
         if self.fed > MAX_HEAD + FRAMING * self.max_body:
             raise TooLarge(413)
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -10,7 +10,7 @@
 import httptools
 
 from dykeshift.node.driver import FAILED, Driver, Reply
-from dykeshift.node.http1 import Gatherer, TooLarge, too_large
+from dykeshift.node.http1 import Gatherer, TooLarge, has_input, too_large
 from dykeshift.node.requests import BadRequest, Reader
 
 log = logging.getLogger(__name__)
@@ -23,14 +23,14 @@
             500: b"Internal Server Error", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
-def render(reply: Reply, keep: bool, head_only: bool = False) -> bytes:
+def render(reply: Reply, keep: bool) -> bytes:
     lines = [b"HTTP/1.1 %d %s" % (reply.status, _REASONS[reply.status]),
              b"Content-Type: " + reply.content_type, b"Content-Length: %d" % len(reply.body)]
     if reply.retry_after:
         lines.append(b"Retry-After: %.3f" % (reply.retry_after / 1e9))
     if not keep:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head_only else reply.body)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + reply.body
 
 
 class Front:
@@ -69,14 +69,15 @@
         self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
     def close_idle(self) -> None:
+        """Close kept connections on which no request has arrived, be it unread."""
         for client in list(self.clients):
-            if client.between() and client.answered_any:
+            if client.between() and client.answered_any and not client.has_input():
                 client.abort()
 
 
 class Client(Gatherer, asyncio.Protocol):
-    __slots__ = ("front", "transport", "parser", "target", "busy", "since", "keep", "closing", "request_id",
-                 "began", "whole", "answered_any")
+    __slots__ = ("front", "transport", "parser", "target", "busy", "since", "keep", "closing", "cut_short",
+                 "request_id", "began", "whole", "answered_any")
 
     def __init__(self, front: Front) -> None:
         super().__init__()
@@ -87,19 +88,23 @@
         self.busy = False  # a request has been taken and not answered
         self.whole = False
         self.keep = True
-        self.closing = False  # nothing more is read from it
+        self.closing = False  # what comes from it is dropped
+        self.cut_short = False  # answered before its request had come whole
         self.request_id = ""  # of the request that the driver has
         self.began = 0  # when the first byte of the request came
         self.since = front.loop.time()  # when it last did something
         self.answered_any = False
 
     def between(self) -> bool:
-        """Idle: no byte of a request has come that is not answered."""
-        return not self.busy and not self.began and not self.unread_answer()
+        """Idle: no byte of a request has come that is not answered, and no answer waits to be read."""
+        return not self.busy and not self.began and not self.closing and not self.unread_answer()
 
     def unread_answer(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def has_input(self) -> bool:
+        return self.transport is not None and has_input(self.transport)
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -118,8 +123,9 @@
             self.began = min(time.monotonic_ns(), int(self.front.loop.time() * 1e9))
             self.since = self.front.loop.time()
         try:
-            self.count(len(data))
             self.parser.feed_data(data)
+            if not self.whole:
+                self.count(len(data))
         except TooLarge as exc:
             self._reject(exc.status, "too large")
         except httptools.HttpParserUpgrade:
@@ -181,6 +187,8 @@
         assert self.parser is not None
         self.busy = True
         method = self.parser.get_method()
+        if method == b"HEAD":
+            self.keep = False  # its answer would have to come without the body that all here have
         if self.target.partition(b"?")[0] == b"/ready":
             ready = self.front.is_ready()
             self.answer(Reply(200, b"ready\n") if ready else Reply(503, b"not ready\n"))
@@ -209,11 +217,17 @@
         self.transport.write(render(reply, keep))
         if not keep:
             self.closing = True
-            self.transport.close()
+            if self.cut_short:
+                # Closed outright, what the client still sends would be met by a reset, which can
+                # take the answer with it: read on until it closes, or for SLOW at the most.
+                self.transport.write_eof()
+            else:
+                self.transport.close()
 
     def _reject(self, status: int, text: str) -> None:
         """Answer what cannot be parsed and close; a request that is with the driver goes on."""
         self.keep, self.closing = False, True
         if not self.busy and not self.whole:
+            self.cut_short = True
             self.busy = True
             self.answer(Reply(status, f"{text}\n".encode()))
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -172,9 +172,10 @@
         if self.open < self.limit:
             return True
         rest = max(self.upstreams.values(), key=lambda u: len(u.idle), default=None)
-        if rest is not None and rest.idle:
-            rest.idle.pop(0).close()  # its descriptor is free only when it is lost: the next attempt gets it
-        return False
+        if rest is None or not rest.idle:
+            return False
+        rest.idle.pop(0).close()  # its descriptor is free before the new connection comes up
+        return True
 
     async def _connect(self, attempt: Attempt) -> None:
         upstream = attempt.upstream
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -107,6 +107,27 @@
     run(main())
 
 
+def test_a_list_that_the_module_fails_over_is_asked_for_whole() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        changed = settings()
+        changed["obligations"]["askEveryNs"] = 100_000_000
+        async with node(stub, settings=changed) as balancer:
+            module = balancer.front.driver.balancer
+            sound = module.on_list
+
+            def faulty(now: int, update: ServerList) -> list[Action]:
+                module.on_list = sound  # type: ignore[method-assign]
+                raise RuntimeError("planted")
+
+            module.on_list = faulty  # type: ignore[method-assign]
+            balancer.registry.put(listing(2, False, instance("s0", stub.address, "leaving")))
+            await until(lambda: len(balancer.registry.paths) == 2)
+            assert balancer.registry.paths[1] == "/v1/endpoints"
+
+    run(main())
+
+
 @pytest.mark.parametrize("known", [None, {}, [], {"generation": 1, "reset": True, "instances": [{}]}])
 def test_without_a_sound_known_list_the_whole_one_is_asked_for(known: Any) -> None:
     async def main() -> None:
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -129,6 +129,20 @@
     run(main())
 
 
+def test_sigterm_does_not_wait_for_a_request_that_never_comes_whole(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with program(stub, tmp_path) as (process, port):
+            half = await call(port)
+            half.writer.write(b"POST /api HTTP/1.1\r\nHost: b\r\n")
+            await half.writer.drain()
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            half.writer.close()
+
+    run(main())
+
+
 def test_sigterm_with_nothing_to_do_exits_0(tmp_path: Path) -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -5,10 +5,12 @@
 import asyncio
 import logging
 import time
+from contextlib import suppress
 
 import pytest
 
 from dykeshift.interface import Action, AttemptEnd, Outcome, Refuse, Request
+from dykeshift.node import driver, server
 from tests.node.stubs import (
     Handler,
     Message,
@@ -17,6 +19,7 @@
     instance,
     listing,
     node,
+    read_message,
     request,
     resets,
     run,
@@ -361,6 +364,63 @@
     run(main())
 
 
+def test_a_refusal_of_the_body_reaches_a_client_that_is_still_sending() -> None:
+    async def main() -> None:
+        async with node() as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request(body=b"x" * 3_000_000))
+            await caller.writer.drain()
+            assert status(await read_message(caller.reader)) == 413
+            caller.writer.write(b"x" * 100_000)  # no reset has come
+            await caller.writer.drain()
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+            await until(lambda: not balancer.front.clients)
+
+    run(main())
+
+
+def test_head_ends_the_connection_so_that_no_body_is_taken_for_an_answer() -> None:
+    async def main() -> None:
+        async with node() as balancer:
+            got = await balancer.ask(request("check", method="HEAD"))
+            assert status(got) == 400 and got.headers["connection"] == "close"
+
+    run(main())
+
+
+def test_a_client_too_slow_with_its_request_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "SLOW", 0.05)
+
+    async def main() -> None:
+        async with node() as balancer:
+            idle, slow = await balancer.open(), await balancer.open()
+            slow.writer.write(b"GET /api HTT")
+            with suppress(ConnectionError):
+                assert await slow.reader.read() == b""
+            assert len(balancer.front.clients) == 1
+            idle.writer.close()
+
+    run(main())
+
+
+def test_a_timer_that_the_module_fails_in_is_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "TIMER_RETRY", 0.01)
+
+    async def main() -> None:
+        async with node() as balancer:
+            told: list[str] = []
+
+            def faulty(now: int, token: str) -> list[Action]:
+                told.append(token)
+                raise RuntimeError("planted")
+
+            balancer.front.driver.balancer.on_timer = faulty  # type: ignore[method-assign]
+            await until(lambda: told.count("sweep") >= 3)
+
+    run(main())
+
+
 # ---- ready ----
 
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -268,6 +268,18 @@
     run(main())
 
 
+def test_at_the_limit_an_idle_connection_makes_room() -> None:
+    async def main() -> None:
+        one, other = await Stub(says(answer())).start(), await Stub(says(answer())).start()
+        pool = make_pool(one.address, limit=1)
+        pool.put(2, other.address, 0, True)
+        for number in (1, 2, 1, 2):
+            assert (await Shot(pool, number).end()).outcome is Outcome.OK
+            await until(lambda: pool.open == 1)
+
+    run(main())
+
+
 # ---- a last look before the first byte ----
 
 
