An attempt never ends within the call that starts it

Seen: the test for what a faulty module still asks for, tried with a warm connection, hung: an attempt whose time was over ended inside Pool.start (upstream.py, Attempt.write), before the driver had noted it, so its end met an empty list and the request stayed in the driver's books. Ruled out: the connecting path, where the end always came later. Change: that end comes in the next turn of the loop.

--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -79,7 +79,8 @@
             return False
         left = self.until - time.monotonic_ns()
         if left <= 0 or not self.upstream.open_to_new:
-            self.finish(End(Outcome.NOT_SENT))
+            # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
+            self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
         self.connection = connection
         connection.send(self.message(left), self)
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -183,6 +183,16 @@
     run(main())
 
 
+def test_at_the_deadline_the_module_says_whether_it_is_a_refusal() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub) as balancer:
+            got = await balancer.ask(request("check", deadline=300))  # harmless to repeat
+            assert status(got) == 503 and len(stub.seen) == 1
+
+    run(main())
+
+
 def test_a_client_that_goes_takes_its_attempt_along() -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
@@ -261,6 +271,7 @@
         stub = await Stub(says(answer())).start()
         async with node(stub) as balancer:
             module = balancer.front.driver.balancer
+            assert status(await balancer.ask(request("send", rid="r0"))) == 200  # a connection is warm
             sound = module._watch_over
 
             def faulty(*_: object) -> None:
@@ -270,7 +281,7 @@
             assert status(await balancer.ask(request("send"))) == 500
             module._watch_over = sound  # type: ignore[method-assign]
             await until(lambda: not balancer.front.driver.jobs)
-            assert not stub.seen and all(s.in_flight == 0 for s in module.servers.values())
+            assert len(stub.seen) == 1 and all(s.in_flight == 0 for s in module.servers.values())
 
     run(main())
 
@@ -306,6 +317,8 @@
     request().replace(b"Content-Length: 5", b"Content-Length: 5\r\nTransfer-Encoding: chunked"),
     request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n"
                       + b"fff0\r\n" + b"x" * 0xfff0 + b"\r\nffff\r\n" + b"x" * 0xffff),
+    request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n"
+                      + b"1;" + b"x" * 10_000 + b"\r\nx\r\n" + (b"1;" + b"x" * 1000 + b"\r\nx\r\n") * 400),
     request(x_request_id="r2"),
     request(x_deadline_ms="9"),
     request(X_Long="x" * 100_000),
@@ -315,7 +328,7 @@
     b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
     b"GET /api\r\n\r\n",
     b"NONSENSE\r\n\r\n",
-], ids=range(35))
+], ids=range(36))
 def test_bad_input_is_answered_4xx_and_goes_nowhere(bad: bytes) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -10,7 +10,6 @@
 import pytest
 
 from dykeshift.interface import LoadReport, Outcome
-from dykeshift.node.connection import Answer, Connection
 from dykeshift.node.upstream import Attempt, End, Pool
 from tests.node.stubs import Handler, Stub, answer, resets, run, says, silent, until
 
@@ -117,7 +116,6 @@
     """The peer reads nothing and resets while most of a long request waits to be written."""
 
     async def main() -> None:
-        loop = asyncio.get_running_loop()
         gate = asyncio.Event()
 
         async def deaf(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -126,21 +124,13 @@
             writer.transport.abort()
 
         server = await asyncio.start_server(deaf, "127.0.0.1", 0)
-        told: list[bool] = []
-
-        class Listener:
-            def answered(self, answer: Answer) -> None:
-                raise AssertionError("nobody answered")
-
-            def broken(self, written: bool) -> None:
-                told.append(written)
-
-        _, connection = await loop.create_connection(
-            lambda: Connection(loop, lambda _: None, lambda _: None), *server.sockets[0].getsockname())
-        connection.send(b"x" * 50_000_000, Listener())
+        ends: list[End] = []
+        pool = make_pool(server.sockets[0].getsockname())
+        attempt = pool.start(1, lambda _: b"x" * 50_000_000, time.monotonic_ns() + 20 * SECOND, ends.append)
+        await until(lambda: attempt.connection is not None)
         gate.set()
-        await until(lambda: bool(told))
-        assert told == [False]
+        await until(lambda: bool(ends))
+        assert [end.outcome for end in ends] == [Outcome.CONNECT_FAILED]
 
     run(main())
 
@@ -331,6 +321,20 @@
     run(main())
 
 
+def test_no_attempt_ends_within_the_call_that_starts_it() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        pool = make_pool(stub.address)
+        await Shot(pool).end()
+        late = Shot(pool, left=-1)  # on a warm connection, which is kept for the next
+        assert not late.ends
+        assert (await late.end()).outcome is Outcome.NOT_SENT
+        assert (await Shot(pool).end()).outcome is Outcome.OK
+        assert len(stub.seen) == 2 and len(stub.writers) == 1
+
+    run(main())
+
+
 def test_an_unknown_upstream_is_an_end_like_any_other() -> None:
     async def main() -> None:
         pool = make_pool(("127.0.0.1", 9))
