Advice on refusals is half as long

Guess: a client that stays away for so long comes back too late for its aim. Lines: rules.py, _advice; the share has a name of its own now.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -17,6 +17,7 @@
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
+ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
 GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
 GROW, CUT = 2.0, 0.8  # room grows by this over the instances, who all grow at once; shrinks on failures
 ADMIT_UP, ADMIT_DOWN = 0.1, 0.05  # for a quick answer, for a slow one: up while a third are quick
@@ -348,8 +349,8 @@
         self._close(item)
 
     def _advice(self, item: Open) -> int:
-        """When to come back: as soon as the module itself would look again, later the fewer are let in."""
-        return int(min(item.klass.aim * HOLD_SHARE / self.admit, self.settings.retry_advice_limit))
+        """When to come back: soon, while a retry can still be in time; later the fewer are let in."""
+        return int(min(item.klass.aim * ADVICE_SHARE / self.admit, self.settings.retry_advice_limit))
 
     # ---- health ----
 
