A class that hangs on some servers leaves them

Probes at the driver: no connect fails and no limit of the pool is met; what fails are time-outs of one class, 390 in five seconds, on seven servers that answer the two others quickly. Ruled out: new or reused connections (time-outs on either), one cell (the servers lie in three), the drain of servers. Lines: rules.py, _suspect and _judge look at a server as a whole; answers of the other classes kept it the freest of all and made its room grow to nine, while its low load drew still more. Mend: each server has a lane for each class. Two failures in a row there, or silence for twice its patience, and the class leaves it to the last; then it rests there, up to sixteen aims, with one trial after each rest.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -38,12 +38,24 @@
 CROWD_STEP, CROWD_FREE = 0.02, 0.1  # one request's weight; part that may find no room before others wait
 BUSY = 0.8  # utilization reported: hardly ever without a queue
 PACE_SMOOTH = 0.2  # the same for one server's pace: it follows the last few answers
+HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
+LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.1  # of the longest time without asking: the first pause before a failed watch is repeated
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
 
 
+@dataclass(slots=True)
+class Lane:
+    """One class of requests at one server: what answers all others may hang on one."""
+
+    out: int = 0
+    quiet_since: int = 0  # its last end but for cancels, or what it was first sent after that
+    failures: int = 0  # in a row
+    rest_until: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """One server as this instance sees it."""
@@ -53,6 +65,7 @@
     rank: float  # the servers that rank lowest are the pool
     credit: float  # attempts that it may be sent while cold
     credited: int  # requests that its credit has grown with
+    lanes: list[Lane]
     in_flight: int = 0
     cut_at: int = 0
     rest_until: int = 0
@@ -146,7 +159,8 @@
         for entry in update.entries:
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                self.servers[entry.id] = Server(entry, room, self.random(), self.random(), self.arrived)
+                self.servers[entry.id] = Server(entry, room, self.random(), self.random(), self.arrived,
+                                                [Lane() for _ in self.settings.classes])
             else:
                 known.entry = entry
         self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
@@ -171,15 +185,23 @@
         """Up to DRAW servers at random without replacement, of those that this request may go to."""
         bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()  # few drop its repeats
         pool, picked, aside = self.ready if bound else self.pool, list[Server](), list[Server]()
+        hung = list[Server]()
         for i in range(len(pool)):
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
             if self._allowed(now, item, pool[i]):
-                (aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
+                (hung if self._hangs(now, item, pool[i]) else
+                 aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
                 if len(picked) == DRAW:
                     break
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
-        return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside)[:DRAW]
+        return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside or hung)[:DRAW]
+
+    def _hangs(self, now: int, item: Open, server: Server) -> bool:
+        """Whether this class gets no answers there, whatever others get: left to the last."""
+        lane = server.lanes[item.request.klass]
+        quiet = now - lane.quiet_since > HUNG * PATIENCE * self._expected(item)
+        return lane.out > 0 and (lane.failures >= HUNG or quiet)
 
     def _suspect(self, now: int, item: Open, server: Server) -> bool:
         """A slow, stalled or hung server: left aside, so that it does not take the lone requests."""
@@ -195,6 +217,9 @@
                 scope is Scope.CELL and server.entry.cell != anchor.server.entry.cell
                 or scope is Scope.ZONE and server.entry.zone != anchor.server.entry.zone):
             return False
+        # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
+        if now < server.lanes[item.request.klass].rest_until:
+            return False
         # Room prevents the jam in which every server holds more than it can finish in time.
         return server.in_flight < server.room and now >= server.rest_until and self._cold_room(now, server)
 
@@ -289,6 +314,10 @@
         if server.answered and server.in_flight == 1:
             server.quiet_since, server.answered = now, False
         server.credit -= 1
+        lane = server.lanes[item.request.klass]
+        lane.out += 1
+        if lane.out == 1:
+            lane.quiet_since = now
         # What is late and worth nothing is called off at the aim: the server is freed for those in time.
         timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
         self.acts.append(Send(item.request.id, server.entry.id, timeout))
@@ -364,6 +393,7 @@
     def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
         self._judge(now, item, server, end)
         server.in_flight -= 1
+        self._judge_lane(now, item, server.lanes[item.request.klass], end)
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
@@ -376,6 +406,18 @@
             self.hints[n] += (SMOOTH if self.hints[n] else 1.0) * (hint - self.hints[n])
             self.yielded += SMOOTH
 
+    def _judge_lane(self, now: int, item: Open, lane: Lane, end: AttemptEnd) -> None:
+        lane.out -= 1
+        if end.outcome in ANSWERS or end.outcome is Outcome.RESET:
+            lane.quiet_since = now
+        if end.outcome is Outcome.OK:
+            lane.failures, lane.rest_until = 0, 0
+        elif end.outcome in (Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET):
+            lane.failures += 1
+            if lane.failures >= HUNG:
+                rest = item.klass.aim * 2 ** min(lane.failures - HUNG, LONGEST)
+                lane.rest_until = now + int(rest * (0.5 + self.random()))
+
     def _judge(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
         share = end.latency / item.klass.aim
         quick = share <= GOOD_SHARE
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -326,3 +326,40 @@
         met.append(len(world.balancer.pool))
         world.settle()
     assert met[1] < met[0] / 2
+
+
+def test_a_class_that_hangs_on_some_servers_alone_leaves_them() -> None:
+    """Half of the servers answer two classes and hang on the third: it must go to the others."""
+    world = fleet(8)
+    for klass in (0, 1, 2):
+        warm_up(world, 40, klass)
+    hung = {2: 0, 0: 0}
+    for n in range(400):
+        klass = 0 if n % 2 else 2
+        rid = world.submit(klass)
+        world.advance(10 * MS)
+        for attempt, server in enumerate(world.requests[rid].servers):
+            if klass == 2 and server < 4:
+                hung[2] += n >= 200  # it gets no answer
+            else:
+                hung[0] += n >= 200 and server < 4
+                if world.requests[rid].ends[attempt] is None:
+                    world.end(rid, attempt, Outcome.OK)
+    assert hung[2] <= 15, f"{hung[2]} of 100 went to where they hang"
+    assert hung[0] >= 30, "the class that is answered there keeps away as well"
+    world.settle()
+
+
+def test_a_class_comes_back_to_where_it_is_answered_again() -> None:
+    world = fleet(1)
+    warm_up(world, 40, 2)
+    for _ in range(20):
+        rid = world.submit(2)
+        world.advance(10 * MS)
+        for attempt, end in enumerate(world.requests[rid].ends):
+            if end is None:
+                world.end(rid, attempt, Outcome.ERROR)
+    world.advance(20_000 * MS)
+    warm_up(world, 20, 2)
+    assert [s.final for s in world.requests.values()][-5:] == ["OK"] * 5
+    world.settle()
