Bad clients: one sound request at a time, in time, within bounds

Checked against httptools by a probe of 58 messages: lengths and codings in either order, signs, folded and bare-LF heads are refused by it; 'gzip, chunked' in a request and bodies without an end in an answer are not. Mend: nothing of what came together goes out, and an open request with more behind it is given up; 2.5 s from connecting for the first request; 0.5 s after a rejection; the silent make room first, none with input waiting; connections bounded by descriptors and memory_mb. An answer that only a close would end is broken at its head.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -21,8 +21,6 @@
 from dykeshift.node.upstream import Pool
 from dykeshift.rules import Balancer
 
-CLIENT_SHARE, UPSTREAM_SHARE = 0.4, 0.4  # of the descriptors; the rest is for accepting and discovery
-MOST_CONNECTIONS = 400  # of either kind: what their buffers may hold fits into the memory limit
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
 BACKLOG = 1024  # connections that may wait to be accepted
 TICK = 0.02  # seconds between two looks whether all is answered
@@ -31,13 +29,11 @@
 async def serve(given: config.Config, load: Callable[[], config.Config],
                 started: Callable[[Front, asyncio.Server, Reload], None] | None = None) -> None:
     loop = asyncio.get_running_loop()
-    pool = Pool(loop, min(MOST_CONNECTIONS, int(given.sockets * UPSTREAM_SHARE)), given.connect_timeout,
-                given.keepalive)
+    pool = Pool(loop, given.connections, given.connect_timeout, given.keepalive)
     driver = Driver(loop, Balancer(given.settings, given.seed), pool, lambda: discovery.watch())
     discovery = Discovery(loop, given.discovery, Reader(given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
-    front = Front(loop, driver, requests.Reader(given.settings.classes),
-                  min(MOST_CONNECTIONS, int(given.sockets * CLIENT_SHARE)))
+    front = Front(loop, driver, requests.Reader(given.settings.classes), given.connections)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -11,6 +11,10 @@
 
 Address = tuple[str, int]
 
+SHARE = 0.4  # of the descriptors, for the connections to clients and again for those to upstreams
+PROGRAM = 16.0  # MB that the program needs with no connection open, measured, with some room
+BUFFERS = 0.128  # MB that one connection holds at the most: a whole body, and again while it is passed on
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; its text is one plain line for people."""
@@ -21,7 +25,7 @@
     listen: Address
     discovery: Address
     seed: int
-    sockets: int  # file descriptors that this process may hold
+    connections: int  # most that may be open to clients, and as many to upstreams
     known: Any  # the list as this balancer last had it, in discovery's form; None: never had one
     settings: Settings
     zones: tuple[str, ...]
@@ -49,6 +53,15 @@
         raise ConfigError(f"bad configuration {path!r}: {exc}") from None
 
 
+def most_connections(limits: dict[str, Any]) -> int:
+    """Of either kind, so that neither descriptors nor memory run out when all of them are full.
+
+    What is left of the descriptors is for accepting, discovery and sockets that are being closed.
+    """
+    sockets, memory = int(limits.get("sockets", 1024)), float(limits.get("memory_mb", 192))
+    return max(4, min(int(sockets * SHARE), int((memory - PROGRAM) / 2 / BUFFERS)))
+
+
 def parse(raw: Any) -> Config:
     given = need(raw, "settings", "")
     limits = need(given, "bounds", "settings.")
@@ -57,7 +70,7 @@
         listen=read_address(need(raw, "listen", "")),
         discovery=read_address(need(raw, "discovery", "")),
         seed=int.from_bytes(seed.encode(), "big"),
-        sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+        connections=most_connections(raw.get("limits", {})),
         known=raw.get("known"),
         settings=parse_settings(given),
         zones=tuple(map(str, given.get("failureDomains", ()))),
--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from dykeshift.node.http1 import MAX_BODY, Gatherer, TooLarge, has_input
+from dykeshift.node.http1 import MAX_BODY, Gatherer, Unacceptable, has_input
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +89,7 @@
             self.parser.feed_data(data)
             if self.answer is None:
                 self.count(len(data))
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, TooLarge):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, Unacceptable):
             sound = False
         if self.answer is not None:
             self._complete(self.answer, sound and self.reusable and not self.stray and not self.unwritten)
@@ -125,6 +125,14 @@
             self.stray = True  # more than one answer to one request: nothing on it can be trusted
         self.begin()
 
+    def on_headers_complete(self) -> None:
+        """Protects against waiting for an answer that nothing but the end of its connection would end."""
+        super().on_headers_complete()
+        assert self.parser is not None
+        framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
+        if not framed and self.parser.get_status_code() >= 200:
+            raise Unacceptable(501)
+
     def on_message_complete(self) -> None:
         if self.parser is None or self.stray:
             return
--- a/dykeshift/node/http1.py
+++ b/dykeshift/node/http1.py
@@ -5,8 +5,6 @@
 import asyncio
 import select
 
-import httptools
-
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MAX_HEADERS = 64
@@ -20,11 +18,11 @@
     return bool(poll.poll(0))
 
 
-class TooLarge(Exception):
-    """A message outgrew its bounds; `status` is what a server answers to it."""
+class Unacceptable(Exception):
+    """A message out of its bounds; `status` is what a server answers to it."""
 
     def __init__(self, status: int) -> None:
-        super().__init__(f"message too large ({status})")
+        super().__init__(f"message is not acceptable ({status})")
         self.status = status
 
 
@@ -52,31 +50,34 @@
         """
         self.fed += size
         if self.in_head and self.fed > MAX_HEAD:
-            raise TooLarge(431)
+            raise Unacceptable(431)
         if self.fed > MAX_HEAD + FRAMING * self.max_body:
-            raise TooLarge(413)
+            raise Unacceptable(413)
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
         self.header_count += 1
         if self.header_count > MAX_HEADERS or len(name) + len(value or b"") > MAX_HEAD:
-            raise TooLarge(431)
+            raise Unacceptable(431)
         name, value = name.lower(), (value or b"").strip()
         # Joined, as HTTP reads a header that comes twice: two ids or deadlines are then no sound one.
         self.headers[name] = self.headers[name] + b", " + value if name in self.headers else value
 
     def on_headers_complete(self) -> None:
         self.in_head = False
+        coding = self.headers.get(b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":
+            raise Unacceptable(501)  # the parser reads what has any other coding before it as plain chunks
         length = self.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.max_body:
-            raise TooLarge(413)
+            raise Unacceptable(413)
 
     def on_body(self, data: bytes) -> None:
         if len(self.body) + len(data) > self.max_body:
-            raise TooLarge(413)
+            raise Unacceptable(413)
         self.body += data
 
 
-def too_large(error: httptools.HttpParserError) -> TooLarge | None:
-    """The bound that a callback reported through the parser, if that is what stopped it."""
-    cause = error.__context__
-    return cause if isinstance(cause, TooLarge) else None
+def status_of(error: Exception) -> int:
+    """What a server answers: as a callback reported through the parser, if that is what stopped it."""
+    cause = error if isinstance(error, Unacceptable) else error.__context__
+    return cause.status if isinstance(cause, Unacceptable) else 400
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -10,16 +10,18 @@
 import httptools
 
 from dykeshift.node.driver import FAILED, Driver, Reply
-from dykeshift.node.http1 import Gatherer, TooLarge, has_input, too_large
+from dykeshift.node.http1 import Gatherer, Unacceptable, has_input, status_of
 from dykeshift.node.requests import BadRequest, Reader
 
 log = logging.getLogger(__name__)
 
-SWEEP = 0.5  # seconds between two looks at connections that do nothing
-SLOW = 10.0  # seconds for a request to come whole, or for its answer to be read
-IDLE = 120.0  # seconds that an idle connection is kept
+SWEEP = 0.25  # seconds between two looks at connections that do nothing
+FIRST = 2.5  # seconds from connecting for the first request to come whole, whatever trickles in
+SLOW = 2.5  # seconds for a later one to come whole, or for an answer to be read
+IDLE = 30.0  # seconds that a connection is kept after an answer
+LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
 _REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
-            413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+            413: b"Content Too Large", 501: b"Not Implemented", 431: b"Request Header Fields Too Large",
             500: b"Internal Server Error", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
@@ -52,20 +54,21 @@
         return not self.stopping and bool(self.driver.ready)
 
     def admit(self, client: Client) -> None:
-        """Count a new connection in; over the limit, one that has been idle longest makes room.
+        """Count a new connection in; over the limit, another makes room.
 
-        Protects the limit on descriptors: without it a flood of connections ends the process.
+        Protects the limit on descriptors, and the usual clients from those that connect and say
+        nothing: these go first, the oldest of them, then who has been idle longest after an answer.
         """
         self.clients.add(client)
         if len(self.clients) > self.limit:
             idle = [c for c in self.clients if c.between() and c is not client]
-            (min(idle, key=lambda c: c.since) if idle else client).abort()
+            idle.sort(key=lambda c: (c.answered_any, c.since))
+            next((c for c in idle if not c.has_input()), client).abort()
 
     def sweep(self) -> None:
         now = self.loop.time()
         for client in list(self.clients):
-            if not client.busy and now - client.since > (IDLE if client.between() else SLOW):
-                client.abort()
+            client.expire(now)
         self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
     def close_idle(self) -> None:
@@ -76,8 +79,8 @@
 
 
 class Client(Gatherer, asyncio.Protocol):
-    __slots__ = ("front", "transport", "parser", "target", "busy", "since", "keep", "closing", "cut_short",
-                 "request_id", "began", "whole", "answered_any")
+    __slots__ = ("front", "transport", "parser", "target", "busy", "born", "since", "keep", "closing",
+                 "cut_short", "request_id", "began", "whole", "piped", "answered_any")
 
     def __init__(self, front: Front) -> None:
         super().__init__()
@@ -87,12 +90,13 @@
         self.target = b""
         self.busy = False  # a request has been taken and not answered
         self.whole = False
+        self.piped = False  # more than one request at a time has come
         self.keep = True
         self.closing = False  # what comes from it is dropped
         self.cut_short = False  # answered before its request had come whole
         self.request_id = ""  # of the request that the driver has
         self.began = 0  # when the first byte of the request came
-        self.since = front.loop.time()  # when it last did something
+        self.born = self.since = front.loop.time()  # since: when it last did something
         self.answered_any = False
 
     def between(self) -> bool:
@@ -105,6 +109,25 @@
     def has_input(self) -> bool:
         return self.transport is not None and has_input(self.transport)
 
+    def expire(self, now: float) -> None:
+        """Let go of who is slow, silent or done.
+
+        Protects descriptors: a first request is due from connecting on, however its bytes trickle in,
+        and who was turned away does not hold its connection by sending on.
+        """
+        if self.busy:
+            return
+        if self.closing:
+            late = now - self.since > (LINGER if not self.unread_answer() else SLOW)
+        elif not self.answered_any:
+            late = now - self.born > FIRST
+        else:
+            late = now - self.since > (IDLE if self.between() else SLOW)
+        if late and self.began and not self.closing:
+            self._reject(408, "the request did not come in time")
+        elif late and not self.has_input():
+            self.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -126,15 +149,13 @@
             self.parser.feed_data(data)
             if not self.whole:
                 self.count(len(data))
-        except TooLarge as exc:
-            self._reject(exc.status, "too large")
         except httptools.HttpParserUpgrade:
             # The parser leaves the body of such a request unread: it would go on without it.
-            self.whole = False
             self._reject(400, "no upgrade is offered")
-        except httptools.HttpParserError as exc:
-            large = too_large(exc)
-            self._reject(large.status if large else 400, "too large" if large else "malformed HTTP")
+        except (httptools.HttpParserError, Unacceptable) as exc:
+            self._reject(status_of(exc), "unacceptable or malformed HTTP")
+        if self.piped and not self.closing:
+            self._reject(400, "one request at a time")
         if self.whole:
             self.whole = False
             self._take()
@@ -150,34 +171,32 @@
 
     def on_message_begin(self) -> None:
         if self.whole or self.busy:
-            # One request at a time: one sent before the last answer is left unread, and the
-            # connection ends with that answer, so that the client knows to send it again.
-            self.keep, self.closing = False, True
+            self.piped = True
             return
         self.begin()
         self.target = b""
 
     def on_url(self, url: bytes) -> None:
-        if not self.closing:
+        if not self.piped:
             self.target += url
 
     def on_headers_complete(self) -> None:
-        if self.closing:
+        if self.piped:
             return
         super().on_headers_complete()
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        if not self.closing:
+        if not self.piped:
             super().on_header(name, value)
 
     def on_body(self, data: bytes) -> None:
-        if not self.closing:
+        if not self.piped:
             super().on_body(data)
 
     def on_message_complete(self) -> None:
-        if not self.closing and self.parser is not None:
+        if not self.piped and self.parser is not None:
             self.keep = self.parser.should_keep_alive()
             self.whole = True
 
@@ -198,6 +217,7 @@
             if incoming.id in self.front.driver.jobs:
                 raise BadRequest(409, "x-request-id is in use")
         except BadRequest as exc:
+            self.keep = False  # who asks like this goes on like this, at full speed
             self.answer(Reply(exc.status, f"{exc}\n".encode()))
             return
         self.request_id = incoming.id
@@ -219,15 +239,20 @@
             self.closing = True
             if self.cut_short:
                 # Closed outright, what the client still sends would be met by a reset, which can
-                # take the answer with it: read on until it closes, or for SLOW at the most.
+                # take the answer with it: read on until it closes, or for LINGER at the most.
                 self.transport.write_eof()
             else:
                 self.transport.close()
 
     def _reject(self, status: int, text: str) -> None:
-        """Answer what cannot be parsed and close; a request that is with the driver goes on."""
-        self.keep, self.closing = False, True
-        if not self.busy and not self.whole:
-            self.cut_short = True
-            self.busy = True
-            self.answer(Reply(status, f"{text}\n".encode()))
+        """Answer what is no single sound request, and close.
+
+        Protects against serving one request of several that came together, or one with unreadable
+        bytes behind it: nobody can tell what such a client takes for the answer to what. One that is
+        with the driver already is given up, and may have run.
+        """
+        self.keep, self.whole, self.cut_short = False, False, True
+        if self.busy:
+            self.front.driver.client_gone(self.request_id)
+        self.busy = True
+        self.answer(Reply(status, f"{text}\n".encode()))
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from dykeshift.node import config
 from tests.node.stubs import (
     Caller,
     Registry,
@@ -55,6 +56,15 @@
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
 
 
+@pytest.mark.parametrize(("limits", "most"), [
+    ({"sockets": 1024, "memory_mb": 192}, 409), ({"sockets": 256, "memory_mb": 192}, 102),
+    ({"sockets": 256, "memory_mb": 32}, 62), ({"sockets": 1024, "memory_mb": 64}, 187), ({}, 409),
+    ({"sockets": 16, "memory_mb": 8}, 4),
+])
+def test_connections_are_bounded_by_descriptors_and_memory(limits: dict[str, int], most: int) -> None:
+    assert config.parse({**configuration(("127.0.0.1", 9)), "limits": limits}).connections == most
+
+
 def test_no_configuration_is_one_line_and_exit_2() -> None:
     env = {k: v for k, v in os.environ.items() if k != "NODE_CONFIG"}
     done = subprocess.run(COMMAND, cwd=ROOT, env=env, timeout=60, capture_output=True, text=True)
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -58,6 +58,17 @@
     (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", close=True), Outcome.RESET),
     (says(b"NONSENSE\r\n\r\n"), Outcome.RESET),
     (says(answer(b"x" * 70_000)), Outcome.RESET),
+    # The connection stays open, and nothing on it would ever end these: not waited for.
+    (says(b"HTTP/1.1 200 OK\r\n\r\nno length"), Outcome.RESET),
+    (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"), Outcome.RESET),
+    (says(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody"), Outcome.RESET),
+    *((says(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\nbody"), Outcome.RESET) for framing in (
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 4",
+        b"Content-Length: 4\r\nContent-Length: 5", b"Content-Length: -4", b"Content-Length: +4",
+        b"Content-Length: four", b"Transfer-Encoding: gzip, chunked")),
+    (says(answer(b"body").replace(b"\r\n", b"\n")), Outcome.RESET),
+    (says(b"\x80\x00\xff" * 100), Outcome.RESET),
     (says(b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 200_000), Outcome.RESET),
 ])
 def test_what_comes_back(handler: Handler, outcome: Outcome) -> None:
