Requests with little time left go where they are answered first

Mend: rules.py, _place: with less than three times the usual latency left, a server counts as idle by when it would be done: its latency ratio times one more than what it has of ours. d is the whole pool for these.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -34,6 +34,7 @@
 SAFETY = 0.5  # of the cold budget is used; the rest covers chance, handshakes and a small server of its kind
 LAPSE = 0.5  # of an overload window: credit with a cold server is kept no longer
 SMOOTH = 0.1  # weight of the newest sample in a running mean: about the last twenty samples count
+TIGHT = 3.0  # times the usual latency: with less than this left all are drawn and the quickest goes first
 SOFTER, HARDER = 1.4, 0.3  # rooms grow on slower answers while servers warm up, on quicker ones in a crowd
 CROWD_STEP, CROWD_FREE = 0.02, 0.1  # one request's weight; part that may find no room before others wait
 BUSY = 0.8  # utilization reported: hardly ever without a queue
@@ -73,6 +74,7 @@
     answered: bool = True  # has answered something since it was last idle of ours
     quiet_since: int = 0  # its last answer, or what it was first sent after that
     heard: bool = False  # has answered since its start
+    ratio: float = 1.0  # running mean of its answers' latency over the usual one of their class
     report: LoadReport | None = None
     reported: int = 0
 
@@ -185,14 +187,14 @@
         """Up to DRAW servers at random without replacement, of those that this request may go to."""
         bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()  # few drop its repeats
         pool, picked, aside = self.ready if bound else self.pool, list[Server](), list[Server]()
-        hung = list[Server]()
+        hung, most = list[Server](), len(pool) if self._tight(now, item) else DRAW
         for i in range(len(pool)):
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
             if self._allowed(now, item, pool[i]):
                 (hung if self._hangs(now, item, pool[i]) else
                  aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
-                if len(picked) == DRAW:
+                if len(picked) == most:
                     break
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
         return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside or hung)[:DRAW]
@@ -285,11 +287,17 @@
         safe = item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
         if safe and len(idle) * 2 > DRAW:
             copies = max(1, self.settings.attempt_limit - 1 - len(item.attempts))
+        if self._tight(now, item):
+            # Idle enough is who is done in time behind what it has of ours: a quick one rather than a slow.
+            idle = sorted((s for s in drawn if s.heard), key=lambda s: s.ratio * (1 + s.in_flight))
         idle = idle[:copies]
         for server in idle or [drawn[int(self.random() * len(drawn))]]:
             self._send(now, item, server)
         self._watch_over(now, item)
 
+    def _tight(self, now: int, item: Open) -> bool:
+        return item.request.deadline - now < TIGHT * self._expected(item)
+
     def _watch_over(self, now: int, item: Open) -> None:
         if item.klass.idempotency is not Idempotency.UNSAFE and self._may_send(now, item):
             wait = int(max(PATIENCE * self._expected(item), WAIT_SHARE * item.klass.aim))
@@ -401,6 +409,7 @@
         if end.outcome is Outcome.OK:
             server.heard, server.credit = True, server.credit + SAFETY  # it does more than it must by now
             n = item.request.klass
+            server.ratio += PACE_SMOOTH * (min(end.latency / max(1, self.usual[n]), 4.0) - server.ratio)
             self.usual[n] += SMOOTH * (end.latency - self.usual[n])
             hint = item.request.cost_hint
             self.hints[n] += (SMOOTH if self.hints[n] else 1.0) * (hint - self.hints[n])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -363,3 +363,24 @@
     warm_up(world, 20, 2)
     assert [s.final for s in world.requests.values()][-5:] == ["OK"] * 5
     world.settle()
+
+
+def test_a_request_with_little_time_goes_where_it_is_answered_first() -> None:
+    """Servers of two speeds: idle slow ones drew requests that only a quick one answers in time."""
+    world = fleet(6, 3)
+
+    def play(patience: int | None) -> list[int]:
+        rid = world.submit(2, patience)
+        servers = world.requests[rid].servers
+        slow = servers[0] >= 3
+        world.advance(min(20 + 60 * slow, 1000) * MS)
+        if world.requests[rid].ends[0] is None:
+            world.end(rid, 0, Outcome.OK)
+        return servers
+
+    for _ in range(200):
+        play(None)
+    tight = [play(60 * MS)[0] for _ in range(100)]
+    assert sum(s >= 3 for s in tight) <= 10, "too many went to slow servers, where they cannot be in time"
+    assert sum(play(None)[0] >= 3 for _ in range(100)) >= 20, "others use the slow servers as before"
+    world.settle()
