A near server counts as idle behind a few while it is quick

Mend: rules.py, _idle: up to two of ours at a near server whose pace is under 0.3 of the aim and that does not report itself busy. Copies go to empty ones alone, as before.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -34,6 +34,7 @@
 SAFETY = 0.5  # of the cold budget is used; the rest covers chance, handshakes and a small server of its kind
 LAPSE = 0.5  # of an overload window: credit with a cold server is kept no longer
 SMOOTH = 0.1  # weight of the newest sample in a running mean: about the last twenty samples count
+NEAR_MOST, NEAR_PACE = 2, 0.3  # ours at a near server, its pace: up to these it still counts as idle
 TIGHT = 3.0  # times the usual latency: with less than this left all are drawn and the quickest goes first
 SOFTER, HARDER = 1.4, 0.3  # rooms grow on slower answers while servers warm up, on quicker ones in a crowd
 CROWD_STEP, CROWD_FREE = 0.02, 0.1  # one request's weight; part that may find no room before others wait
@@ -242,6 +243,9 @@
     # ---- idle ----
 
     def _idle(self, now: int, server: Server) -> bool:
+        near = server.entry.zone == self.settings.zone
+        if near and server.in_flight <= NEAR_MOST and server.heard and server.pace <= NEAR_PACE:
+            return not self._says_busy(server)  # to wait behind another costs less here than to cross rooms
         if server.in_flight or not server.answered or not server.heard:
             return False  # heard: at a start all would read idle to everyone at once
         # Pace prevents many balancers, each with nothing there, from copying into a jam.
@@ -285,8 +289,9 @@
         idle.sort(key=lambda s: s.entry.zone != self.settings.zone)  # near before far, otherwise as drawn
         copies = 1  # unless idle servers are plenty: a copy would take one from the next request
         safe = item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
-        if safe and len(idle) * 2 > DRAW:
-            copies = max(1, self.settings.attempt_limit - 1 - len(item.attempts))
+        empty = [s for s in idle if not s.in_flight]
+        if safe and len(empty) * 2 > DRAW:
+            idle, copies = empty, max(1, self.settings.attempt_limit - 1 - len(item.attempts))
         if self._tight(now, item):
             # Idle enough is who is done in time behind what it has of ours: a quick one rather than a slow.
             idle = sorted((s for s in drawn if s.heard), key=lambda s: s.ratio * (1 + s.in_flight))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from tests.harness import CLASSES, MS, Seen, World, entry, make_settings
 from dykeshift.interface import ListKind, LoadReport, Outcome, Request
 
@@ -384,3 +386,20 @@
     assert sum(s >= 3 for s in tight) <= 10, "too many went to slow servers, where they cannot be in time"
     assert sum(play(None)[0] >= 3 for _ in range(100)) >= 20, "others use the slow servers as before"
     world.settle()
+
+
+@pytest.mark.parametrize(("latency", "least", "most"), [(30, 9, 12), (250, 0, 8)])
+def test_a_near_server_counts_as_idle_behind_a_few_while_it_is_quick(
+        latency: int, least: int, most: int) -> None:
+    """Crossing rooms has a price: two of three attempts paid it while near servers had cores free."""
+    world = fleet(8, balancers=1)  # four of them in this room
+    for _ in range(80):
+        rid = world.submit(2)
+        world.advance(latency * MS)
+        world.end_all(rid)
+    rids = [world.submit(2) for _ in range(12)]
+    near = sum(world.list[n].zone == 0 for rid in rids for n in world.requests[rid].servers)
+    assert least <= near <= most, f"{near} of 12 at once stayed in their room"
+    for rid in rids:
+        world.end_all(rid)
+    world.settle()
