In a crowd of clients that ask once, those that come back find room

Replayed with probes: evictions of 44 a second from the limit of 153; second by second 25 connections were silent and 128 had asked once and stayed: all that clients may hold, so that 34 to 90 requests a second came of 260. Lines: server.py, answer: each answer kept its connection; admit: one let go was counted, and let go again, until its end was told. Mend: where answered connections are half of the limit, a first answer says Connection: close; who asked once goes after 2 s, all in a crowd; who is let go is out of the count at once.

--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -15,10 +15,12 @@
 
 log = logging.getLogger(__name__)
 
-SWEEP = 0.25  # seconds between two looks at connections that do nothing
+SWEEP = 0.1  # seconds between two looks at connections that do nothing
 FIRST = 2.5  # seconds from connecting for the first request to come whole, whatever trickles in
 SLOW = 2.5  # seconds for a later one to come whole, or for an answer to be read
 IDLE = 30.0  # seconds that a connection is kept after an answer
+ONCE = 2.0  # the same where one request was all that came, and for all in a crowd
+CROWD = 0.5  # of the limit on connections: so many that have been answered are one
 LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
 _REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
             413: b"Content Too Large", 501: b"Not Implemented", 431: b"Request Header Fields Too Large",
@@ -44,6 +46,7 @@
         self.reader = reader
         self.limit = limit
         self.clients: set[Client] = set()
+        self.served = 0  # those of them that have been answered
         self.stopping = False
         self.sweeper = loop.call_later(SWEEP, self.sweep)
 
@@ -57,12 +60,13 @@
         """Count a new connection in; over the limit, another makes room.
 
         Protects the limit on descriptors, and the usual clients from those that connect and say
-        nothing: these go first, the oldest of them, then who has been idle longest after an answer.
+        nothing: these go first, the oldest of them, then who asked once and stayed, then who has been
+        idle longest.
         """
         self.clients.add(client)
         if len(self.clients) > self.limit:
             idle = [c for c in self.clients if c.between() and c is not client]
-            idle.sort(key=lambda c: (c.answered_any, c.since))
+            idle.sort(key=lambda c: (min(c.answers, 2), c.since))
             next((c for c in idle if not c.has_input()), client).abort()
 
     def sweep(self) -> None:
@@ -71,16 +75,19 @@
             client.expire(now)
         self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
+    def crowded(self) -> bool:
+        return self.served > self.limit * CROWD
+
     def close_idle(self) -> None:
         """Close kept connections on which no request has arrived, be it unread."""
         for client in list(self.clients):
-            if client.between() and client.answered_any and not client.has_input():
+            if client.between() and client.answers and not client.has_input():
                 client.abort()
 
 
 class Client(Gatherer, asyncio.Protocol):
     __slots__ = ("front", "transport", "parser", "target", "busy", "born", "since", "keep", "closing",
-                 "cut_short", "request_id", "began", "whole", "piped", "answered_any")
+                 "cut_short", "request_id", "began", "whole", "piped", "answers")
 
     def __init__(self, front: Front) -> None:
         super().__init__()
@@ -97,7 +104,7 @@
         self.request_id = ""  # of the request that the driver has
         self.began = 0  # when the first byte of the request came
         self.born = self.since = front.loop.time()  # since: when it last did something
-        self.answered_any = False
+        self.answers = 0
 
     def between(self) -> bool:
         """Idle: no byte of a request has come that is not answered, and no answer waits to be read."""
@@ -119,16 +126,22 @@
             return
         if self.closing:
             late = now - self.since > (LINGER if not self.unread_answer() else SLOW)
-        elif not self.answered_any:
+        elif not self.answers:
             late = now - self.born > FIRST
+        elif self.between():
+            # Clients that ask once and stay would take the connections of those that come back.
+            late = now - self.since > (ONCE if self.answers == 1 or self.front.crowded() else IDLE)
         else:
-            late = now - self.since > (IDLE if self.between() else SLOW)
+            late = now - self.since > SLOW
         if late and self.began and not self.closing:
             self._reject(408, "the request did not come in time")
         elif late and not self.has_input():
             self.abort()
 
     def abort(self) -> None:
+        # Out of the count at once: its end is told later, and until then it would be let go once more
+        # for each one that comes, and they would all stay.
+        self.front.clients.discard(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -162,6 +175,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.front.clients.discard(self)
+        self.front.served -= self.answers > 0
         self.transport = self.parser = None
         if self.busy:
             self.busy = False
@@ -231,9 +245,12 @@
     def answer(self, reply: Reply) -> None:
         if self.transport is None or not self.busy:
             return
-        keep = self.keep and not self.front.stopping
+        # In a crowd a first answer ends its connection: many clients ask once and stay, and those that
+        # come back would find no room, nor a descriptor of their own to come with.
+        keep = self.keep and not self.front.stopping and (self.answers > 0 or not self.front.crowded())
         self.busy, self.began, self.request_id, self.fed = False, 0, "", 0
-        self.since, self.answered_any = self.front.loop.time(), True
+        self.front.served += not self.answers
+        self.since, self.answers = self.front.loop.time(), self.answers + 1
         self.transport.write(render(reply, keep))
         if not keep:
             self.closing = True
