--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -28,6 +28,7 @@
 PATIENCE = 1.3  # times the usual latency: an attempt out for longer gets a delayed copy (paper, VIII)
 FIRST_GUESS = 0.25  # of the aim: usual latency until answers tell; twice it still leaves time to hold
 NEED = 2.0  # times the usual latency: with less than this left before the aim a request is not begun
+OVERDUE = 4.0  # times the usual latency: from then on a copy goes out though none is idle
 WAIT_SHARE = 0.4  # of the aim: no delayed copy before this, a second try still fits into the rest
 ROOM = 4.0  # what all instances together trust a server with before anything is known
 LEAST_ROOM = 0.05  # below one, a share of the time: a failing server is still tried now and then
@@ -315,9 +316,13 @@
     def _copy_late(self, now: int, item: Open) -> None:
         """The delayed copy: prevents a stalled server from taking with it all that it holds."""
         if self._may_send(now, item):
-            idle = [s for s in self._draw(now, item) if self._idle(now, s)]
-            if idle:
-                self._send(now, item, idle[0])
+            drawn = self._draw(now, item)
+            copy = next((s for s in drawn if self._idle(now, s)), None)
+            last = max(a.sent for a in item.attempts)
+            if copy is None and now - last > OVERDUE * self._expected(item):  # its answer may be lost
+                copy = next((s for s in drawn if s.pace <= CALM and not self._says_busy(s)), None)
+            if copy is not None:
+                self._send(now, item, copy)
             self._watch_over(now, item)
 
     def _send(self, now: int, item: Open, server: Server) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -403,3 +403,22 @@
     for rid in rids:
         world.end_all(rid)
     world.settle()
+
+
+def test_an_overdue_attempt_gets_a_copy_though_no_server_is_idle() -> None:
+    """One answer in twenty was lost: safe requests timed out after one attempt where all were at work."""
+    patient = replace(CLASSES[0], late_share=0.2)  # worth an answer also after its aim
+    world = fleet(6, balancers=1, classes=(patient,))
+    for _ in range(80):  # slow enough that only an empty server counts as idle
+        rid = world.submit(0)
+        world.advance(80 * MS)
+        world.end_all(rid)
+    for server in world.balancer.servers.values():
+        server.in_flight += 1  # each is always at work on something
+    lost = world.submit(0)
+    assert len(world.requests[lost].servers) == 1
+    world.advance(180 * MS)
+    assert len(world.requests[lost].servers) == 1  # late, but not by much
+    world.advance(220 * MS)
+    assert len(world.requests[lost].servers) == 2
+    world.settle()
