--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -125,7 +125,7 @@
     "repeats keyed requests in any rack": "0",
     "repeats keyed requests at any time": "0",
     "trusts the racks of a list from before": "124",
-    "believes in two senders at one address": "two-listed-at-one-address",
+    "believes in two senders at one address": "1735",
     "sends to the newest first, cold or not": "0",
     "refuses whatever it gives up": "0",
     "makes a fourth attempt": "0",
