Outgoing connections share their link; fronts and carriers speak in neutral terms

Need: the carrier towards MLLP servers has the same care with what was written, what is stray and what may be reused as HTTP's, and its answers go to any front. `engine/link.py` holds what both share, `engine/terms.py` what fronts, driver and carriers say to one another; a carrier words a request itself, an answer has a content type and a body.

--- a/dykeshift/engine/connection.py
+++ b/dykeshift/engine/connection.py
@@ -1,16 +1,17 @@
-"""An outgoing connection, to an upstream or to discovery: one request at a time, one end for each."""
+"""An outgoing HTTP/1.1 connection, to an upstream or to discovery."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol, cast
+from typing import Any
 
 import httptools
 
 from dykeshift.clock import Clock
 from dykeshift.engine.http1 import MAX_BODY, Gatherer, Unacceptable
+from dykeshift.engine.link import Exchange, Link
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,70 +20,28 @@
     headers: dict[bytes, bytes]
     body: bytes
 
+    @property
+    def content_type(self) -> bytes:
+        return self.headers.get(b"content-type", b"application/octet-stream")
 
-class Exchange(Protocol):
-    """Whoever sent the request; exactly one of the two is called, once."""
 
-    def answered(self, answer: Answer) -> None: ...
+class Connection(Gatherer, Link):
+    __slots__ = (*Link.SLOTS, "parser", "answer", "reusable")
 
-    def broken(self, written: bool) -> None:
-        """No whole answer will come; `written`: the request's last byte had been handed over."""
-
-
-class Connection(Gatherer, asyncio.Protocol):
-    __slots__ = ("loop", "clock", "transport", "parser", "exchange", "answer", "idle_since", "unwritten",
-                 "on_idle", "on_lost", "stray", "reusable", "used")
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock,
-                 on_idle: Callable[[Connection], None], on_lost: Callable[[Connection], None],
-                 max_body: int = MAX_BODY) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, on_idle: Callable[[Any], None],
+                 on_lost: Callable[[Any], None], max_body: int = MAX_BODY) -> None:
         super().__init__(max_body)
-        self.loop, self.clock = loop, clock
-        self.on_idle, self.on_lost = on_idle, on_lost
-        self.transport: asyncio.Transport | None = None
+        self.set_up(loop, clock, on_idle, on_lost)
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self.exchange: Exchange | None = None
         self.answer: Answer | None = None
-        self.idle_since = loop.time()
-        self.unwritten = self.stray = False
-        self.reusable, self.used = True, False
-
-    # ---- sending ----
-
-    def alive(self) -> bool:
-        """Whether a request may be written to it.
-
-        Protects against a close that has arrived but that the event loop has not come to yet: a
-        request written then would end as a reset, which an unsafe request does not survive.
-        """
-        if self.transport is None or self.transport.is_closing() or self.stray:
-            return False
-        return not self.clock.has_input(self.transport)
+        self.reusable = True
 
     def send(self, data: bytes, exchange: Exchange) -> None:
-        assert self.transport is not None and self.exchange is None
-        self.exchange, self.answer, self.reusable, self.fed = exchange, None, False, 0
-        self.transport.write(data)
-
-    def close(self) -> None:
-        """Give up whatever is on it; the exchange hears nothing any more."""
-        self.exchange = None
-        if self.transport is not None:
-            self.transport.abort()
+        self.answer, self.reusable = None, False
+        super().send(data, exchange)
 
     # ---- callbacks of the transport ----
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        # Written through at once, and pause_writing tells as soon as a byte could not be handed over.
-        self.transport.set_write_buffer_limits(high=0)
-
-    def pause_writing(self) -> None:
-        self.unwritten = True
-
-    def resume_writing(self) -> None:
-        self.unwritten = False
-
     def data_received(self, data: bytes) -> None:
         if self.parser is None:
             return
@@ -94,38 +53,20 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, Unacceptable):
             sound = False
         if self.answer is not None:
-            self._complete(self.answer, sound and self.reusable and not self.stray and not self.unwritten)
+            answer, self.answer = self.answer, None
+            self._complete(answer, sound and self.reusable and not self.stray and not self.unwritten)
         elif not sound:
             self._break()
 
-    def _complete(self, answer: Answer, reuse: bool) -> None:
-        exchange, self.exchange, self.answer = self.exchange, None, None
-        if reuse:
-            self.used = True
-            self.idle_since = self.loop.time()
-            self.on_idle(self)
-        elif self.transport is not None:
-            self.transport.abort()
-        if exchange is not None:
-            exchange.answered(answer)
-
-    def _break(self) -> None:
-        exchange, self.exchange = self.exchange, None
-        if self.transport is not None:
-            self.transport.abort()
-        if exchange is not None:
-            exchange.broken(not self.unwritten)
-
     def connection_lost(self, exc: Exception | None) -> None:
-        self._break()
-        self.transport = self.parser = None  # ends the cycle with the parser, so no collection is needed
-        self.on_lost(self)
+        super().connection_lost(exc)
+        self.parser = None  # ends the cycle with the parser, so no collection is needed
 
     # ---- callbacks of the parser ----
 
     def on_message_begin(self) -> None:
         if self.answer is not None or self.exchange is None:
-            self.stray = True  # more than one answer to one request: nothing on it can be trusted
+            self.stray = True  # more than one answer to one request
         self.begin()
 
     def on_headers_complete(self) -> None:
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -10,9 +10,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
 from functools import partial
-from typing import Any, Protocol
 
 from dykeshift.clock import Clock
 from dykeshift.interface import (
@@ -32,6 +30,7 @@
     Watch,
 )
 from dykeshift.engine.tenants import Listed, Tenants
+from dykeshift.engine.terms import FAILED, LATE, Asked, Final, How
 from dykeshift.engine.upstream import Attempt, End, Pool
 from dykeshift.rules import Balancer
 
@@ -43,52 +42,6 @@
 TIMER_RETRY = 1.0  # seconds until a timer that the module failed in is told again
 
 
-class How(Enum):
-    SERVED = auto()
-    REFUSED = auto()  # not done, and trying again is harmless
-    FAILED = auto()  # it may have had its effect
-    LATE = auto()  # no answer in time: it may have had its effect, or may yet
-
-
-@dataclass(frozen=True, slots=True)
-class Final:
-    """A final answer, in no protocol's words."""
-
-    how: How
-    answer: Any = None  # where it is served: what the carrier brought
-    retry_after: int = 0  # nanoseconds, where it is refused; 0: not said
-
-
-FAILED, LATE = Final(How.FAILED), Final(How.LATE)
-
-
-class Asked(Protocol):
-    """What a front submits."""
-
-    @property
-    def id(self) -> str:
-        """New with every request."""
-
-    @property
-    def klass(self) -> int:
-        """Position of its class in the settings."""
-
-    @property
-    def patience(self) -> int:
-        """Nanoseconds that its client waits, from its arrival."""
-
-    @property
-    def cost_hint(self) -> int:
-        """Expected work in nanoseconds; 0: not told."""
-
-    @property
-    def retry(self) -> bool:
-        """Whether its client marks it as a repeat."""
-
-    def message(self, left: int) -> bytes:
-        """What to send to an upstream that may take so many nanoseconds."""
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """A request until it is answered and all its attempts have come back."""
@@ -246,7 +199,8 @@
         if job.closed:
             until = 0  # nothing more goes out for it, yet the module gets its outcome
         ended = partial(self._ended, job, number, action.server)
-        attempt = self.pool.start(action.server, job.incoming.message, until, ended, action.begin_by)
+        words = self.pool.carrier.words(job.incoming)
+        attempt = self.pool.start(action.server, words, until, ended, action.begin_by)
         job.attempts.append(attempt)
         job.sent.append(now)
         job.out += 1
--- a/dykeshift/engine/http_carrier.py
+++ b/dykeshift/engine/http_carrier.py
@@ -5,10 +5,12 @@
 import asyncio
 import json
 from collections.abc import Callable
+from typing import Any
 
 from dykeshift.clock import Clock
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.connection import Answer, Connection
+from dykeshift.engine.terms import Asked
 from dykeshift.engine.upstream import End
 from dykeshift.settings import load_report
 
@@ -37,9 +39,11 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self.loop, self.clock = loop, clock
 
-    def connection(self, on_idle: Callable[[Connection], None],
-                   on_lost: Callable[[Connection], None]) -> Connection:
+    def connection(self, on_idle: Callable[[Any], None], on_lost: Callable[[Any], None]) -> Connection:
         return Connection(self.loop, self.clock, on_idle, on_lost)
 
+    def words(self, asked: Asked) -> Callable[[int], bytes]:
+        return asked.message
+
     def end(self, answer: Answer) -> End:
         return End(judge(answer), read_report(answer), answer)
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -10,9 +10,10 @@
 import httptools
 
 from dykeshift.clock import Clock
-from dykeshift.engine.driver import FAILED, Driver, Final, How
+from dykeshift.engine.driver import Driver
 from dykeshift.engine.http1 import Gatherer, Unacceptable, status_of
 from dykeshift.engine.requests import BadRequest, Reader
+from dykeshift.engine.terms import FAILED, Final, How
 
 log = logging.getLogger(__name__)
 
@@ -47,8 +48,7 @@
 def word(final: Final) -> Reply:
     """A final answer in HTTP's words."""
     if final.how is How.SERVED:
-        kind = final.answer.headers.get(b"content-type", b"application/octet-stream")
-        return Reply(200, final.answer.body, kind)
+        return Reply(200, final.answer.body, final.answer.content_type)
     if final.how is How.REFUSED:
         return Reply(503, b"refused: try again\n", retry_after=final.retry_after)
     return _UNSERVED[final.how]
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -10,7 +10,8 @@
 from dykeshift.clock import Clock
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.config import Address
-from dykeshift.engine.connection import Connection
+from dykeshift.engine.link import Link
+from dykeshift.engine.terms import Asked
 
 FRESH = 0.8  # of the keepalive: a connection idle for longer is closed, well before the upstream does it
 SWEEP = 0.5  # seconds between two looks for such connections
@@ -25,7 +26,7 @@
     address: Address
     started: int
     open_to_new: bool  # neither draining, gone nor replaced
-    idle: list[Connection] = field(default_factory=list)
+    idle: list[Link] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +39,10 @@
 class Carrier(Protocol):
     """A protocol towards upstreams: opens its connections and knows what an answer on one proves."""
 
-    def connection(self, on_idle: Callable[[Connection], None],
-                   on_lost: Callable[[Connection], None]) -> Connection: ...
+    def connection(self, on_idle: Callable[[Any], None], on_lost: Callable[[Any], None]) -> Link: ...
+
+    def words(self, asked: Asked) -> Callable[[int], bytes]:
+        """How a request is put to an upstream that may take so many nanoseconds."""
 
     def end(self, answer: Any) -> End:
         """What a whole answer means. That none came is told by the connection itself."""
@@ -59,12 +62,12 @@
         self.until = until
         self.begin_by = begin_by
         self.ended = ended
-        self.connection: Connection | None = None
+        self.connection: Link | None = None
         self.idle: float | None = None  # seconds that its connection had not been used; None: a new one
         self.written = 0.0
         self.over = False
 
-    def write(self, connection: Connection) -> bool:
+    def write(self, connection: Link) -> bool:
         """Send it, unless that is no longer wanted or allowed; says whether the connection was used.
 
         Protects the drain rule, cancels, deadlines and the windows of keys: while a connect was waited
@@ -197,7 +200,7 @@
             self.loop.call_soon(attempt.finish, End(Outcome.CONNECT_FAILED))
         return attempt
 
-    def _warm(self, upstream: Upstream) -> Connection | None:
+    def _warm(self, upstream: Upstream) -> Link | None:
         while upstream.idle:
             connection = upstream.idle.pop()
             idle = self.loop.time() - connection.idle_since
@@ -224,13 +227,13 @@
             self.open -= counted
             counted = False
 
-        def idle(connection: Connection) -> None:
+        def idle(connection: Link) -> None:
             if upstream.open_to_new:
                 upstream.idle.append(connection)
             else:
                 connection.close()
 
-        def lost(connection: Connection) -> None:
+        def lost(connection: Link) -> None:
             release()
             if connection in upstream.idle:
                 upstream.idle.remove(connection)
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from dykeshift.clock import Clock
-from dykeshift.engine.driver import Driver, Final, How
+from dykeshift.engine.driver import Driver
+from dykeshift.engine.terms import Final, How
 from dykeshift.mllp import acks, message
 from dykeshift.mllp.acks import Code, Problem
 from dykeshift.mllp.mapping import Mapping, made
--- a/dykeshift/mllp/mapping.py
+++ b/dykeshift/mllp/mapping.py
@@ -28,18 +28,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Asked:
-    """A message as the driver takes it (`engine.driver.Asked`): to HTTP upstreams, as a POST."""
+    """A message as the driver takes it (`engine.terms.Asked`): to HTTP upstreams, as a POST."""
 
     id: str
     klass: int
     patience: int
     head: bytes
-    content: bytes
+    body: bytes
     cost_hint: int = 0
     retry: bool = False
 
     def message(self, left: int) -> bytes:
-        return b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (self.head, max(1, left // 1_000_000), self.content)
+        return b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (self.head, max(1, left // 1_000_000), self.body)
 
 
 class Mapping:
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -17,7 +17,17 @@
 from dykeshift import rules as module
 from dykeshift.interface import NOT_RUN, Fail, Idempotency, ListKind, Outcome, Refuse, Scope, ServerState
 from dykeshift.node import __main__ as program
-from dykeshift.engine import connection, discovery, driver, http_carrier, server, tenants, upstream
+from dykeshift.engine import (
+    connection,
+    discovery,
+    driver,
+    http_carrier,
+    link,
+    server,
+    tenants,
+    terms,
+    upstream,
+)
 from dykeshift.node import reload
 from dykeshift.sim import referee
 from dykeshift.sim.day import play
@@ -64,8 +74,8 @@
 
 
 def _hold_back() -> list[Patch]:
-    def finish(self: driver.Driver, job: driver.Job, final: driver.Final) -> None:
-        if final.how is driver.How.REFUSED:
+    def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
+        if final.how is terms.How.REFUSED:
             job.closed = True
             self.loop.call_later(0.1, job.reply, final)
         else:
@@ -211,24 +221,24 @@
 
 
 def _reuse_anything() -> list[Patch]:
-    def complete(self: connection.Connection, answer: Any, reuse: bool) -> None:
+    def complete(self: link.Link, answer: Any, reuse: bool) -> None:
         original(self, answer, self.transport is not None and not self.transport.is_closing())
 
-    def alive(self: connection.Connection) -> bool:
+    def alive(self: link.Link) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
     def begin(self: connection.Connection) -> None:
         self.begin()
 
-    original = connection.Connection._complete
-    return [(connection.Connection, "_complete", complete), (connection.Connection, "alive", alive),
+    original = link.Link._complete
+    return [(link.Link, "_complete", complete), (link.Link, "alive", alive),
             (connection.Connection, "on_message_begin", begin)]
 
 
 def _mixed_answers() -> list[Patch]:
     """An answer's body is the one before it."""
-    def finish(self: Any, job: driver.Job, final: driver.Final) -> None:
-        if final.how is driver.How.SERVED:
+    def finish(self: Any, job: driver.Job, final: terms.Final) -> None:
+        if final.how is terms.How.SERVED:
             before = self.__dict__.get("before", final.answer)
             self.before, final = final.answer, replace(final, answer=before)
         original(self, job, final)
@@ -259,7 +269,7 @@
 
 
 def _send_after_answer() -> list[Patch]:
-    def finish(self: driver.Driver, job: driver.Job, final: driver.Final) -> None:
+    def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
         job.closed = True
         job.reply(final)
 
@@ -268,7 +278,7 @@
 
 def _stay_for_good() -> list[Patch]:
     """A copy that may not be called off and is never answered has no end."""
-    def finish(self: driver.Driver, job: driver.Job, final: driver.Final) -> None:
+    def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
         original(self, job, final)
         if job.guard is not None:
             job.guard.cancel()
