--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -22,6 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    name: str
     listen: Address
     discovery: Address
     seed: int
@@ -67,6 +68,7 @@
     limits = need(given, "bounds", "settings.")
     seed = str(need(raw, "seed", ""))
     return Config(
+        name=str(raw.get("name", "balancer")),
         listen=read_address(need(raw, "listen", "")),
         discovery=read_address(need(raw, "discovery", "")),
         seed=int.from_bytes(seed.encode(), "big"),
--- a/dykeshift/engine/requests.py
+++ b/dykeshift/engine/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dykeshift.interface import Idempotency, RequestClass
@@ -51,11 +52,16 @@
         raise BadRequest(400, "idempotency-key is malformed")
 
 
+# Why the upstreams can't take a request of this class, key and body; nothing: they can.
+Objection = Callable[[RequestClass, "bytes | None", "bytes | bytearray"], str]
+
+
 class Reader:
     """Knows the classes; turns a whole HTTP message into a request or raises BadRequest."""
 
-    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
+    def __init__(self, classes: tuple[RequestClass, ...], objection: Objection | None = None) -> None:
         self.classes = classes
+        self.objection = objection  # where the upstreams speak another protocol
         self.numbers: dict[bytes, int] = {c.name.encode(): n for n, c in enumerate(classes)}
 
     def read(self, method: bytes, target: bytes, headers: dict[bytes, bytes],
@@ -70,6 +76,8 @@
         if not _TARGET.match(target):
             raise BadRequest(400, "the target is no path")
         _check_method(method, klass.idempotency, key, body)
+        if self.objection is not None and (text := self.objection(klass, key, body)):
+            raise BadRequest(422, text)
         patience = _number(headers, b"x-deadline-ms") * 1_000_000
         if not patience:
             raise BadRequest(400, "x-deadline-ms is zero")
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -27,7 +27,8 @@
 CROWD = 0.5  # of the limit on connections: so many that have been answered are one
 LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
 _REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
-            413: b"Content Too Large", 501: b"Not Implemented", 431: b"Request Header Fields Too Large",
+            413: b"Content Too Large", 422: b"Unprocessable Content",
+            501: b"Not Implemented", 431: b"Request Header Fields Too Large",
             500: b"Internal Server Error", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
 
 
--- /dev/null
+++ b/dykeshift/mllp/carrier.py
@@ -0,0 +1,119 @@
+"""MLLP towards upstreams: a message goes as it came, and its acknowledgement says what is proved.
+
+| what comes | outcome | proves |
+| --- | --- | --- |
+| AA; CA where MSH-16 wants no application acknowledgement | OK | it was done, or is safe with its receiver |
+| AR, CR | FULL | not done: rejected before its content was acted on (sections 2.9.2 and 2.9.3) |
+| AE, CE | ERROR | nothing: it may have had its effect |
+| CA, and then nothing | TIMEOUT | nothing |
+| another MSA-2, an answer to nothing, no acknowledgement, a broken frame, a close | RESET | nothing |
+| no connection, or not all of it written | CONNECT_FAILED | not done |
+
+A connection on which anything came out of step is closed: no message is written to it again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from dykeshift.clock import Clock
+from dykeshift.engine.link import Exchange, Link
+from dykeshift.engine.terms import Asked
+from dykeshift.engine.upstream import End
+from dykeshift.interface import Outcome
+from dykeshift.mllp import acks, message
+from dykeshift.mllp.acks import Ack, Code
+from dykeshift.mllp.framing import Broken, Deframer, frame
+from dykeshift.mllp.mapping import MEDIA_TYPE
+
+_OUTCOMES = {Code.AA: Outcome.OK, Code.CA: Outcome.OK, Code.AR: Outcome.FULL, Code.CR: Outcome.FULL,
+             Code.AE: Outcome.ERROR, Code.CE: Outcome.ERROR}
+
+
+@dataclass(frozen=True, slots=True)
+class MllpAnswer:
+    """The acknowledgement that settled a message, as it came."""
+
+    ack: Ack
+    body: bytes
+    content_type: bytes = MEDIA_TYPE
+
+
+class Dialogue:
+    """What may come for one message, and what settles it. Sans-I/O."""
+
+    def __init__(self, content: bytes) -> None:
+        header = message.read(content).header
+        self.control_id = header.control_id
+        self.awaits_application = not header.enhanced or header.raw(16) == b"AL"
+        self.accepts = header.enhanced and bool(header.raw(15))
+        self.accepted = False
+
+    def hear(self, content: bytes) -> MllpAnswer | None:
+        """The answer, or None where more must come; Unreadable where this is out of step."""
+        ack = acks.parse(content)
+        if ack.control_id != self.control_id:
+            raise message.Unreadable(acks.SEQUENCE, "MSA-2 is that of another message", "MSA^1^2")
+        if ack.code.accept_level:
+            if not self.accepts or self.accepted:
+                raise message.Unreadable(acks.SEQUENCE, "an accept acknowledgement that none asked for")
+            self.accepted = True
+            if ack.code is Code.CA and self.awaits_application:
+                return None
+        return MllpAnswer(ack, content)
+
+
+class MllpLink(Link):
+    """One connection to an MLLP server: one message at a time."""
+
+    __slots__ = (*Link.SLOTS, "fed", "deframer", "dialogue")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, on_idle: Callable[[Any], None],
+                 on_lost: Callable[[Any], None], max_frame: int) -> None:
+        self.set_up(loop, clock, on_idle, on_lost)
+        self.fed = 0
+        self.deframer = Deframer(max_frame)
+        self.dialogue: Dialogue | None = None
+
+    def send(self, data: bytes, exchange: Exchange) -> None:
+        self.dialogue = Dialogue(data[1:-2])
+        super().send(data, exchange)
+
+    def data_received(self, data: bytes) -> None:
+        self.fed += len(data)
+        settled: MllpAnswer | None = None
+        for event in self.deframer.feed(0, data):
+            if self.dialogue is None or isinstance(event, Broken):
+                self.stray = True
+                break
+            try:
+                settled = self.dialogue.hear(event.content)
+            except message.Unreadable:
+                self.stray = True
+                break
+            if settled is not None:
+                self.dialogue = None
+        if self.dialogue is None and self.deframer.unfinished():
+            self.stray = True
+        if settled is not None:
+            self._complete(settled, not self.stray and not self.unwritten)
+        elif self.stray:
+            self._break()
+
+
+class MllpCarrier:
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, max_frame: int) -> None:
+        self.loop, self.clock, self.max_frame = loop, clock, max_frame
+
+    def connection(self, on_idle: Callable[[Any], None], on_lost: Callable[[Any], None]) -> MllpLink:
+        return MllpLink(self.loop, self.clock, on_idle, on_lost, self.max_frame)
+
+    def words(self, asked: Asked) -> Callable[[int], bytes]:
+        framed = frame(asked.body)
+        return lambda _: framed
+
+    def end(self, answer: MllpAnswer) -> End:
+        return End(_OUTCOMES[answer.ack.code], None, answer)
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -1,6 +1,11 @@
 """The clinics' side on sockets: MLLP connections to one driver; a shell round session, mapping and memory.
 
 A client that goes away leaves its message in work: it may have run, and a resend is owed what came of it.
+
+What is remembered of an answer is its code and, behind it, the application acknowledgement as it was sent.
+In enhanced mode a CA promises that the message is safe with us. It goes out ahead of the rest only where that
+is true and the client will hear what becomes of the message: the journal has it, and MSH-16 wants an answer
+of any kind. Otherwise it waits for the end, and is CE or CR where that is no good one.
 """
 
 from __future__ import annotations
@@ -17,7 +22,8 @@
 from dykeshift.engine.terms import Final, How
 from dykeshift.mllp import acks, message
 from dykeshift.mllp.acks import Code, Problem
-from dykeshift.mllp.mapping import Mapping, made
+from dykeshift.mllp.journal import Journal
+from dykeshift.mllp.mapping import MEDIA_TYPE, Asked, Mapping, made
 from dykeshift.mllp.memory import Identity, Memory, Verdict, identify
 from dykeshift.mllp.session import Session, Slot
 
@@ -25,6 +31,7 @@
 
 SWEEP = 0.1  # seconds between two looks at connections
 SLOW = 5_000_000_000  # nanoseconds that one frame may take to come
+STORE_SHARE = 0.5  # of its patience: so long a message waits for the journal before it is sent
 _PROBLEMS = {
     How.FAILED: (Code.AE, Problem(acks.INTERNAL, "failed: it may have had its effect")),
     How.LATE: (Code.AE, Problem(acks.INTERNAL, "no answer in time: it may have had its effect")),
@@ -32,31 +39,44 @@
 }
 _CONFLICT = Problem(acks.DUPLICATE, "the control id came before with other content", "MSH^1^10")
 _UNKNOWN = Problem(acks.INTERNAL, "it may be a resend of what is no longer known: nothing was sent")
+_NO_JOURNAL = Problem(acks.INTERNAL, "the journal takes nothing: send it again later")
 
 Waiter = tuple["Line", Slot]
 
 
 class MllpFront:
-    """All connections of one listener together. `name` makes our own control ids unique among balancers."""
+    """All connections together. `name` makes our own control ids unique among balancers and their lives."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, mapping: Mapping,
-                 memory: Memory[Waiter], name: str, limit: int = 8, max_frame: int = 1 << 20,
-                 most: int = 100) -> None:
-        self.loop, self.clock, self.driver, self.mapping, self.memory = loop, clock, driver, mapping, memory
+                 memory: Memory[Waiter], name: str, journal: Journal | None = None, limit: int = 8,
+                 max_frame: int = 1 << 20, most: int = 100) -> None:
+        self.loop, self.clock, self.driver, self.mapping = loop, clock, driver, mapping
+        self.memory, self.journal = memory, journal
         self.limit, self.max_frame, self.most = limit, max_frame, most
         self.lines: dict[Line, None] = {}
         self.ids = (f"{name}-{clock.time_ns():x}-{n:x}" for n in itertools.count())
         self.sweeper = loop.call_later(SWEEP, self.sweep)
+        self.draining = False
 
     def connect(self) -> Line:
         return Line(self)
 
     def drain(self) -> None:
         """No new frames; connections end when all that was taken is answered."""
+        self.draining = True
         for line in list(self.lines):
             line.session.drain()
             line.settle()
 
+    def busy(self) -> bool:
+        """Whether anything that was taken is not answered, be its client gone or not."""
+        return bool(self.memory.open) or any(line.session.open for line in self.lines)
+
+    def close(self) -> None:
+        self.sweeper.cancel()
+        if self.journal is not None:
+            self.journal.close()
+
     def sweep(self) -> None:
         for line in list(self.lines):
             if line.session.deframer.late(self.clock.monotonic_ns(), SLOW):
@@ -67,46 +87,86 @@
 
     def handle(self, line: Line, slot: Slot) -> None:
         arrived = self.clock.monotonic_ns()
-        try:
-            got = message.read(slot.content)
-        except message.Unreadable as exc:
-            self._reject(line, slot, None, Problem(exc.code, exc.text, exc.location))
+        header = None
+        if acks.is_ack(slot.content):
+            line.answer(slot, b"")  # acknowledgements are not acknowledged, or two systems never end
             return
-        header = got.header
-        identity = identify(header.raw(3), header.raw(4), header.control_id, slot.content)
         try:
-            rule = self.mapping.choose(header)
+            got = message.read(slot.content)
+            header = got.header
+            identity = identify(header.raw(3), header.raw(4), header.control_id, slot.content)
+            asked = self.mapping.ask(identity, got)
         except message.Unreadable as exc:
-            self._reject(line, slot, header, Problem(exc.code, exc.text, exc.location))
+            self._say(line, slot, header, Code.AR, Problem(exc.code, exc.text, exc.location))
             return
-        if identity.name not in self.memory.open and identity.key() in self.driver.jobs:
+        if identity.name not in self.memory.open and asked.id in self.driver.jobs:
             # Given up a moment ago, and an attempt has not come back yet: for now.
-            self._reject(line, slot, header, _PROBLEMS[How.REFUSED][1])
+            self._say(line, slot, header, *_PROBLEMS[How.REFUSED])
             return
         ruling = self.memory.arrive(self.clock.time_ns(), identity, made(header), (line, slot))
         if ruling.verdict is Verdict.CONFLICT:
-            self._reject(line, slot, header, _CONFLICT)
+            self._say(line, slot, header, Code.AR, _CONFLICT)
         elif ruling.verdict is Verdict.UNKNOWN:
             self._say(line, slot, header, Code.AE, _UNKNOWN)
         elif ruling.verdict is Verdict.REPLAY:
-            line.answer(slot, self._accepted(header), last=False)
-            line.answer(slot, ruling.answer)
+            self._end(line, slot, header, ruling.answer)
+        elif ruling.verdict is Verdict.NEW:
+            self._begin(identity, header, asked, arrived)
+        elif self.memory.open[identity.name].stored:
+            self._accept(line, slot, header)
+
+    def _begin(self, identity: Identity, header: message.Header, asked: Asked, arrived: int) -> None:
+        if self.journal is None:
+            self._submit(identity, header, asked, arrived)
         else:
-            line.answer(slot, self._accepted(header), last=False)
-            if ruling.verdict is Verdict.NEW:
-                asked = self.mapping.ask(rule, identity.key(), got)
-                self.memory.sending(identity)
-                self.driver.submit(asked, arrived, partial(self._final, identity, header))
+            then = partial(self._stored, identity, header, asked, arrived)
+            within = asked.patience * STORE_SHARE / 1e9
+            self.journal.sent(identity, self.memory.open[identity.name].made, then, within)
+
+    def _stored(self, identity: Identity, header: message.Header, asked: Asked, arrived: int,
+                lasts: bool) -> None:
+        if not lasts:
+            self._give_back(identity, header, _NO_JOURNAL)
+            return
+        self._submit(identity, header, asked, arrived)
+        entry = self.memory.open.get(identity.name)
+        if entry is not None:
+            entry.stored = True
+            for line, slot in list(entry.waiting):
+                self._accept(line, slot, header)
+
+    def _submit(self, identity: Identity, header: message.Header, asked: Asked, arrived: int) -> None:
+        self.driver.submit(asked, arrived, partial(self._final, identity, header))
 
     def _final(self, identity: Identity, header: message.Header, final: Final) -> None:
-        code, problem = _PROBLEMS.get(final.how, (Code.AA, None))
-        answer = self._ack(header, code, problem)
         if final.how is How.REFUSED:
-            waiting = self.memory.withdraw(identity)  # certainly not run: a resend may be taken as new
+            self._give_back(identity, header, _PROBLEMS[How.REFUSED][1])
+            return
+        code, problem = _PROBLEMS.get(final.how, (Code.AA, None))
+        if final.how is How.SERVED and final.answer.content_type == MEDIA_TYPE:
+            content = final.answer.body if acks.wanted(header, code) else b""  # its sender's own words
         else:
-            waiting = self.memory.answer(self.clock.time_ns(), identity, answer)
-        for line, slot in waiting:
-            line.answer(slot, answer)
+            content = self._ack(header, code, problem)
+        answer = code.value.encode() + content
+        if self.journal is None:
+            self._done(identity, header, answer)
+        elif final.how is How.SERVED:
+            self.journal.answered(identity, self.memory.open[identity.name].made, answer,
+                                  lambda _: self._done(identity, header, answer))
+        else:  # it was given up, so it is answered at once; should the record be lost, a resend hears AE too
+            self.journal.answered(identity, self.memory.open[identity.name].made, answer)
+            self._done(identity, header, answer)
+
+    def _done(self, identity: Identity, header: message.Header, answer: bytes) -> None:
+        for line, slot in self.memory.answer(self.clock.time_ns(), identity, answer):
+            self._end(line, slot, header, answer)
+
+    def _give_back(self, identity: Identity, header: message.Header, problem: Problem) -> None:
+        """It has certainly not run: a resend is taken as new."""
+        if self.journal is not None:
+            self.journal.withdrawn(identity)
+        for line, slot in self.memory.withdraw(identity):
+            self._say(line, slot, header, Code.AR, problem)
 
     # ---- words ----
 
@@ -117,18 +177,25 @@
         now = datetime.fromtimestamp(self.clock.time_ns() / 1e9, UTC)
         return acks.build(header, code, next(self.ids), now.strftime("%Y%m%d%H%M%S+0000"), problem)
 
-    def _accepted(self, header: message.Header) -> bytes:
-        return self._ack(header, Code.CA)
+    def _accept(self, line: Line, slot: Slot, header: message.Header) -> None:
+        """CA ahead of the end, where its client will hear of any end."""
+        if not slot.accepted and acks.wanted(header, Code.AE) and acks.wanted(header, Code.AR):
+            slot.accepted = True
+            line.answer(slot, self._ack(header, Code.CA), last=False)
 
-    def _reject(self, line: Line, slot: Slot, header: message.Header | None, problem: Problem) -> None:
-        self._say(line, slot, header, Code.AR, problem)
+    def _end(self, line: Line, slot: Slot, header: message.Header, answer: bytes) -> None:
+        """What is remembered, with the accept acknowledgement before it where that is still owed."""
+        if not slot.accepted:
+            line.answer(slot, self._ack(header, Code("C" + answer[1:2].decode())), last=False)
+        line.answer(slot, answer[2:])
 
     def _say(self, line: Line, slot: Slot, header: message.Header | None, code: Code,
              problem: Problem) -> None:
-        """At the accept level where that is spoken (CE, CR), else at the application's."""
-        accept = Code("C" + code.value[1])
-        answer = self._ack(header, accept, problem) if header is not None else b""
-        line.answer(slot, answer or self._ack(header, code, problem))
+        """What is not remembered: as an accept acknowledgement where that is owed, else the application's."""
+        accept = b""
+        if header is not None and not slot.accepted:
+            accept = self._ack(header, Code("C" + code.value[1]), problem)
+        line.answer(slot, accept or self._ack(header, code, problem))
 
 
 class Line(asyncio.Protocol):
@@ -139,10 +206,11 @@
         self.session = Session(front.limit, front.max_frame)
         self.transport: Any = None
         self.stopped = False  # reading is
+        self.choked = False  # the client does not read its answers
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
-        if len(self.front.lines) >= self.front.most:
+        if len(self.front.lines) >= self.front.most or self.front.draining:
             transport.abort()
             return
         self.front.lines[self] = None
@@ -151,6 +219,14 @@
         self.front.lines.pop(self, None)
         self.transport = None
 
+    def pause_writing(self) -> None:
+        self.choked = True
+        self.settle()
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        self.settle()
+
     def data_received(self, data: bytes) -> None:
         self._handle(self.session.receive(self.front.clock.monotonic_ns(), data))
 
@@ -173,8 +249,8 @@
             return
         if self.session.finished:
             self.transport.close()
-        elif self.session.full != self.stopped:
-            self.stopped = self.session.full
+        elif (self.session.full or self.choked) != self.stopped:
+            self.stopped = not self.stopped
             (self.transport.pause_reading if self.stopped else self.transport.resume_reading)()
 
     def abort(self) -> None:
--- a/dykeshift/mllp/memory.py
+++ b/dykeshift/mllp/memory.py
@@ -3,10 +3,12 @@
 Theory of operation. A message's identity is (MSH-3, MSH-4, MSH-10, a hash of its content). For each identity:
 
     new --arrive--> PENDING --answered--> ANSWERED --age or room--> forgotten
-                    PENDING --sent------> PENDING, and it may have run
+                    PENDING --withdrawn (it has certainly not run)--> new
+    a restart, from the journal: sent and not answered --> LOST --age or room--> forgotten
 
-Arriving again: while PENDING it waits for the same answer; once ANSWERED it gets that answer; the same
-sender and control id with other content conflict. Nothing is ever sent for a message that arrives again.
+Arriving again: while PENDING it waits for the same answer; once ANSWERED it gets that answer; LOST is
+UNKNOWN; the same sender and control id with other content conflict. Nothing is ever sent for a message that
+arrives again.
 
 Forgetting is bounded on three sides: age, number, bytes. What is forgotten moves the horizon: the memory no
 longer knows messages made at or before that instant (their own MSH-7). So does a start without a journal. A
@@ -14,6 +16,11 @@
 age, is UNKNOWN: it may be a resend of one that was forgotten, so nothing is sent for it and the answer says
 so. What is PENDING is never forgotten: it is bounded by the front's own limit on open requests.
 
+Clocks: a clinic's and ours may be `clock_error` apart. A message that says it was made later than that from
+now says nothing about when it was made. Where several balancers serve one clinic, each remembers its own
+alone; `fresh` then bounds how old a message may be that this one has never seen: made earlier, another one
+may have had it before, so it is UNKNOWN.
+
 Promises at every instant: an identity is NEW at most once while it is remembered; count and bytes of what is
 remembered stay within their bounds but for what is pending; `horizon` never moves back.
 """
@@ -72,8 +79,8 @@
     made: int | None  # when the message was made, by its own MSH-7; Unix nanoseconds
     seen: int
     waiting: list[W] = field(default_factory=list)
-    sent: bool = False  # it may have run
-    answer: bytes | None = None
+    answer: bytes | None = None  # None: in work, or lost in a restart
+    stored: bool = False  # its journal has it
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +88,8 @@
     age: int = 7 * 24 * 3600 * 1_000_000_000  # nanoseconds
     entries: int = 100_000
     bytes: int = 64 << 20
+    clock_error: int = 2_000_000_000  # nanoseconds that a sender's clock may differ from ours
+    fresh: int = 0  # nanoseconds that a message never seen here may be old; 0: any
 
 
 class Memory(Generic[W]):
@@ -89,7 +98,7 @@
     def __init__(self, now: int, bounds: Bounds = Bounds(), complete: bool = False) -> None:  # noqa: B008 - frozen
         """`complete`: nothing was seen before `now`, or all of it will be restored."""
         self.bounds = bounds
-        self.horizon = -1 if complete else now
+        self.horizon = -1 if complete else now + bounds.clock_error
         self.open: dict[tuple[bytes, bytes, bytes], Entry[W]] = {}
         self.answered: OrderedDict[tuple[bytes, bytes, bytes], Entry[W]] = OrderedDict()
         self.size = 0  # bytes of what is answered, with OVERHEAD
@@ -99,6 +108,8 @@
     def arrive(self, now: int, identity: Identity, made: int | None, who: W) -> Ruling:
         """A message has come whole, by `who`, who will wait where the ruling says so."""
         self.age(now)
+        if made is not None and made > now + self.bounds.clock_error:
+            made = None
         known = self.open.get(identity.name) or self.answered.get(identity.name)
         if known is not None:
             return self._again(known, identity, who)
@@ -113,18 +124,18 @@
             return Ruling(Verdict.CONFLICT)
         if known.answer is not None:
             return Ruling(Verdict.REPLAY, known.answer)
+        if not known.waiting:  # in work has always somebody waiting, gone or not
+            return Ruling(Verdict.UNKNOWN)
         known.waiting.append(who)
         return Ruling(Verdict.WAIT)
 
     def _beyond(self, now: int, made: int | None) -> bool:
+        if self.bounds.fresh and (made is None or made < now - self.bounds.fresh):
+            return True
         if made is None:
             return self.horizon > now - self.bounds.age
         return made <= self.horizon
 
-    def sending(self, identity: Identity) -> None:
-        """It is about to be sent: from here on it may have run."""
-        self.open[identity.name].sent = True
-
     def answer(self, now: int, identity: Identity, answer: bytes) -> list[W]:
         """It has its final answer; who waits for it."""
         entry = self.open.pop(identity.name)
@@ -138,29 +149,25 @@
         """It was given up and has certainly not run: a resend may be taken as new. Who waits for it."""
         return self.open.pop(identity.name).waiting
 
-    def gone(self, identity: Identity, who: W) -> None:
-        """One who waited has gone; the message itself goes on, as it may have run."""
-        entry = self.open.get(identity.name)
-        if entry is not None and who in entry.waiting:
-            entry.waiting.remove(who)
-
-    def restore(self, identity: Identity, made: int | None, seen: int, sent: bool, answer: bytes | None,
-                unknown: bytes) -> None:
-        """An entry from the journal, in the journal's order. One that was sent and never answered gets
-        `unknown`: nobody can say what came of it, so a resend hears that and nothing is sent."""
-        if answer is None and not sent:
-            return  # taken, and certainly not run: a resend is new
+    def restore(self, identity: Identity, made: int | None, seen: int, answer: bytes | None) -> None:
+        """An entry from the journal, in the journal's order; None: sent, and lost before its answer."""
         before = self.answered.pop(identity.name, None)
         if before is not None:
             self.size -= self._weight(before)
-        entry = Entry[W](identity, made, seen, [], sent, unknown if answer is None else answer)
+        entry = Entry[W](identity, made, seen, [], answer)
         self._keep(entry)
         self._make_room()
 
     def lost(self, until: int) -> None:
-        """Entries up to then can no longer be known: the journal was cut or had a hole."""
+        """Entries up to then can no longer be known: the journal had a hole."""
         self.horizon = max(self.horizon, until)
 
+    def oldest(self, now: int) -> int:
+        """What was seen before this instant is forgotten, all of it."""
+        first = next(iter(self.answered.values()), None)
+        pending = min((entry.seen for entry in self.open.values()), default=now)
+        return min(pending, now if first is None else first.seen)
+
     # ---- forgetting ----
 
     def _keep(self, entry: Entry[W]) -> None:
--- a/dykeshift/mllp/session.py
+++ b/dykeshift/mllp/session.py
@@ -28,6 +28,7 @@
     content: bytes
     parts: list[bytes] = field(default_factory=list)
     over: bool = False
+    accepted: bool = False  # its accept acknowledgement has been given
 
 
 class Session:
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -18,6 +18,8 @@
 from dykeshift.engine.discovery import Discovery, Reader
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.http_carrier import HttpCarrier
+from dykeshift.node import features
+from dykeshift.node.features import NONE, Features, Service
 from dykeshift.node.reload import Reload
 from dykeshift.engine.server import Front
 from dykeshift.engine.upstream import Pool
@@ -29,14 +31,16 @@
 
 
 async def serve(given: config.Config, load: Callable[[], config.Config], clock: Clock = SYSTEM,
-                started: Callable[[Front, asyncio.Server, Reload], None] | None = None) -> None:
+                started: Callable[[Front, asyncio.Server, Reload, list[Service]], None] | None = None,
+                beside: Features = NONE) -> None:
     loop = asyncio.get_running_loop()
-    pool = Pool(loop, clock, HttpCarrier(loop, clock), given.connections, given.connect_timeout,
-                given.keepalive)
+    carrier = beside.carrier(loop, clock) or HttpCarrier(loop, clock)
+    pool = Pool(loop, clock, carrier, given.connections, given.connect_timeout, given.keepalive)
     driver = Driver(loop, clock, Balancer(given.settings, given.seed), pool, lambda: discovery.watch())
     discovery = Discovery(loop, clock, given.discovery, Reader(clock, given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
-    front = Front(loop, clock, driver, requests.Reader(given.settings.classes), given.connections)
+    reader = requests.Reader(given.settings.classes, beside.objection())
+    front = Front(loop, clock, driver, reader, given.connections)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
@@ -50,25 +54,32 @@
         server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
     except OSError as exc:
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
+    services = await beside.start(loop, clock, given, driver)
     if started is not None:
-        started(front, server, reload)
+        started(front, server, reload, services)
     await stop.wait()
-    await wind_down(front, server, max((c.deadline for c in given.settings.classes), default=0) / 1e9)
+    longest = max((c.deadline for c in given.settings.classes), default=0) / 1e9
+    await wind_down(front, server, services, longest)
 
 
-async def wind_down(front: Front, server: asyncio.Server, longest: float) -> None:
+async def wind_down(front: Front, server: asyncio.Server, services: list[Service], longest: float) -> None:
     """Let go of the clients: none is turned away while some may still come, all taken are answered."""
     loop = asyncio.get_running_loop()
     front.stopping = True
+    for service in services:
+        service.drain()
     until = loop.time() + LINGER
     while loop.time() < until:
         front.close_idle()
         await asyncio.sleep(TICK)
     server.close()
     until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
-    while loop.time() < until and any(not client.between() for client in front.clients):
+    while loop.time() < until and (any(not client.between() for client in front.clients)
+                                   or any(service.busy() for service in services)):
         front.close_idle()
         await asyncio.sleep(TICK)
+    for service in services:
+        service.close()
 
 
 def settle(*_: object) -> None:
@@ -87,7 +98,10 @@
         # It would end the program; one that comes before there is a handler waits until there is.
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
         load = partial(config.load, path)
-        uvloop.run(serve(load(), load, started=settle))
+        given = load()
+        own = os.environ.get("LIFTTRAIL_FEATURES")
+        chosen = features.load(own or features.FILE, own is not None, given.settings)
+        uvloop.run(serve(given, load, started=settle, beside=chosen))
     except config.ConfigError as exc:
         print(f"balancer: {exc}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/dykeshift/node/features.py
@@ -0,0 +1,91 @@
+"""Which features this balancer runs beside its HTTP front, each from its section of the feature file."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+from dykeshift.clock import Clock
+from dykeshift.engine import config, features
+from dykeshift.engine.driver import Driver
+from dykeshift.engine.requests import Objection
+from dykeshift.engine.upstream import Carrier
+from dykeshift.interface import Settings
+
+if TYPE_CHECKING:
+    from dykeshift.store.disk import Disk
+
+FILE = "deploy/lifttrail.toml"
+SECTIONS = {"mllp": "dykeshift.node.mllp"}  # each module has Options, check, carrier, objection and start
+
+
+class Service(Protocol):
+    """A feature at work."""
+
+    def drain(self) -> None:
+        """Take nothing new."""
+
+    def busy(self) -> bool:
+        """Whether anything that was taken is not answered."""
+
+    def close(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """What a feature may use."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    given: config.Config
+    driver: Driver
+    disk: Disk
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    parts: tuple[tuple[Any, Any], ...] = ()  # module and its options
+    disk: Any = field(default=None)  # where lasting state goes; None: the machine's own disk
+
+    def carrier(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> Carrier | None:
+        """What the upstreams speak, where a feature says that it is not HTTP."""
+        found = (module.carrier(options, loop, clock) for module, options in self.parts)
+        return next((carrier for carrier in found if carrier is not None), None)
+
+    def objection(self) -> Objection | None:
+        found = (module.objection(options) for module, options in self.parts)
+        return next((objection for objection in found if objection is not None), None)
+
+    async def start(self, loop: asyncio.AbstractEventLoop, clock: Clock, given: config.Config,
+                    driver: Driver) -> list[Service]:
+        if not self.parts:
+            return []
+        disk = self.disk
+        if disk is None:
+            from dykeshift.store.disk import MachineDisk
+
+            disk = MachineDisk()
+        host = Host(loop, clock, given, driver, disk)
+        return [await module.start(options, host) for module, options in self.parts]
+
+
+NONE = Features()
+
+
+def load(path: str, required: bool, settings: Settings | None) -> Features:
+    """Read and check the file, against settings where they are given; ConfigError in one line."""
+    parts = []
+    for name, section in features.read(path, required).items():
+        if name not in SECTIONS:
+            raise config.ConfigError(f"feature file {path!r}: there is no feature [{name}]; there are "
+                                     f"{', '.join(SECTIONS)}")
+        module = importlib.import_module(SECTIONS[name])
+        options = features.convert(path, name, section, module.Options)
+        try:
+            module.check(options, settings)
+        except ValueError as exc:
+            raise config.ConfigError(f"feature file {path!r}: [{name}]: {exc}") from None
+        parts.append((module, options))
+    return Features(tuple(parts))
--- /dev/null
+++ b/dykeshift/node/mllp.py
@@ -0,0 +1,157 @@
+"""The feature `[mllp]`: MLLP listeners, the memory of answers and its journal, MLLP servers as upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Literal
+
+import msgspec
+
+from dykeshift.clock import Clock
+from dykeshift.engine.config import ConfigError, read_address
+from dykeshift.engine.requests import Objection
+from dykeshift.interface import Settings
+from dykeshift.mllp import bridge
+from dykeshift.mllp.carrier import MllpCarrier
+from dykeshift.mllp.front import MllpFront, Waiter
+from dykeshift.mllp.journal import KIND, STEM, Journal
+from dykeshift.mllp.mapping import Mapping, Rule
+from dykeshift.mllp.memory import Bounds, Memory
+from dykeshift.store.log import Failed
+from dykeshift.store.records import Foreign
+from dykeshift.store.segments import Segments
+
+if TYPE_CHECKING:
+    from dykeshift.node.features import Host
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 128  # connections that may wait to be accepted
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """From a trigger to a request class of the settings."""
+
+    trigger: str
+    klass: str = msgspec.field(name="class")
+    deadline_ms: int = 3000
+    target: str = "/"
+    key: str = ""
+
+
+class Remembered(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the memory of answers."""
+
+    entries: int = 100_000
+    megabytes: int = 64
+    age_hours: float = 168.0
+    clock_error_s: float = 2.0
+    fresh_s: float = 0.0
+
+
+class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    listen: list[str] = []
+    upstreams: Literal["http", "mllp"] = "http"
+    journal: str = ""  # a directory; nothing: what was answered is forgotten in a restart
+    connections: int = 100
+    pipelined: int = 8  # frames of one connection that may be in work
+    max_frame_kb: int = 1024
+    memory: Remembered = Remembered()
+    map: list[Route] = []
+
+
+def check(options: Options, settings: Settings | None) -> None:
+    """ValueError in one line where the options can't be used."""
+    for address in options.listen:
+        read_address(address)
+    if options.listen and not options.map:
+        raise ValueError("listen is given and map is empty: no message could be routed")
+    for name, value, least in (("connections", options.connections, 1), ("pipelined", options.pipelined, 1),
+                               ("max_frame_kb", options.max_frame_kb, 1),
+                               ("memory.entries", options.memory.entries, 1),
+                               ("memory.megabytes", options.memory.megabytes, 1),
+                               ("memory.age_hours", options.memory.age_hours, 0.01),
+                               ("memory.clock_error_s", options.memory.clock_error_s, 0.0),
+                               ("memory.fresh_s", options.memory.fresh_s, 0.0)):
+        if value < least:
+            raise ValueError(f"{name} is {value}, and {least} at the least")
+    if settings is not None:
+        mapping(options, settings)
+
+
+def mapping(options: Options, settings: Settings) -> Mapping:
+    numbers = {klass.name: n for n, klass in enumerate(settings.classes)}
+    rules = []
+    for route in options.map:
+        if route.klass not in numbers:
+            raise ValueError(f"{route.trigger}: there is no class {route.klass!r}; there are "
+                             f"{', '.join(numbers)}")
+        rules.append(Rule(route.trigger, numbers[route.klass], route.deadline_ms * 1_000_000,
+                          route.target.encode(), route.key))
+    return Mapping(settings.classes, rules, options.upstreams == "mllp")
+
+
+def bounds(options: Remembered) -> Bounds:
+    return Bounds(age=int(options.age_hours * 3600e9), entries=options.entries,
+                  bytes=options.megabytes << 20, clock_error=int(options.clock_error_s * 1e9),
+                  fresh=int(options.fresh_s * 1e9))
+
+
+def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> MllpCarrier | None:
+    if options.upstreams != "mllp":
+        return None
+    return MllpCarrier(loop, clock, options.max_frame_kb << 10)
+
+
+def objection(options: Options) -> Objection | None:
+    return bridge.objection if options.upstreams == "mllp" else None
+
+
+class MllpService:
+    """`servers` in the order of `listen`."""
+
+    def __init__(self, front: MllpFront, servers: list[asyncio.Server]) -> None:
+        self.front, self.servers = front, servers
+
+    def drain(self) -> None:
+        for server in self.servers:
+            server.close()
+        self.front.drain()
+
+    def busy(self) -> bool:
+        return self.front.busy()
+
+    def close(self) -> None:
+        self.front.close()
+
+
+async def start(options: Options, host: Host) -> MllpService:
+    memory = Memory[Waiter](host.clock.time_ns(), bounds(options.memory), complete=bool(options.journal))
+    journal = _journal(options.journal, host, memory) if options.journal else None
+    front = MllpFront(host.loop, host.clock, host.driver, mapping(options, host.given.settings), memory,
+                      host.given.name, journal, options.pipelined, options.max_frame_kb << 10,
+                      options.connections)
+    servers = []
+    for text in options.listen:
+        try:
+            servers.append(await host.loop.create_server(front.connect, *read_address(text), backlog=BACKLOG))
+        except OSError as exc:
+            raise ConfigError(f"cannot listen on {text} for MLLP: {exc}") from None
+    return MllpService(front, servers)
+
+
+def _journal(path: str, host: Host, memory: Memory[Waiter]) -> Journal:
+    try:
+        files = host.disk.open(path)
+        journal = Journal(host.loop, host.clock, host.disk.worker(host.loop), Segments(files, STEM, KIND),
+                          memory)
+        report = journal.recover()
+    except BlockingIOError:
+        raise ConfigError(f"the journal {path!r} is in use by another process") from None
+    except OSError as exc:
+        raise ConfigError(f"the journal {path!r} can't be used: {exc.strerror}") from None
+    except (Failed, Foreign) as exc:
+        raise ConfigError(f"the journal {path!r} can't be used: {exc}") from None
+    (log.warning if report.lost else log.info)("journal %s: %s", path, report)
+    return journal
--- a/tests/store/disk.py
+++ b/dykeshift/standins/disk.py
@@ -1,5 +1,7 @@
-"""A directory in memory that fails as disks do: full, read-only, failing syncs, power cuts with torn
-writes."""
+"""A directory in memory that fails as disks do: full, read-only, failing syncs, power cuts with torn writes.
+
+It has the methods that a store asks of a directory (`dykeshift.store.files.Files`).
+"""
 
 from __future__ import annotations
 
@@ -25,6 +27,14 @@
         if self.room is not None and sum(map(len, self.seen.values())) + size > self.room:
             raise OSError(errno.ENOSPC, "No space left on device")
 
+    def names(self) -> list[str]:
+        return list(self.seen)
+
+    def remove(self, name: str) -> None:
+        self.check()
+        self.seen.pop(name, None)
+        self.kept.pop(name, None)
+
     def read(self, name: str) -> bytes | None:
         return self.seen.get(name)
 
--- a/dykeshift/store/files.py
+++ b/dykeshift/store/files.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
@@ -26,6 +27,9 @@
 class Files(Protocol):
     """One directory. Every method raises OSError as the system does."""
 
+    def names(self) -> list[str]:
+        """The files in it, in any order."""
+
     def read(self, name: str) -> bytes | None:
         """The whole file; None: there is none."""
 
@@ -35,6 +39,9 @@
     def replace(self, name: str, data: bytes) -> None:
         """The file holds this from now on, or what it held before, also after a power cut."""
 
+    def remove(self, name: str) -> None:
+        """It may come back after a power cut."""
+
 
 class _File:
     def __init__(self, path: Path, at: int) -> None:
@@ -59,6 +66,15 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
+        self._lock: int | None = None
+
+    def lock(self) -> None:
+        """Keep other processes of ours out until this one ends; BlockingIOError where one is there."""
+        self._lock = os.open(self.path / "lock", os.O_WRONLY | os.O_CREAT, 0o600)
+        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+    def names(self) -> list[str]:
+        return os.listdir(self.path)
 
     def read(self, name: str) -> bytes | None:
         try:
@@ -84,6 +100,9 @@
         os.replace(temporary, path)
         self._sync()
 
+    def remove(self, name: str) -> None:
+        (self.path / name).unlink(missing_ok=True)
+
     def _sync(self) -> None:
         """The directory's own entry lasts too."""
         fd = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
--- a/dykeshift/store/log.py
+++ b/dykeshift/store/log.py
@@ -29,6 +29,7 @@
     payloads: list[bytes]
     torn: int  # bytes of an unfinished record that were cut off
     holes: list[tuple[int, int]]  # stretches of bytes whose records are lost
+    size: int  # bytes of the file as it was found
 
     @property
     def whole(self) -> bool:
@@ -60,7 +61,7 @@
         except OSError as exc:
             raise self._fail("cannot open", exc) from None
         self.size = found.end
-        return Recovered(found.payloads, found.torn, found.holes)
+        return Recovered(found.payloads, found.torn, found.holes, len(data or b""))
 
     def append(self, payload: bytes) -> None:
         self._pending.append(encode(payload))
--- a/dykeshift/store/records.py
+++ b/dykeshift/store/records.py
@@ -4,10 +4,13 @@
     record = 0xC5 0x3A length(4, little-endian) crc32(4, of length and payload) payload
 
 Theory of operation. `scan` reads what a file holds and says how it ends: whole, with a torn tail (the last
-write did not reach the disk, as after a power cut), or with holes (bytes that are no records, records
-behind them). A record counts only with its checksum; after a hole reading goes on at the next two marks
-that begin a record with a sound checksum, so one bad sector costs the records in it and no others. Nothing
-that was lost is guessed: `Scan` names each lost stretch of bytes.
+write did not reach the disk, as after a power cut), or with holes (bytes that are no records; records may
+stand behind them). Torn is only what ends before its own length: a record of full length that its checksum
+does not fit may once have been sound, so it is a hole, at the end of the file as well.
+
+A record counts only with its checksum; after a hole reading goes on at the next two marks that begin a record
+with a sound checksum, so one bad sector costs the records in it and no others. Nothing that was lost is
+guessed: `Scan` names each lost stretch of bytes.
 """
 
 from __future__ import annotations
@@ -35,7 +38,7 @@
     payloads: list[bytes] = field(default_factory=list)
     end: int = FILE_HEAD  # behind the last sound record: where the next may be written
     torn: int = 0  # bytes behind `end`: a record that did not get whole
-    holes: list[tuple[int, int]] = field(default_factory=list)  # lost stretches before `end`
+    holes: list[tuple[int, int]] = field(default_factory=list)  # lost stretches
 
 
 def file_head(kind: bytes) -> bytes:
@@ -74,7 +77,10 @@
         if payload is None:
             following = _next(data, at + 1)
             if following is None:
-                found.torn = len(data) - at
+                if _cut_short(data, at):
+                    found.torn = len(data) - at
+                else:
+                    found.holes.append((at, len(data)))
                 return found
             found.holes.append((at, following))
             at = following
@@ -96,6 +102,14 @@
     return payload if _sum(payload) == checksum else None
 
 
+def _cut_short(data: bytes, at: int) -> bool:
+    """Whether what begins here is the beginning of a record."""
+    if at + _HEAD.size > len(data):
+        return MARK.startswith(data[at:at + len(MARK)])
+    mark, length, _ = _HEAD.unpack_from(data, at)
+    return bool(mark == MARK and length <= MAX_PAYLOAD and at + _HEAD.size + length > len(data))
+
+
 def _next(data: bytes, at: int) -> int | None:
     """Where the next sound record begins."""
     while (at := data.find(MARK, at)) >= 0:
--- /dev/null
+++ b/dykeshift/store/worker.py
@@ -0,0 +1,38 @@
+"""What waits for the disk runs beside the loop, one piece of work at a time, in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, Protocol
+
+Done = Callable[[Any, BaseException | None], None]  # what the work returned, or what it raised
+
+
+class Worker(Protocol):
+    def run(self, work: Callable[[], Any], done: Done) -> None:
+        """Do it; `done` is called in the loop afterwards, never within this call."""
+
+    def close(self) -> None:
+        """What was asked for is done first."""
+
+
+class Thread:
+    """One thread, begun with the first piece of work."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.pool = ThreadPoolExecutor(1, "lifttrail-store")
+
+    def run(self, work: Callable[[], Any], done: Done) -> None:
+        def over(future: Future[Any]) -> None:
+            error = future.exception()
+            result = None if error is not None else future.result()
+            if not self.loop.is_closed():
+                self.loop.call_soon_threadsafe(done, result, error)
+
+        self.pool.submit(work).add_done_callback(over)
+
+    def close(self) -> None:
+        self.pool.shutdown()
--- a/tests/store/test_log.py
+++ b/tests/store/test_log.py
@@ -8,10 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dykeshift.standins.disk import Disk
 from dykeshift.store.files import Directory
 from dykeshift.store.log import Failed, Log
 from dykeshift.store.records import FILE_HEAD, MARK, Foreign, encode, file_head, scan
-from tests.store.disk import Disk
 
 KIND = b"t1"
 PAYLOADS = st.lists(st.binary(max_size=40), max_size=8)
