What is not whole on the wire when its request is answered is kept back

It can't have run, so keeping it back calls nothing off. Attempt.on_the_wire asks the connection whether all was handed over.

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -237,8 +237,8 @@
     def _finish(self, job: Job, final: Final) -> None:
         job.closed = True
         for attempt in job.attempts:
-            if attempt is not None and attempt.connection is None:
-                # Not yet on the wire: that it does not go out is no calling off, which settings may forbid.
+            if attempt is not None and not attempt.on_the_wire():
+                # That it does not go out is no calling off, which settings may forbid.
                 attempt.give_up(Outcome.CANCELLED)
         job.reply(final)
 
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -87,6 +87,10 @@
         connection.send(self.message(left), self)
         return True
 
+    def on_the_wire(self) -> bool:
+        """Whether all of it has been handed over: what has not can't run, and may still be kept back."""
+        return self.connection is not None and not self.connection.unwritten
+
     def give_up(self, outcome: Outcome) -> None:
         if self.over:
             return
