--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -10,6 +10,7 @@
 import httptools
 
 from dykeshift.clock import Clock
+from dykeshift.engine.arrivals import Arrivals
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.http1 import Gatherer, Unacceptable, status_of
 from dykeshift.engine.requests import BadRequest, Reader
@@ -22,8 +23,6 @@
 SLOW = 2.5  # seconds for a later one to come whole, or for an answer to be read
 IDLE = 30.0  # seconds that a connection is kept after an answer
 ONCE = 2.0  # the same where one request was all that came, and for all in a crowd
-STANDSTILL = 0.02  # seconds in which this process did nothing it knows of: bytes may have waited
-AFTERMATH = 0.05  # seconds after such a time in which what is read may have waited all the same
 CROWD = 0.5  # of the limit on connections: so many that have been answered are one
 LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
 _REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
@@ -78,27 +77,12 @@
         self.clients: dict[Client, None] = {}  # a dict, as its order is that of their coming
         self.served = 0  # those of them that have been answered
         self.stopping = False
-        self.awake = loop.time()  # the latest round of the loop in which a client was heard
-        self.look_back = 0.0  # until then, what is read may have waited
+        self.arrivals = Arrivals(loop, clock)
         self.sweeper = loop.call_later(SWEEP, self.sweep)
 
     def connect(self) -> Client:
         return Client(self)
 
-    def arrival(self, transport: asyncio.BaseTransport) -> int:
-        """When what is being read arrived, on the monotonic clock.
-
-        Protects a client's time when this process stood still, as a whole or in one long round: its
-        request waited in the kernel meanwhile, and would get its answer that much after its time.
-        """
-        here = self.loop.time()
-        if here - self.awake > STANDSTILL:
-            self.look_back = here + AFTERMATH
-        self.awake = here
-        # The loop's time is from before the other events of this round, nearer to the arrival.
-        now = min(self.clock.monotonic_ns(), int(here * 1e9))
-        return now - self.clock.input_age(transport) if here < self.look_back else now
-
     def is_ready(self) -> bool:
         return not self.stopping and bool(self.driver.ready)
 
@@ -202,7 +186,7 @@
             return
         if not self.began and not self.busy:
             assert self.transport is not None
-            self.began = self.front.arrival(self.transport)
+            self.began = self.front.arrivals.of(self.transport)
             self.since = self.front.loop.time()
         try:
             self.parser.feed_data(data)
--- a/dykeshift/mllp/framing.py
+++ b/dykeshift/mllp/framing.py
@@ -35,6 +35,7 @@
 @dataclass(frozen=True, slots=True)
 class Frame:
     content: bytes
+    began: int = 0  # when it began, on the feeder's clock
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,7 @@
 
     def _close(self, out: list[Frame | Broken] | None) -> None:
         if out is not None:
-            out.append(Frame(bytes(self._content)))
+            out.append(Frame(bytes(self._content), self.began or 0))
         self._content.clear()
         self._state, self.began = _State.BETWEEN, None
 
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -18,11 +18,13 @@
 from typing import Any
 
 from dykeshift.clock import Clock
+from dykeshift.engine.arrivals import Arrivals
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.terms import Final, How
 from dykeshift.mllp import acks, message
 from dykeshift.mllp.acks import Code, Problem
-from dykeshift.mllp.journal import Journal
+from dykeshift.mllp.framing import VT
+from dykeshift.mllp.journal import ANSWER_WITHIN, Journal
 from dykeshift.mllp.mapping import MEDIA_TYPE, Asked, Mapping, made
 from dykeshift.mllp.memory import Identity, Memory, Verdict, identify
 from dykeshift.mllp.session import Session, Slot
@@ -30,6 +32,7 @@
 log = logging.getLogger(__name__)
 
 SWEEP = 0.1  # seconds between two looks at connections
+LINGER = 0.5  # seconds in which a client whose connection is to end may go on sending
 SLOW = 5_000_000_000  # nanoseconds that one frame may take to come
 STORE_SHARE = 0.5  # of its patience: so long a message waits for the journal before it is sent
 _PROBLEMS = {
@@ -56,6 +59,7 @@
         self.lines: dict[Line, None] = {}
         self.ids = (f"{name}-{clock.time_ns():x}-{n:x}" for n in itertools.count())
         self.sweeper = loop.call_later(SWEEP, self.sweep)
+        self.arrivals = Arrivals(loop, clock)
         self.draining = False
 
     def connect(self) -> Line:
@@ -69,8 +73,8 @@
             line.settle()
 
     def busy(self) -> bool:
-        """Whether anything that was taken is not answered, be its client gone or not."""
-        return bool(self.memory.open) or any(line.session.open for line in self.lines)
+        """Whether anything that was taken is not answered, be its client gone or not, or not yet read."""
+        return bool(self.memory.open or self.lines)
 
     def close(self) -> None:
         self.sweeper.cancel()
@@ -79,14 +83,14 @@
 
     def sweep(self) -> None:
         for line in list(self.lines):
-            if line.session.deframer.late(self.clock.monotonic_ns(), SLOW):
+            lingers = line.closing and self.loop.time() - line.closing > LINGER
+            if lingers or line.session.deframer.late(self.clock.monotonic_ns(), SLOW):
                 line.abort()
         self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
     # ---- one message ----
 
     def handle(self, line: Line, slot: Slot) -> None:
-        arrived = self.clock.monotonic_ns()
         header = None
         if acks.is_ack(slot.content):
             line.answer(slot, b"")  # acknowledgements are not acknowledged, or two systems never end
@@ -111,7 +115,7 @@
         elif ruling.verdict is Verdict.REPLAY:
             self._end(line, slot, header, ruling.answer)
         elif ruling.verdict is Verdict.NEW:
-            self._begin(identity, header, asked, arrived)
+            self._begin(identity, header, asked, slot.began)
         elif self.memory.open[identity.name].stored:
             self._accept(line, slot, header)
 
@@ -136,9 +140,9 @@
                 self._accept(line, slot, header)
 
     def _submit(self, identity: Identity, header: message.Header, asked: Asked, arrived: int) -> None:
-        self.driver.submit(asked, arrived, partial(self._final, identity, header))
+        self.driver.submit(asked, arrived, partial(self._final, identity, header, arrived + asked.patience))
 
-    def _final(self, identity: Identity, header: message.Header, final: Final) -> None:
+    def _final(self, identity: Identity, header: message.Header, due: int, final: Final) -> None:
         if final.how is How.REFUSED:
             self._give_back(identity, header, _PROBLEMS[How.REFUSED][1])
             return
@@ -151,8 +155,9 @@
         if self.journal is None:
             self._done(identity, header, answer)
         elif final.how is How.SERVED:
+            within = max(0.0, min(ANSWER_WITHIN, (due - self.clock.monotonic_ns()) / 1e9))
             self.journal.answered(identity, self.memory.open[identity.name].made, answer,
-                                  lambda _: self._done(identity, header, answer))
+                                  lambda _: self._done(identity, header, answer), within)
         else:  # it was given up, so it is answered at once; should the record be lost, a resend hears AE too
             self.journal.answered(identity, self.memory.open[identity.name].made, answer)
             self._done(identity, header, answer)
@@ -184,9 +189,11 @@
             line.answer(slot, self._ack(header, Code.CA), last=False)
 
     def _end(self, line: Line, slot: Slot, header: message.Header, answer: bytes) -> None:
-        """What is remembered, with the accept acknowledgement before it where that is still owed."""
+        """What is remembered, with the accept acknowledgement before it where that is still owed: CA where
+        the application's follows, as the message was taken, else the end itself."""
         if not slot.accepted:
-            line.answer(slot, self._ack(header, Code("C" + answer[1:2].decode())), last=False)
+            code = Code.CA if answer[2:] else Code("C" + answer[1:2].decode())
+            line.answer(slot, self._ack(header, code), last=False)
         line.answer(slot, answer[2:])
 
     def _say(self, line: Line, slot: Slot, header: message.Header | None, code: Code,
@@ -207,6 +214,8 @@
         self.transport: Any = None
         self.stopped = False  # reading is
         self.choked = False  # the client does not read its answers
+        self.ended = False  # the client has ended its sending
+        self.closing = 0.0  # since when: all is answered, and what still comes is dropped
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -215,6 +224,12 @@
             return
         self.front.lines[self] = None
 
+    def eof_received(self) -> bool:
+        """A client that has ended its sending may still read what it is owed."""
+        self.ended = True
+        self.session.drain()
+        return not self.session.finished
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.front.lines.pop(self, None)
         self.transport = None
@@ -228,7 +243,10 @@
         self.settle()
 
     def data_received(self, data: bytes) -> None:
-        self._handle(self.session.receive(self.front.clock.monotonic_ns(), data))
+        if self.closing or self.transport is None:
+            return
+        arrived = self.front.arrivals.of(self.transport, several=data.count(VT) > 1)
+        self._handle(self.session.receive(arrived, data))
 
     def _handle(self, slots: list[Slot]) -> None:
         for slot in slots:
@@ -247,8 +265,17 @@
         """Stop or go on reading, or close when all is done."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.session.finished:
+        if self.closing:
+            return
+        if self.session.finished and self.ended:
             self.transport.close()
+        elif self.session.finished:
+            # Closed outright, what the client still sends would be met by a reset, which can take the
+            # last answer with it: read on until it closes, or for LINGER at the most.
+            self.closing = self.front.loop.time()
+            self.transport.write_eof()
+            if self.stopped:
+                self.transport.resume_reading()
         elif (self.session.full or self.choked) != self.stopped:
             self.stopped = not self.stopped
             (self.transport.pause_reading if self.stopped else self.transport.resume_reading)()
--- a/dykeshift/mllp/journal.py
+++ b/dykeshift/mllp/journal.py
@@ -33,7 +33,7 @@
 
 STEM, KIND = "mllp", b"M1"
 RETRY = 1.0  # seconds between two tries to go on after a failure
-ANSWER_WITHIN = 0.25  # seconds that an answer waits for its record
+ANSWER_WITHIN = 0.25  # seconds that an answer waits for its record, at the most
 
 
 class Sent(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -162,9 +162,9 @@
         self._keep(record, Kept(self.loop, then, within))
 
     def answered(self, identity: Identity, made: int | None, answer: bytes,
-                 then: Callable[[bool], None] | None = None) -> None:
+                 then: Callable[[bool], None] | None = None, within: float = ANSWER_WITHIN) -> None:
         record = Answered(identity.name, identity.digest, made, self.clock.time_ns(), answer)
-        self._keep(record, Kept(self.loop, then, ANSWER_WITHIN) if then is not None else None)
+        self._keep(record, Kept(self.loop, then, within) if then is not None else None)
 
     def withdrawn(self, identity: Identity) -> None:
         self._keep(Withdrawn(identity.name, self.clock.time_ns()), None)
--- a/dykeshift/mllp/session.py
+++ b/dykeshift/mllp/session.py
@@ -16,7 +16,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from dykeshift.mllp.framing import Broken, Deframer, Flaw, Frame, frame
+from dykeshift.mllp.framing import Broken, Deframer, Flaw, Frame
+from dykeshift.mllp.framing import frame as framed
 
 HOPELESS = (Flaw.TOO_LONG, Flaw.NO_MLLP)
 
@@ -26,6 +27,7 @@
     """A frame that was taken, until all its answers have left."""
 
     content: bytes
+    began: int  # when its first byte came
     parts: list[bytes] = field(default_factory=list)
     over: bool = False
     accepted: bool = False  # its accept acknowledgement has been given
@@ -53,7 +55,8 @@
     def _take(self) -> list[Slot]:
         taken = list[Slot]()
         while self.held and len(self.open) < self.limit:
-            taken.append(Slot(self.held.popleft().content))
+            frame = self.held.popleft()
+            taken.append(Slot(frame.content, frame.began))
             self.open.append(taken[-1])
         return taken
 
@@ -61,7 +64,7 @@
         """An answer to a frame: the bytes that may leave now, and frames that have found room."""
         assert not slot.over, "it has had its last answer"
         if part:
-            slot.parts.append(frame(part))
+            slot.parts.append(framed(part))
         slot.over = last
         out = bytearray()
         while self.open:
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -40,7 +40,7 @@
     discovery = Discovery(loop, clock, given.discovery, Reader(clock, given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
     reader = requests.Reader(given.settings.classes, beside.objection())
-    front = Front(loop, clock, driver, reader, given.connections)
+    front = Front(loop, clock, driver, reader, given.connections - beside.connections(given))
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -18,7 +18,7 @@
     from dykeshift.store.disk import Disk
 
 FILE = "deploy/lifttrail.toml"
-SECTIONS = {"mllp": "dykeshift.node.mllp"}  # each module has Options, check, carrier, objection and start
+SECTIONS = {"mllp": "dykeshift.node.mllp"}  # each has Options, check, carrier, objection, connections, start
 
 
 class Service(Protocol):
@@ -58,6 +58,10 @@
         found = (module.objection(options) for module, options in self.parts)
         return next((objection for objection in found if objection is not None), None)
 
+    def connections(self, given: config.Config) -> int:
+        """Of those to clients, how many the features take for theirs."""
+        return sum(module.connections(options, given) for module, options in self.parts)
+
     async def start(self, loop: asyncio.AbstractEventLoop, clock: Clock, given: config.Config,
                     driver: Driver) -> list[Service]:
         if not self.parts:
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dykeshift.clock import Clock
-from dykeshift.engine.config import ConfigError, read_address
+from dykeshift.engine.config import Config, ConfigError, read_address
 from dykeshift.engine.requests import Objection
 from dykeshift.interface import Settings
 from dykeshift.mllp import bridge
@@ -104,6 +104,10 @@
     return MllpCarrier(loop, clock, options.max_frame_kb << 10)
 
 
+def connections(options: Options, given: Config) -> int:
+    return min(options.connections, given.connections // 2)
+
+
 def objection(options: Options) -> Objection | None:
     return bridge.objection if options.upstreams == "mllp" else None
 
@@ -131,7 +135,7 @@
     journal = _journal(options.journal, host, memory) if options.journal else None
     front = MllpFront(host.loop, host.clock, host.driver, mapping(options, host.given.settings), memory,
                       host.given.name, journal, options.pipelined, options.max_frame_kb << 10,
-                      options.connections)
+                      connections(options, host.given))
     servers = []
     for text in options.listen:
         try:
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -10,18 +10,22 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from datetime import datetime, UTC
 from random import Random
 from typing import Any
 
 from dykeshift.sim import referee as rules
 from dykeshift.sim.faults import Faults
-from dykeshift.sim.installation import Node, Post
+from dykeshift.mllp.memory import identify
+from dykeshift.sim.installation import DEADLINES, MLLP_PORT, Node, Post
 from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Line, Process, Stuck, World
 from dykeshift.sim.net import Cut, Endpoint, Network, Weather
 from dykeshift.sim.referee import Breach, Referee, Terms
-from dykeshift.sim.scenario import CLASSES, HEAL, KINDS, PROBES, RECOVERY, Scenario
+from dykeshift.sim.scenario import CLASSES, HEAL, KINDS, PROBES, RECOVERY, Ask, Scenario
 from dykeshift.sim.wire import Wire
+from dykeshift.standins import hl7
 from dykeshift.standins.client import Crowd, Errand, Front
+from dykeshift.standins.clinic import Clinic, Letter
 from dykeshift.standins.messages import Message
 from dykeshift.standins.registry import Instance, Registry
 from dykeshift.standins.sender import Rack, Sender
@@ -71,6 +75,8 @@
         self.discovery = ("10.2.0.1", 8500)
         self.readers: dict[Endpoint, Wire] = {}
         self.outcome: dict[str, str] = {}
+        self.letters: dict[str, str] = {}  # clinics' messages, by the module's names of them
+        self.rids: dict[str, str] = {}  # the ids under which they went to HTTP senders
         self.net.tap, self.net.arrival = self._handed_over, self._arrived
         self.start_registry(self.discovery)
         self.posts = [Post(self, n) for n in range(o.senders)]
@@ -141,9 +147,13 @@
         self.crowd = Crowd(front, self, self.world.stream("crowd"), on_end=self._errand_ended,
                            unread=lambda line: line.transport.endpoint.peer.consumed <= line.mark)
         process.loop.start(front.watch([node.address for node in self.nodes]))
+        self._open_clinics()
         for number, ask in enumerate(self.scenario.asks):
             klass = CLASSES[ask.klass]
             name = f"e{number}" if ask.at < HEAL else f"p{number}"
+            if ask.clinic >= 0:
+                self.world.at(EPOCH + int(ask.at * SECOND), self._write_letter, name, ask)
+                continue
             errand = Errand(name, klass, KINDS[klass], ask.deadline, ask.cost, ask.retries,
                             ask.cost * 1000 if ask.hinted else 0, leaves=ask.leaves)
             self.world.at(EPOCH + int(ask.at * SECOND), self._begin, errand)
@@ -156,6 +166,59 @@
         self.outcome[errand.name] = how + status
         self.world.note(f"{errand.name} ends: {how}{status}")
 
+    def _open_clinics(self) -> None:
+        nodes = self.nodes
+        self.clinics = [Clinic((nodes[n % len(nodes)].address[0], MLLP_PORT), self,
+                               self.world.stream(f"clinic/{n}"), self._letter_ended,
+                               unread=lambda line, frame: line.transport.endpoint.peer.consumed < frame.end)
+                        for n in range(self.scenario.options.clinics)]
+
+    def _write_letter(self, name: str, ask: Ask) -> None:
+        seconds, rest = divmod(self.world.unix(), SECOND)
+        when = datetime.fromtimestamp(seconds, UTC).strftime("%Y%m%d%H%M%S")
+        note = hl7.Note(name, f"CLINIC{ask.clinic}", CLASSES[ask.klass], ask.mode, ask.cost,
+                        f"{when}.{rest // 100_000:04d}")
+        content = note.content()
+        identity = identify(note.clinic.encode(), note.facility.encode(), name.encode(), content)
+        self.letters[identity.key()] = name
+        # A deadline of its own is not told: the mapping's holds.
+        patience = DEADLINES[note.klass] / 1000
+        letter = Letter(note, patience, ask.retries, ask.leaves, ask.half, ask.twin)
+        self._inside(self.clients, self.clinics[ask.clinic].send, letter)
+
+    def _letter_ended(self, letter: Letter, code: str) -> None:
+        name = letter.note.control_id
+        self.outcome[name] = "done 200" if code[1:] == "A" else f"ended {code or 'unheard'}"
+        self.world.note(f"{name} ends: {self.outcome[name]}")
+
+    # The account that clinics give (standins.clinic.Account).
+
+    def framed(self, letter: Letter, number: int, to: tuple[str, int], ahead: list[tuple[str, int]]) -> None:
+        name, node = letter.note.control_id, self.by_host[to[0]]
+        self.world.note(f"{name}/{number} ({KINDS[letter.note.klass]}, {letter.patience * 1000:.0f} ms, "
+                        f"{letter.note.mode}) to {node.name}")
+        now = self._here()
+        self.referee.framed(now, name, number, KINDS[letter.note.klass], node.name,
+                            now + int(letter.patience * SECOND), ahead)
+
+    def acknowledged(self, letter: Letter, number: int, to: tuple[str, int], code: str, last: bool) -> None:
+        name = letter.note.control_id
+        self.world.note(f"{name}/{number} has {code}")
+        if last:
+            certain = not (self.scenario.options.mllp_senders and letter.note.mode == "accept")
+            self.referee.acknowledged(self._here(), name, number, code, certain)
+
+    def cut_off(self, letter: Letter, number: int, to: tuple[str, int]) -> None:
+        self.world.note(f"{letter.note.control_id}/{number} is cut off")
+        self.referee.cut_off(self._here(), letter.note.control_id, number)
+
+    def unheard(self, letter: Letter, number: int, to: tuple[str, int]) -> None:
+        self.world.note(f"{letter.note.control_id}/{number} is not listened for any more")
+        self.referee.unheard(self._here(), letter.note.control_id, number)
+
+    def stray(self, to: tuple[str, int], data: bytes) -> None:
+        self.referee.extra(self._here(), self.by_host[to[0]].name, data)
+
     def _here(self) -> int:
         return self.world.now + self.clients.loop.spent
 
@@ -289,6 +352,8 @@
             return
         self._check_service()
         self._inside(self.clients, self.crowd.hang_up)
+        for clinic in self.clinics:
+            self._inside(self.clients, clinic.hang_up)
         quiet = end + self.scenario.options.keepalive
         self.world.run(EPOCH + int((quiet + 1.0) * SECOND), stop)
         self.clients.kill()
@@ -321,8 +386,9 @@
                                     f"{process.name} has not asked discovery for {silent:.1f} s")
             found = self._count(node, process)
             bad = [f"{found[what]} {what}" for what, most in
-                   (("jobs", 0), ("requests in the module", 0), ("connections to senders", 0), ("clients", 0),
-                    ("clients counted as served", 0), ("connects", 0), ("descriptors", SOCKETS),
+                   (("jobs", 0), ("clinics", 0), ("messages in work", 0), ("requests in the module", 0),
+                    ("connections to senders", 0), ("clients", 0), ("clients counted as served", 0),
+                    ("connects", 0), ("descriptors", SOCKETS + len(node.services)),
                     ("timers", TIMERS), ("tasks", TASKS)) if found[what] > most or found[what] < 0]
             if bad:
                 self.referee.breach(rules.LEAK, self.world.now,
@@ -331,7 +397,10 @@
     @staticmethod
     def _count(node: Node, process: Process) -> dict[str, int]:
         driver = node.front.driver
-        return {"jobs": len(driver.jobs), "requests in the module": len(driver.balancer.open),
+        fronts = [service.front for service in node.services]
+        return {"clinics": sum(len(front.lines) for front in fronts),
+                "messages in work": sum(len(front.memory.open) for front in fronts),
+                "jobs": len(driver.jobs), "requests in the module": len(driver.balancer.open),
                 "connections to senders": driver.pool.open, "clients": len(node.front.clients),
                 "clients counted as served": node.front.served, "connects": len(driver.pool.connecting),
                 "descriptors": len(process.sockets), "timers": process.loop.pending_timers(),
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -64,6 +64,8 @@
             day._inside(day.registry_processes[address], registry.thaw)
         for node in day.nodes:
             node.host.wall_offset = 0
+            node.disk.slow = 0.0
+            node.disk.files.room, node.disk.files.read_only, node.disk.files.sync_fails = None, False, False
             if node.process is None or not node.process.alive:
                 node.start(self._old_list(0.0))
         for post in day.posts:
@@ -285,6 +287,24 @@
                 return int(at)
         return None
 
+    # ---- balancers' disks ----
+
+    def _disk_full(self, fault: Fault) -> None:
+        files = self._node(fault).disk.files
+        files.room = sum(map(len, files.seen.values())) + int(300 * fault.size)
+        self._then(fault.length, setattr, files, "room", None)
+
+    def _disk_slow(self, fault: Fault) -> None:
+        disk = self._node(fault).disk
+        disk.slow = 0.02 + fault.size
+        self._then(fault.length, setattr, disk, "slow", 0.0)
+
+    def _disk_fails(self, fault: Fault) -> None:
+        files = self._node(fault).disk.files
+        which = "sync_fails" if fault.size < 0.5 else "read_only"
+        setattr(files, which, True)
+        self._then(fault.length, setattr, files, which, False)
+
     # ---- discovery ----
 
     def _registries(self, fault: Fault, name: str, value: Any, calm: Any) -> None:
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from dykeshift.interface import Fail, Refuse
 from dykeshift.engine import config
+from dykeshift.node import mllp as feature
 from dykeshift.node.__main__ import serve
+from dykeshift.node.features import NONE, Features
+from dykeshift.node.mllp import Options
 from dykeshift.sim import referee as rules
 from dykeshift.sim.kernel import MS, SECOND, Host, Process, VirtualClock
 from dykeshift.sim.scenario import CLASSES, KINDS, Scenario
+from dykeshift.standins import hl7
+from dykeshift.standins.disk import Disk
+from dykeshift.standins.mllp_sender import MllpLink
 from dykeshift.standins.registry import Instance
-from dykeshift.standins.sender import Mood, Sender, Shape
+from dykeshift.standins.sender import Link, Mood, Sender, Shape
+from dykeshift.store.log import Failed
 
 if TYPE_CHECKING:
     from dykeshift.sim.day import Day
@@ -22,10 +32,9 @@
 def settings(scenario: Scenario) -> dict[str, Any]:
     """The settings as a deployment words them."""
     o = scenario.options
-    deadlines = {"status-check": 1000, "reminder-set": 800, "sms-send": 1500}
     aims = {"status-check": 250, "reminder-set": 400, "sms-send": 400}
     kinds = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
-    services = [{"name": name, "goalTimeNs": aims[name] * MS, "deadlineNs": deadlines[name] * MS,
+    services = [{"name": name, "goalTimeNs": aims[name] * MS, "deadlineNs": DEADLINES[name] * MS,
                  "worth": 3.0, "lateShare": 0.2, "idempotency": kinds[KINDS[name]], "group": "cell",
                  "windowNs": int(o.window * SECOND)} for name in CLASSES]
     return {
@@ -41,6 +50,64 @@
     }
 
 
+DEADLINES = {"status-check": 1000, "reminder-set": 800, "sms-send": 1500}  # milliseconds
+MLLP_PORT = 2575
+CLOCK_ERROR = 0.5  # seconds that clinics' clocks may be off, as balancers are told
+
+
+def mllp(scenario: Scenario, address: str) -> Options:
+    """The feature `[mllp]` as a deployment words it."""
+    o = scenario.options
+    routes = [{"trigger": hl7.TRIGGERS[name], "class": name, "deadline_ms": DEADLINES[name],
+               "target": f"/hl7/{name}"} for name in CLASSES if o.mllp_senders or KINDS[name] != "safe"]
+    return msgspec.convert({
+        "listen": [f"{address}:{MLLP_PORT}"], "upstreams": "mllp" if o.mllp_senders else "http",
+        "journal": "/journal" if o.journal else "", "memory": {"clock_error_s": CLOCK_ERROR},
+        "map": routes}, Options)
+
+
+class VirtualDisk:
+    """A balancer's disk: it outlives its lives, takes its time, and may be cut in the middle of a write."""
+
+    def __init__(self, seed: int) -> None:
+        self.files = Disk(seed)
+        self.rng = self.files.rng
+        self.slow = 0.0  # seconds that each write takes more
+        self.loop: Any = None
+        self.under_way: list[Callable[[], Any]] = []
+
+    def open(self, path: str) -> Disk:
+        return self.files
+
+    def worker(self, loop: Any) -> VirtualDisk:
+        self.loop, self.under_way = loop, []
+        return self
+
+    def run(self, work: Callable[[], Any], done: Callable[[Any, BaseException | None], None]) -> None:
+        self.under_way.append(work)
+        self.loop.call_later(0.0005 + 0.004 * self.rng.random() + self.slow, self._do, work, done)
+
+    def _do(self, work: Callable[[], Any], done: Callable[[Any, BaseException | None], None]) -> None:
+        self.under_way.remove(work)
+        try:
+            result, error = work(), None
+        except Exception as exc:
+            result, error = None, exc
+        self.loop.call_later(0.001 * self.rng.random(), done, result, error)
+
+    def close(self) -> None:
+        for work in self.under_way:
+            with contextlib.suppress(Failed, OSError):
+                work()
+        self.under_way = []
+
+    def power_cut(self) -> None:
+        """The machine died: what was being written is there in part, what was not synced perhaps."""
+        self.files.room = sum(map(len, self.files.seen.values())) + self.rng.randint(0, 200)
+        self.close()
+        self.files.power_cut()
+
+
 class Tap:
     """The decision module as the driver calls it, with its actions seen by the day."""
 
@@ -73,6 +140,8 @@
         self.lives = 0
         self.process: Process | None = None
         self.front: Any = None
+        self.services: list[Any] = []
+        self.disk = VirtualDisk(number + 1)
         self.raw: dict[str, Any] = {}
         self.living: dict[str, str] = {}  # who lives where, as far as it can know
         self.asked = 0  # when it last asked discovery
@@ -101,16 +170,22 @@
         self.living = {row["hostPort"]: row["instanceId"] for row in known["instances"]}
         self.confirmed = False
         process.loop.start(serve(config.parse(self.raw), lambda: config.parse(self.raw),
-                                 VirtualClock(process), self._started))
+                                 VirtualClock(process), self._started, self._features()))
+
+    def _features(self) -> Features:
+        if not self.day.scenario.options.clinics:
+            return NONE
+        return Features(((feature, mllp(self.day.scenario, self.address[0])),), self.disk)
 
-    def _started(self, front: Any, *_: Any) -> None:
-        self.front = front
+    def _started(self, front: Any, server: Any, reload: Any, services: list[Any]) -> None:
+        self.front, self.services = front, services
         front.driver.balancer = Tap(front.driver.balancer, self._acted)
 
     def _acted(self, actions: list[Any]) -> None:
         for action in actions:
             if isinstance(action, Refuse | Fail):
-                self.day.referee.gave_up(self.day.world.now, action.request_id)
+                name = self.day.letters.get(action.request_id, action.request_id)
+                self.day.referee.gave_up(self.day.world.now, name)
 
     def _ended(self, process: Process) -> None:
         for fault in process.loop.faults:
@@ -125,6 +200,8 @@
         if self.process is not None and self.process.alive:
             self.deaths.append((self.day.world.now, excused))
             self.process.kill()
+            if self.day.scenario.options.journal and self.disk.rng.random() < 0.7:
+                self.disk.power_cut()
 
 
 class Post:
@@ -152,8 +229,10 @@
         shape = Shape(slots=options.slots, cold_share=options.cold_share, cold_time=options.cold_time,
                       most_connections=options.sender_table, keepalive=options.keepalive,
                       key_window=options.window)
+        link = MllpLink if options.mllp_senders else Link
         rng = day.world.stream(f"sender/{name}")
-        self.sender = Sender(name, self.cell, day.racks[self.cell], day, rng, shape, self.mood, cold)
+        self.sender = Sender(name, self.cell, day.racks[self.cell], day, rng, shape, self.mood, cold,
+                             link)
         self.process = Process(day.world, self.host, name)
         day.net.attach(self.process)
         self.process.loop.start(self.sender.serve(*self.address))
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -55,6 +55,7 @@
     window: int = 4_000 * MS
     fall_window: int = 3_000 * MS
     told_share: float = 2 / 3
+    way: int = 5 * MS  # from a client to a balancer, at the most
     at_once: int = 40 * MS  # the way to the client and back, and a round of the loop
 
 
@@ -71,6 +72,20 @@
     disproved: bool = False
 
 
+@dataclass(slots=True)
+class Frame:
+    """One sending of a clinic's message. On one connection answers come in the order of the frames."""
+
+    balancer: str
+    sent: int
+    deadline: int
+    ahead: list[Frame]
+    over: bool = False
+
+    def behind(self) -> bool:
+        return any(not frame.over for frame in self.ahead)
+
+
 @dataclass(slots=True)
 class Entry:
     """One request id."""
@@ -86,6 +101,15 @@
     over: bool = False
     served_by: set[str] = field(default_factory=set)
     gave_up: int | None = None
+    frames: list[Frame] = field(default_factory=list)  # those that a clinic sent
+
+    def listened(self, since: int) -> bool:
+        """Whether somebody waits for its answer who had sent before that."""
+        return not self.frames or any(not frame.over and frame.sent <= since for frame in self.frames)
+
+    def held_up(self) -> bool:
+        """Whether all that wait for its answer have others to hear first, on their connections."""
+        return bool(self.frames) and all(frame.over or frame.behind() for frame in self.frames)
 
     def may_have_run(self) -> Try | None:
         return next((t for t in self.tries if not t.disproved), None)
@@ -101,6 +125,7 @@
         self.excuse = excuse
         self.breaches: list[Breach] = []
         self.entries: dict[str, Entry] = {}
+        self.frames: dict[tuple[str, int], Frame] = {}  # by message and number
         self.effects: dict[str, list[tuple[int, str]]] = {}  # by errand: when and where it took effect
         self.kinds: dict[str, str] = {}
         self.listed: dict[str, set[str]] = {}  # by balancer: instances that it was told of and are not gone
@@ -171,6 +196,69 @@
     def extra(self, now: int, balancer: str, data: bytes) -> None:
         self.breach(TWICE_ANSWERED, now, f"{balancer} sends a client {data[:40]!r}, which answers nothing")
 
+    # ---- clinics: a message is one request, however often its frame comes ----
+
+    def framed(self, now: int, rid: str, number: int, kind: str, balancer: str, deadline: int,
+               ahead: list[tuple[str, int]]) -> None:
+        """The last byte of a frame has been handed over, behind those `ahead` on its connection."""
+        entry = self.entries.get(rid)
+        if entry is None:
+            entry = self.entries[rid] = Entry(rid, rid, kind, balancer, now, deadline)
+            self.kinds[rid] = kind
+        entry.balancer, entry.sent, entry.deadline = balancer, now, deadline
+        if not entry.answers:
+            entry.over = False
+        before = [self.frames[one] for one in ahead]
+        due = max([deadline, *(frame.deadline for frame in before)])
+        frame = self.frames[rid, number] = Frame(balancer, now, due, before)
+        entry.frames.append(frame)
+
+    def acknowledged(self, now: int, rid: str, number: int, code: str, certain: bool) -> None:
+        """A frame's last acknowledgement. `certain`: a good one says that it was done, not only safe."""
+        entry, frame = self.entries[rid], self.frames[rid, number]
+        if frame.over:
+            self.breach(TWICE_ANSWERED, now, f"{rid}/{number} has a second answer")
+        late = now - frame.deadline - self.terms.answer_slack
+        if late > 0 and not self.excuse(frame.balancer, frame.sent, frame.deadline, now):
+            self.breach(LOST, now, f"{rid}/{number} is answered {late / MS:.1f} ms after its time")
+        frame.over = entry.over = True
+        entry.gave_up = None
+        if code[1] == "R":
+            self.refused += 1
+            if any(not other.over for other in entry.frames):
+                return  # another sending of it is under way: which of the two was rejected can't be seen
+            if entry.kind != "safe" and entry.may_have_run():
+                self.breach(REFUSED_RUN, now, f"{rid} ({entry.kind}) is rejected and may have run")
+            if not entry.answers:
+                entry.tries.clear()  # it has not run: sent again, it is as new
+            return
+        entry.answers += 1
+        self.served += code[1] == "A"
+        self.failed += code[1] == "E"
+        if code[1] == "A" and certain and not entry.served_by:
+            self.breach(WRONG_ANSWER, now, f"{rid} is acknowledged with {code}, and nobody did it")
+
+    def cut_off(self, now: int, rid: str, number: int) -> None:
+        """Its connection ended without the last acknowledgement, and not by the clinic."""
+        entry, frame = self.entries[rid], self.frames[rid, number]
+        if frame.over:
+            return
+        frame.over = True
+        taken = entry.tries and len(entry.frames) == 1  # of several, which was taken can't be seen
+        if taken and not self.excuse(frame.balancer, frame.sent, frame.sent, now):
+            self.breach(LOST, now, f"{rid}/{number} was sent on, and its connection ended without an answer")
+
+    def unheard(self, now: int, rid: str, number: int) -> None:
+        """The clinic stopped listening, past its time or before."""
+        frame = self.frames[rid, number]
+        if frame.over:
+            return
+        frame.over = True
+        limit = frame.deadline + self.terms.answer_slack
+        if now > limit and not self.excuse(frame.balancer, frame.sent, frame.deadline, limit):
+            self.breach(LOST, now, f"{rid}/{number} has no answer {(now - frame.deadline) / MS:.0f} ms "
+                                   "after its time")
+
     # ---- the wire between balancers and senders ----
 
     def first_byte(self, now: int, balancer: str, sender: str, rid: str) -> None:
@@ -266,7 +354,7 @@
 
     def gave_up(self, now: int, rid: str) -> None:
         entry = self.entries.get(rid)
-        if entry is not None and not entry.over:
+        if entry is not None and not entry.over and entry.listened(now - self.terms.way):
             entry.gave_up = now
             self.given_up.append(entry)
 
@@ -276,9 +364,10 @@
             return
         rest = list[Entry]()
         for entry in self.given_up:
-            assert entry.gave_up is not None
-            if entry.over:
+            if entry.over or entry.gave_up is None or not entry.listened(entry.gave_up):
                 continue
+            if entry.held_up():
+                entry.gave_up = now
             if now <= entry.gave_up + self.terms.at_once:
                 rest.append(entry)
             elif not self.excuse(entry.balancer, entry.sent, entry.gave_up, now):
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -14,6 +14,8 @@
 from dataclasses import asdict, dataclass, field, replace
 from random import Random
 
+from dykeshift.standins.hl7 import MODES
+
 VERSION = 1
 CHAOS = 7.0  # seconds of requests and faults
 HEAL = 8.0  # when the last fault ends
@@ -29,6 +31,8 @@
     "reload-and-term", "drain", "kill-sender", "vanish-sender", "swap-addresses", "release", "cut-room",
     "cut-discovery", "spikes", "flood", "costly",
 )
+DISK_FAULTS = ("disk-full", "disk-slow", "disk-fails")  # drawn where balancers keep a journal
+WITH_MLLP = "+mllp"  # ends the names of seeds whose days have clinics
 
 
 class ScenarioError(ValueError):
@@ -55,6 +59,10 @@
     retries: int = 0
     hinted: bool = False
     leaves: float | None = None
+    clinic: int = -1  # it comes from this clinic, as an HL7 message over MLLP; -1: from an HTTP client
+    mode: str = "original"  # of acknowledgement, there
+    half: bool = False  # its first frame is cut in the middle
+    twin: bool = False  # it is sent on two connections at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +90,9 @@
     tear: float = 0.1
     buffer: int = 65536
     reset_discards: bool = False
+    clinics: int = 0
+    mllp_senders: bool = False  # the senders speak MLLP, not HTTP
+    journal: bool = False  # balancers have a disk that outlives them
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,13 +117,16 @@
         if raw.get("version") != VERSION:
             raise ScenarioError(f"its version is {raw.get('version')!r}, this program reads {VERSION}")
         faults = tuple(Fault(**f) for f in raw["faults"])
-        unknown = {f.kind for f in faults} - set(FAULTS)
+        unknown = {f.kind for f in faults} - {*FAULTS, *DISK_FAULTS}
         if unknown:
             raise ScenarioError(f"unknown kind of fault: {sorted(unknown)[0]}")
         asks = tuple(Ask(**a) for a in raw["asks"])
         if any(not 0 <= a.klass < len(CLASSES) for a in asks):
             raise ScenarioError("a request's class is out of range")
-        return Scenario(str(raw["seed"]), Options(**raw["options"]), asks, faults)
+        options = Options(**raw["options"])
+        if any(not -1 <= a.clinic < options.clinics or a.mode not in MODES for a in asks):
+            raise ScenarioError("a request's clinic or mode is out of range")
+        return Scenario(str(raw["seed"]), options, asks, faults)
     except ScenarioError:
         raise
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
@@ -127,7 +141,9 @@
 
 
 def draw(seed: str) -> Scenario:
-    """The scenario that belongs to a seed."""
+    """The scenario that belongs to a seed; one that ends with `+mllp` is the same day with clinics."""
+    if seed.endswith(WITH_MLLP):
+        return _with_clinics(_rng(seed, "clinics"), seed, draw(seed.removesuffix(WITH_MLLP)))
     options = _draw_options(_rng(seed, "options"))
     faults = _draw_faults(_rng(seed, "faults"), options)
     asks = _draw_asks(_rng(seed, "asks"), options, faults)
@@ -229,3 +245,34 @@
         hinted=rng.random() < 0.5,
         leaves=round(rng.uniform(0.005, 0.5), 3) if rng.random() < 0.06 else None,
     )
+
+
+# ---- days with clinics ----
+
+def _with_clinics(rng: Random, seed: str, day: Scenario) -> Scenario:
+    """Part of the requests, or all where the senders speak MLLP, come from clinics instead."""
+    options = replace(day.options, clinics=rng.randint(1, 4), mllp_senders=rng.random() < 0.5,
+                      journal=rng.random() < 0.6)
+    faults = day.faults
+    if options.journal:
+        faults = tuple(sorted([*faults, *_disk_faults(rng, options)], key=lambda f: f.at))
+    else:
+        # Without a journal a restart goes by clocks: that they agree is told to the balancers.
+        faults = tuple(f for f in faults if f.kind != "clock-step")
+    asks = tuple(_from_clinic(rng, ask, options) for ask in day.asks)
+    return Scenario(seed, options, asks, faults)
+
+
+def _disk_faults(rng: Random, options: Options) -> list[Fault]:
+    return [Fault(kind, _round(rng.uniform(0.3, CHAOS - 1), options), _round(rng.uniform(0.1, 1.5), options),
+                  rng.randrange(1000), round(rng.random(), 4)) for kind in DISK_FAULTS if rng.random() < 0.25]
+
+
+def _from_clinic(rng: Random, ask: Ask, options: Options) -> Ask:
+    if not options.mllp_senders and (KINDS[CLASSES[ask.klass]] == "safe" or rng.random() < 0.4):
+        return ask
+    chaos = ask.at < HEAL
+    return replace(ask, clinic=rng.randrange(options.clinics), mode=rng.choice(list(MODES)), retries=2,
+                   deadline=round(min(ask.deadline, 1.5), 3), half=chaos and rng.random() < 0.05,
+                   twin=chaos and rng.random() < 0.08,
+                   leaves=round(rng.uniform(0.001, 0.3), 3) if chaos and rng.random() < 0.15 else None)
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -7,7 +7,8 @@
 
 from dykeshift.sim import referee as rules
 from dykeshift.sim.net import Endpoint
-from dykeshift.standins.messages import Messages, Unreadable
+from dykeshift.standins import hl7
+from dykeshift.standins.messages import Message, Messages, Unreadable
 
 if TYPE_CHECKING:
     from dykeshift.sim.day import Day
@@ -20,6 +21,8 @@
     def __init__(self, day: Day, endpoint: Endpoint) -> None:
         self.day, self.endpoint = day, endpoint
         self.requests, self.answers = Messages(), Messages()
+        self.mllp = day.scenario.options.mllp_senders and endpoint.peer.host.name.startswith("10.1.")
+        self.out_blocks, self.back_blocks = hl7.Blocks(), hl7.Blocks()
         self.number = endpoint.address[1]
         self.began = 0
         self.rid = ""
@@ -30,11 +33,11 @@
 
     def out(self, node: Node, data: bytes) -> None:
         now, day = self._now(), self.day
-        if self.requests.idle():
+        if self.requests.idle() and self.out_blocks.idle():
             self.began = now
         try:
-            whole = self.requests.feed(data)
-        except Unreadable as exc:
+            whole = self._requests(data)
+        except ValueError as exc:
             day.referee.breach(rules.FAULT, now, f"{node.name} writes to a sender what cannot be read: {exc}")
             return
         for request in whole:
@@ -48,7 +51,32 @@
             day.referee.written(now, self.rid, node.name, sender.name, sender.cell, self.number,
                                 float(request.query("cost") or 0), blind)
 
+    def _requests(self, data: bytes) -> list[Message]:
+        """What has become whole; a clinic's message goes by its control id."""
+        if self.mllp:
+            return [hl7.as_request(content) for content in self.out_blocks.feed(data)]
+        whole = self.requests.feed(data)
+        for n, request in enumerate(whole):
+            if request.headers.get("content-type") == hl7.MEDIA_TYPE:
+                whole[n] = hl7.as_request(request.body, request.headers)
+                name, rid = whole[n].headers["x-request-id"], request.headers.get("x-request-id", "")
+                if self.day.rids.setdefault(name, rid) != rid:
+                    self.day.referee.breach(rules.FAULT, self._now(), f"{name} goes to senders under two ids")
+        return whole
+
+    def _acks(self, data: bytes) -> None:
+        try:
+            for content in self.back_blocks.feed(data):
+                code, control_id = hl7.read_ack(content)
+                if code[1] == "R" and control_id == self.rid:
+                    self.day.referee.disproved(self.number, self.rid)
+        except ValueError:
+            self.back_blocks = hl7.Blocks()
+
     def back(self, data: bytes) -> None:
+        if self.mllp:
+            self._acks(data)
+            return
         try:
             for answer in self.answers.feed(data):
                 if answer.status in (503, 504) and answer.headers.get("x-not-run") == "1":
--- a/dykeshift/standins/sender.py
+++ b/dykeshift/standins/sender.py
@@ -13,12 +13,14 @@
 import asyncio
 import json
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from random import Random
 from typing import Any, Protocol
 
-from dykeshift.standins.messages import Message, Messages, Unreadable, render
+from dykeshift.standins import hl7
+from dykeshift.standins.messages import Message, Messages, render
 
 
 LONGEST = 3.0  # seconds that one request takes at the most, however slow the sender
@@ -110,6 +112,7 @@
     shape: Shape = field(default_factory=Shape)
     mood: Mood = field(default_factory=Mood)
     cold: bool = False
+    link: Callable[[Sender], Link] = field(default_factory=lambda: Link)
     loop: asyncio.AbstractEventLoop = field(init=False)
 
     def __post_init__(self) -> None:
@@ -128,7 +131,7 @@
         """Listen and go on until cancelled or killed."""
         self.loop = asyncio.get_running_loop()
         self.began = self.loop.time()
-        self.server = await self.loop.create_server(lambda: Link(self), host, port)
+        self.server = await self.loop.create_server(lambda: self.link(self), host, port)
         await self.loop.create_future()
 
     # ---- capacity ----
@@ -171,6 +174,9 @@
 
     # ---- requests ----
 
+    def full(self) -> bool:
+        return len(self.running) >= self.shape.slots and len(self.queue) >= self.shape.queue
+
     def take(self, link: Link, request: Message) -> None:
         if "x-request-id" not in request.headers:
             link.answer(404, b"no id\n")
@@ -180,7 +186,7 @@
         self._press(min(cost, self.shape.heavy))
         if self.down:
             return
-        if self.draining or len(self.running) >= self.shape.slots and len(self.queue) >= self.shape.queue:
+        if self.draining or self.full():
             self.witness.turned_away(self, request)
             link.answer(503, b"", {"X-Not-Run": "1"})
             return
@@ -197,7 +203,7 @@
 
     def wake(self) -> None:
         """Go on with what was taken while it hung, but for what nobody waits for any more."""
-        self.queue = deque(work for work in self.queue if work.link in self.links)
+        self.queue = deque(work for work in self.queue if work.link.here())
         while self.queue and len(self.running) < self.shape.slots:
             self._begin(self.queue.popleft())
 
@@ -225,28 +231,20 @@
                 act(link, body)
                 return
             draw -= share
-        link.answer(200, body, self._report())
+        link.answer(200, body, self.report())
 
-    def _report(self) -> dict[str, str]:
+    def report(self) -> dict[str, str]:
         load = {"busy_reqs": len(self.running), "cpu_share": round(len(self.running) / self.shape.slots, 2)}
         return {"X-Load": json.dumps(load, separators=(",", ":"))}
 
     def _error(self, link: Link, body: bytes) -> None:
-        link.answer(500, b"error\n", self._report())
+        link.answer(500, b"error\n", self.report())
 
     def _garble(self, link: Link, body: bytes) -> None:
-        link.raw(self.rng.choice([
-            b"\x00\xff\x13garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n" + body,
-            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body,
-            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) + 40) + body,
-            b"HTTP/1.1 200 OK\r\nX-Endless: " + b"a" * 70_000, b"HTTP/1.1 200 OK\r\n\r\n" + body]))
+        link.garble(body)
 
     def _extra(self, link: Link, body: bytes) -> None:
-        whole = render("HTTP/1.1 200 OK", self._report(), body)
-        link.raw(self.rng.choice([
-            b"HTTP/1.1 102 Processing\r\n\r\n" + whole, whole + whole, whole + b"noise",
-            render("HTTP/1.1 200 OK", {"X-Load": "{{no json"}, body)]))
-        link.free()
+        link.extra(body)
 
     def drain(self) -> None:
         self.draining = True
@@ -282,8 +280,10 @@
         try:
             for request in self.messages.feed(data):
                 self.open_requests += 1
+                if request.headers.get("content-type") == hl7.MEDIA_TYPE:
+                    request = hl7.as_request(request.body, request.headers)
                 self.sender.take(self, request)
-        except Unreadable:
+        except ValueError:
             self.abort()
 
     def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
@@ -294,10 +294,28 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
+    def garble(self, body: bytes) -> None:
+        self.raw(self.sender.rng.choice([
+            b"\x00\xff\x13garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n" + body,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body,
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) + 40) + body,
+            b"HTTP/1.1 200 OK\r\nX-Endless: " + b"a" * 70_000, b"HTTP/1.1 200 OK\r\n\r\n" + body]))
+
+    def extra(self, body: bytes) -> None:
+        report = self.sender.report()
+        whole = render("HTTP/1.1 200 OK", report, body)
+        self.raw(self.sender.rng.choice([
+            b"HTTP/1.1 102 Processing\r\n\r\n" + whole, whole + whole, whole + b"noise",
+            render("HTTP/1.1 200 OK", {"X-Load": "{{no json"}, body)]))
+        self.free()
+
     def free(self) -> None:
         self.open_requests -= 1
         self._rest()
 
+    def here(self) -> bool:
+        return self in self.sender.links
+
     def _rest(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -307,9 +325,12 @@
         self.timer = self.sender.loop.call_later(keep, self._tired)
 
     def _tired(self) -> None:
-        if not self.open_requests and self.messages.idle():
+        if not self.open_requests and self._idle():
             self.abort()
 
+    def _idle(self) -> bool:
+        return self.messages.idle()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -628,19 +628,19 @@
         front = server.Front(clock.on(loop), clock, cast(Driver, None), cast(requests.Reader, None), 10)
         transport = asyncio.BaseTransport()
         clock.now, clock.age = 10 * SECOND, 0
-        front.awake = 10.0
-        assert front.arrival(transport) == 10 * SECOND
+        front.arrivals.awake = 10.0
+        assert front.arrivals.of(transport) == 10 * SECOND
         clock.now, clock.age = 10 * SECOND + 15 * MS, 12 * MS  # a usual round: the machine is not even asked
-        assert front.arrival(transport) == clock.now
+        assert front.arrivals.of(transport) == clock.now
         clock.now, clock.age = 11 * SECOND, 700 * MS
-        assert front.arrival(transport) == 10 * SECOND + 300 * MS
+        assert front.arrivals.of(transport) == 10 * SECOND + 300 * MS
         clock.now, clock.age = 11 * SECOND + 30 * MS, 730 * MS  # read in a later round, arrived before
-        assert front.arrival(transport) == 10 * SECOND + 300 * MS
+        assert front.arrivals.of(transport) == 10 * SECOND + 300 * MS
         for _ in range(4):
             clock.now += 15 * MS
-            front.arrival(transport)
+            front.arrivals.of(transport)
         clock.now, clock.age = clock.now + 15 * MS, 14 * MS
-        assert front.arrival(transport) == clock.now
+        assert front.arrivals.of(transport) == clock.now
     finally:
         front.sweeper.cancel()
         loop.close()
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -18,6 +18,7 @@
 from dykeshift.interface import NOT_RUN, Fail, Idempotency, ListKind, Outcome, Refuse, Scope, ServerState
 from dykeshift.node import __main__ as program
 from dykeshift.engine import (
+    arrivals,
     connection,
     discovery,
     driver,
@@ -313,10 +314,10 @@
 
 
 def _arrived_when_read() -> list[Patch]:
-    def arrival(self: server.Front, transport: Any) -> int:
+    def of(self: arrivals.Arrivals, transport: Any) -> int:
         return min(self.clock.monotonic_ns(), int(self.loop.time() * 1e9))
 
-    return [(server.Front, "arrival", arrival)]
+    return [(arrivals.Arrivals, "of", of)]
 
 
 def _spin() -> list[Patch]:
@@ -372,7 +373,7 @@
     Mutant("refuses whatever it gives up", "rules", (referee.REFUSED_RUN,), _refuse_all),
     Mutant("makes a fourth attempt", "rules", (referee.ATTEMPTS,), _fourth_attempt),
     Mutant("never expires", "driver", (referee.LOST,), _no_guard),
-    Mutant("counts a request's time from its reading", "server", (referee.LOST,), _arrived_when_read),
+    Mutant("counts a request's time from its reading", "arrivals", (referee.LOST,), _arrived_when_read),
     Mutant("ends at once on SIGTERM", "program", (referee.LOST, referee.FAULT), _end_at_once),
     Mutant("leaks idle connections of drained senders", "upstream", (referee.LEAK,), _leak_connection),
     Mutant("leaks the jobs of retries", "driver", (referee.LEAK,), _leak_job),
