--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -65,6 +65,16 @@
     def connect(self) -> Line:
         return Line(self)
 
+    def admit(self, line: Line) -> bool:
+        """Count a new connection in; over the limit, the one that has been idle longest makes room."""
+        if len(self.lines) >= self.most:
+            idle = next((one for one in self.lines if one.idle()), None)
+            if idle is None:
+                return False
+            idle.abort()
+        self.lines[line] = None
+        return True
+
     def drain(self) -> None:
         """No new frames; connections end when all that was taken is answered."""
         self.draining = True
@@ -82,6 +92,7 @@
             self.journal.close()
 
     def sweep(self) -> None:
+        self.arrivals.tick()
         for line in list(self.lines):
             lingers = line.closing and self.loop.time() - line.closing > LINGER
             if lingers or line.session.deframer.late(self.clock.monotonic_ns(), SLOW):
@@ -103,10 +114,6 @@
         except message.Unreadable as exc:
             self._say(line, slot, header, Code.AR, Problem(exc.code, exc.text, exc.location))
             return
-        if identity.name not in self.memory.open and asked.id in self.driver.jobs:
-            # Given up a moment ago, and an attempt has not come back yet: for now.
-            self._say(line, slot, header, *_PROBLEMS[How.REFUSED])
-            return
         ruling = self.memory.arrive(self.clock.time_ns(), identity, made(header), (line, slot))
         if ruling.verdict is Verdict.CONFLICT:
             self._say(line, slot, header, Code.AR, _CONFLICT)
@@ -114,6 +121,10 @@
             self._say(line, slot, header, Code.AE, _UNKNOWN)
         elif ruling.verdict is Verdict.REPLAY:
             self._end(line, slot, header, ruling.answer)
+        elif ruling.verdict is Verdict.NEW and asked.id in self.driver.jobs:
+            # Given up a moment ago, certainly not run, and an attempt has not come back yet: for now.
+            self.memory.withdraw(identity)
+            self._say(line, slot, header, *_PROBLEMS[How.REFUSED])
         elif ruling.verdict is Verdict.NEW:
             self._begin(identity, header, asked, slot.began)
         elif self.memory.open[identity.name].stored:
@@ -214,15 +225,14 @@
         self.transport: Any = None
         self.stopped = False  # reading is
         self.choked = False  # the client does not read its answers
+        self.since = front.loop.time()  # when it last wrote, or began
         self.ended = False  # the client has ended its sending
         self.closing = 0.0  # since when: all is answered, and what still comes is dropped
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
-        if len(self.front.lines) >= self.front.most or self.front.draining:
+        if self.front.draining or not self.front.admit(self):
             transport.abort()
-            return
-        self.front.lines[self] = None
 
     def eof_received(self) -> bool:
         """A client that has ended its sending may still read what it is owed."""
@@ -245,6 +255,7 @@
     def data_received(self, data: bytes) -> None:
         if self.closing or self.transport is None:
             return
+        self.front.lines[self] = self.front.lines.pop(self, None)  # the latest heard stands last
         arrived = self.front.arrivals.of(self.transport, several=data.count(VT) > 1)
         self._handle(self.session.receive(arrived, data))
 
@@ -256,6 +267,7 @@
     def answer(self, slot: Slot, part: bytes, last: bool = True) -> None:
         out, taken = self.session.answer(slot, part, last)
         if out and self.transport is not None:
+            self.since = self.front.loop.time()
             self.transport.write(out)
         if taken:
             self.front.loop.call_soon(self._handle, taken)
@@ -280,6 +292,15 @@
             self.stopped = not self.stopped
             (self.transport.pause_reading if self.stopped else self.transport.resume_reading)()
 
+    def idle(self) -> bool:
+        """No byte of a frame has come that is not answered, and no answer is on its way."""
+        if self.front.loop.time() - self.since < LINGER:
+            return False
+        waits = self.session.open or self.session.held or self.session.deframer.unfinished()
+        return not waits and not self.choked and not self.front.clock.has_input(self.transport)
+
     def abort(self) -> None:
+        # Out of the count at once: its end is told later.
+        self.front.lines.pop(self, None)
         if self.transport is not None:
             self.transport.abort()
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -154,6 +154,8 @@
             return
         day, options = self.day, self.day.scenario.options
         self.lives += 1
+        files = self.disk.files  # with a journal that can't be opened it would not start: that is seen to
+        files.room, files.read_only, files.sync_fails = None, False, False
         given = settings(day.scenario)
         given["az"] = self.number % options.zones
         self.raw = {"name": self.name, "listen": f"{self.address[0]}:{self.address[1]}",
