--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -15,6 +15,7 @@
     "demo": "a whole installation on this machine's loopback, with a live view and faults to order",
     "init": "write a commented example configuration",
     "check": "say what is wrong with a configuration",
+    "mllp": "send, answer and make HL7 messages over MLLP; look into a journal",
     "sim": "play the balancer on a virtual clock against faults drawn from seeds",
 }
 
--- a/dykeshift/cli/check.py
+++ b/dykeshift/cli/check.py
@@ -21,6 +21,8 @@
 
 def run(options: argparse.Namespace) -> int:
     """0: nothing found; 1: findings; 2: no file that could be looked over."""
+    if options.file.endswith(".toml"):
+        return _features(options)
     try:
         raw = json.loads(Path(options.file).read_text(encoding="utf-8"))
     except OSError as exc:
@@ -41,6 +43,24 @@
     return 1 if errors else 0
 
 
+def _features(options: argparse.Namespace) -> int:
+    """A feature file, looked over without the settings that it will meet."""
+    from dykeshift.engine.config import ConfigError
+    from dykeshift.node import features
+
+    if not Path(options.file).exists():
+        raise Usage(f"lifttrail check: cannot read {options.file}: No such file or directory")
+    try:
+        on, error = len(features.load(options.file, True, None).parts), ""
+    except ConfigError as exc:
+        on, error = 0, str(exc)
+    if options.json:
+        print(json.dumps({"file": options.file, "errors": [error] if error else [], "features": on}))
+    else:
+        print(f"{options.file}: error: {error}" if error else f"{options.file}: usable, {on} features on")
+    return 1 if error else 0
+
+
 def findings(raw: Any) -> Iterator[str]:
     """What keeps the balancer from starting with it, or makes it drop a part."""
     from dykeshift.clock import SYSTEM
--- /dev/null
+++ b/dykeshift/cli/mllp.py
@@ -0,0 +1,192 @@
+"""`lifttrail mllp`: send messages, play a server, make messages, look into a journal."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import ipaddress
+import json
+import sys
+from datetime import datetime, UTC
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from dykeshift.cli import Usage
+
+MOST = 100_000
+
+
+def arguments(parser: argparse.ArgumentParser) -> None:
+    commands = parser.add_subparsers(dest="action", required=True, metavar="send|serve|make|journal")
+    send = commands.add_parser("send", help="send the messages of a file and show what comes back")
+    send.add_argument("file", metavar="FILE", help="messages, framed or with an empty line between")
+    send.add_argument("--to", required=True, metavar="HOST:PORT")
+    send.add_argument("--times", type=int, default=1, metavar="N", help="send all so often, as resends")
+    send.add_argument("--wait", type=float, default=5.0, metavar="S", help="seconds for an acknowledgement")
+    send.add_argument("--piece", type=int, default=0, metavar="N", help="bytes a write; else all at once")
+    send.add_argument("--cut", type=int, metavar="N", help="end the last frame after N bytes, and close")
+    send.add_argument("--not-loopback", action="store_true", help="HOST may be another machine's")
+    serve = commands.add_parser("serve", help="answer messages as a script says")
+    serve.add_argument("--script", required=True, metavar="FILE", help="a line a message: AA, wait 1 AE, ...")
+    serve.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
+    serve.add_argument("--seconds", type=float, metavar="S", help="end after so long; else with Ctrl-C")
+    make = commands.add_parser("make", help="write made-up messages to standard output")
+    make.add_argument("--count", type=int, default=1, metavar="N")
+    make.add_argument("--seed", type=int, default=1, metavar="N")
+    journal = commands.add_parser("journal", help="say what a journal holds and what of it is damaged")
+    journal.add_argument("directory", metavar="DIRECTORY")
+    for one in (send, serve, journal):
+        one.add_argument("--json", action="store_true", help="print JSON")
+
+
+def run(options: argparse.Namespace) -> int:
+    return {"send": _send, "serve": _serve, "make": _make, "journal": _journal}[options.action](options)
+
+
+def _address(text: str, anywhere: bool = False) -> tuple[str, int]:
+    from dykeshift.engine.config import read_address
+
+    try:
+        host, port = read_address(text)
+        loopback = host == "localhost" or ipaddress.ip_address(host.strip("[]")).is_loopback
+    except ValueError as exc:
+        raise Usage(f"lifttrail mllp: {exc}") from None
+    if not (loopback or anywhere):
+        raise Usage(f"lifttrail mllp: {host} is not on this machine; --not-loopback allows it")
+    return host.strip("[]"), port
+
+
+def _read(path: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as exc:
+        raise Usage(f"lifttrail mllp: cannot read {path}: {exc.strerror}") from None
+
+
+def split_messages(data: bytes) -> list[bytes]:
+    """The messages of a file: framed as on the wire, or as text with an empty line between; lines may end as
+    they like. ValueError where there is none."""
+    from dykeshift.standins import hl7
+
+    if data[:1] == b"\x0b":
+        blocks = hl7.Blocks()
+        contents = [content for part in data.split(b"\x1c\r") if part.strip()
+                    for content in blocks.feed(part.lstrip(b"\r\n") + b"\x1c\r")]
+    else:
+        text = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        parts = [part.strip(b"\n") for part in text.split(b"\n\n")]
+        contents = [part.replace(b"\n", b"\r") + b"\r" for part in parts if part]
+    for content in contents:
+        hl7.read_note(content)
+    if not contents:
+        raise ValueError("there is no message")
+    return contents
+
+
+def _send(options: argparse.Namespace) -> int:
+    from dykeshift.standins.mllp_script import send
+
+    to = _address(options.to, options.not_loopback)
+    if not (1 <= options.times <= MOST and options.wait > 0 and options.piece >= 0):
+        raise Usage(f"lifttrail mllp send: --times is 1 to {MOST}, --wait over 0, --piece 0 or more")
+    try:
+        contents = split_messages(_read(options.file))
+    except ValueError as exc:
+        raise Usage(f"lifttrail mllp send: {options.file}: {exc}") from None
+    try:
+        heard = asyncio.run(send(contents * options.times, to, options.wait, options.piece, options.cut))
+    except OSError as exc:
+        raise Usage(f"lifttrail mllp send: cannot connect to {options.to}: {exc.strerror or exc}") from None
+    if options.json:
+        print(json.dumps([{"control_id": h.control_id, "codes": h.codes, "end": h.end} for h in heard]))
+    else:
+        for one in heard:
+            print(f"{one.control_id}: {' '.join(one.codes) or '-'} ({one.end})")
+    good = all(one.codes and one.codes[-1][1] == "A" for one in heard)
+    return 0 if good and len(heard) == len(contents) * options.times else 1
+
+
+def _serve(options: argparse.Namespace) -> int:
+    from dykeshift.standins.mllp_script import ScriptedServer, ScriptError, read_script
+
+    host, port = _address(options.listen)
+    try:
+        script = read_script(_read(options.script).decode("utf-8", "replace"))
+    except ScriptError as exc:
+        raise Usage(f"lifttrail mllp serve: {options.script}: {exc}") from None
+
+    def told(content: bytes, what: str) -> None:
+        from dykeshift.standins.hl7 import read_note
+
+        name = read_note(content).control_id
+        row = {"control_id": name, "did": what}
+        print(json.dumps(row) if options.json else f"{name}: {what}", flush=True)
+
+    async def main() -> None:
+        server = ScriptedServer(script, told=told)
+        try:
+            listening = await server.start(host, port)
+        except OSError as exc:
+            raise Usage(f"lifttrail mllp serve: cannot listen on {options.listen}: {exc.strerror}") from None
+        print(f"listening on {server.address[0]}:{server.address[1]}", file=sys.stderr, flush=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(options.seconds):
+                await listening.serve_forever()
+
+    asyncio.run(main())
+    return 0
+
+
+def _make(options: argparse.Namespace) -> int:
+    from dykeshift.standins import hl7
+
+    if not 1 <= options.count <= MOST:
+        raise Usage(f"lifttrail mllp make: --count is 1 to {MOST}")
+    made = datetime.now(UTC).strftime("%Y%m%d%H%M%S+0000")
+    generator = hl7.Generator(Random(options.seed), made, f"CLINIC{options.seed}")
+    for _ in range(options.count):
+        sys.stdout.buffer.write(hl7.block(generator.note().content()))
+    sys.stdout.buffer.flush()
+    return 0
+
+
+def _journal(options: argparse.Namespace) -> int:
+    """0: whole; 1: something is damaged or cut off. Nothing is changed."""
+    from dykeshift.store.records import Foreign, scan
+
+    try:
+        from dykeshift.mllp.journal import KIND, STEM, replay
+    except ImportError:
+        raise Usage("lifttrail mllp journal needs the extra: pip install 'dykeshift[mllp]'") from None
+    from dykeshift.mllp.memory import Bounds, Memory
+    from dykeshift.store.log import Recovered
+    from dykeshift.store.segments import Found
+
+    directory, rows, found = Path(options.directory), list[dict[str, Any]](), list[Found]()
+    try:
+        paths = sorted(directory.glob(f"{STEM}-*.log"))
+        if not directory.is_dir() or not paths:
+            raise Usage(f"lifttrail mllp journal: there is no journal in {options.directory}")
+        for number, path in enumerate(paths):
+            data = path.read_bytes()
+            got = scan(data, KIND)
+            found.append(Found(number, Recovered(got.payloads, got.torn, got.holes, len(data))))
+            rows.append({"file": path.name, "bytes": len(data), "records": len(got.payloads),
+                         "cut_off_bytes": got.torn, "damaged": got.holes})
+        memory = Memory[None](0, Bounds(age=1 << 62, entries=1 << 40, bytes=1 << 50), complete=True)
+        report = replay(found, memory, 0)
+    except OSError as exc:
+        raise Usage(f"lifttrail mllp journal: cannot read {options.directory}: {exc.strerror}") from None
+    except Foreign as exc:
+        raise Usage(f"lifttrail mllp journal: {path.name}: {exc}") from None
+    if options.json:
+        print(json.dumps({"files": rows, "answers": report.answered, "unanswered": report.unanswered}))
+    else:
+        for row in rows:
+            holes = "".join(f", damaged {a}-{b}" for a, b in row["damaged"])
+            torn = f", {row['cut_off_bytes']} bytes cut off at the end" if row["cut_off_bytes"] else ""
+            print(f"{row['file']}: {row['records']} records, {row['bytes']} bytes{torn}{holes}")
+        print(str(report))
+    return 1 if report.torn or report.lost else 0
--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -23,6 +23,7 @@
     commands = parser.add_subparsers(dest="action", required=True, metavar="run|replay|shrink")
     run = commands.add_parser("run", help="play many seeds")
     run.add_argument("--seeds", default="0:100", metavar="A:B", help="from A up to, without, B; or one seed")
+    run.add_argument("--mllp", action="store_true", help="days with clinics, seeds A+mllp to B+mllp")
     run.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
     replay = commands.add_parser("replay", help="play one seed or scenario file again")
     replay.add_argument("scenario", metavar="SEED|FILE")
@@ -56,7 +57,7 @@
 def _load(text: str) -> Any:
     from dykeshift.sim import scenario
 
-    if text.isdecimal():
+    if text.removesuffix(scenario.WITH_MLLP).isdecimal():
         return scenario.draw(text)
     try:
         return scenario.load(Path(text).read_text(encoding="utf-8"))
@@ -69,7 +70,9 @@
 def _run(options: argparse.Namespace) -> int:
     from dykeshift.sim.runner import Played, play_all
 
-    seeds = read_seeds(options.seeds)
+    from dykeshift.sim.scenario import WITH_MLLP
+
+    seeds = [seed + (WITH_MLLP if options.mllp else "") for seed in read_seeds(options.seeds)]
     if options.jobs < 1:
         raise Usage("lifttrail sim: --jobs is at least 1")
     progress, count = Progress(len(seeds)), [0, 0]
