--- a/dykeshift/cli/mllp.py
+++ b/dykeshift/cli/mllp.py
@@ -104,7 +104,7 @@
     else:
         for one in heard:
             print(f"{one.control_id}: {' '.join(one.codes) or '-'} ({one.end})")
-    good = all(one.codes and one.codes[-1][1] == "A" for one in heard)
+    good = all(one.end == "answered" and one.codes[-1][1] == "A" for one in heard)
     return 0 if good and len(heard) == len(contents) * options.times else 1
 
 
