What is half written is recalled when its key's window ends

Every attempt of a keyed request now says until when it may become whole, and the pool closes what is not whole by then: it can't have run.

--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -85,8 +85,17 @@
         self.connection, self.written = connection, self.pool.loop.time()
         self.idle = self.written - connection.idle_since if connection.used else None
         connection.send(self.message(left), self)
+        if self.begin_by:
+            self.pool.loop.call_later((self.begin_by - now) / 1e9, self._recall)
         return True
 
+    def _recall(self) -> None:
+        """Protects the windows of keys: what is not whole at an upstream by then would be later, where its
+        key may be forgotten. It can't have run."""
+        if not self.over and not self.on_the_wire() and self.connection is not None:
+            self.connection.close()
+            self.finish(End(Outcome.NOT_SENT))
+
     def on_the_wire(self) -> bool:
         """Whether all of it has been handed over: what has not can't run, and may still be kept back."""
         return self.connection is not None and not self.connection.unwritten
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -135,7 +135,7 @@
     request_id: str
     server: int
     timeout: int  # 0: until the client's deadline
-    begin_by: int = 0  # not to be written later than this; 0: as long as it is out
+    begin_by: int = 0  # not to become whole on the wire later than this; 0: as long as it is out
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -348,9 +348,10 @@
             lane.quiet_since = now
         # What is late and worth nothing is called off at the aim: the server is freed for those in time.
         timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
-        # A repeat that waits for a connect must not go out when its key may be forgotten.
+        # What waits, for a connect or half written, must not become whole when its key may be forgotten: a
+        # repeat after the first, nor the first after a repeat.
         anchor = item.anchor() if item.klass.idempotency is Idempotency.KEYED else None
-        begin_by = anchor.sent + item.klass.window if anchor and anchor is not item.attempts[-1] else 0
+        begin_by = anchor.sent + item.klass.window if anchor else 0
         self.acts.append(Send(item.request.id, server.entry.id, timeout, begin_by))
 
     def _hold(self, now: int, item: Open) -> None:
--- a/dykeshift/standins/sender.py
+++ b/dykeshift/standins/sender.py
@@ -174,6 +174,11 @@
 
     # ---- requests ----
 
+    def backlog(self) -> float:
+        """Seconds that what waits will take, about."""
+        costs = sum(work.cost for work in self.queue) * self.mood.slow
+        return costs / 1000 / self.shape.slots / self.shape.speed / max(self.warmth(), 0.01)
+
     def full(self) -> bool:
         return len(self.running) >= self.shape.slots and len(self.queue) >= self.shape.queue
 
--- a/dykeshift/store/records.py
+++ b/dykeshift/store/records.py
@@ -62,8 +62,8 @@
     """Read a whole file; Foreign where it is none of ours."""
     found = Scan()
     head = file_head(kind)
-    if len(data) < FILE_HEAD and head.startswith(data):
-        found.end, found.torn = 0, len(data)  # cut off while it was made
+    if len(data) <= FILE_HEAD and data != head:
+        found.end, found.torn = 0, len(data)  # spoilt while it was made: no record was ever behind it
         return found
     if data[:len(MAGIC)] != MAGIC:
         raise Foreign("it is no log file")
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -465,3 +465,25 @@
         assert len(stub.seen) == 1
 
     run(main())
+
+
+def test_what_is_half_written_when_its_time_is_over_is_recalled() -> None:
+    """An upstream that does not read: the kernel takes a part of what is written, the rest waits."""
+    async def main() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        pool = make_pool(listener.getsockname())
+        large, far = b"x" * (64 << 20), time.monotonic_ns() + 20 * SECOND
+        ends: list[End] = []
+        attempt = pool.start(1, lambda _: large, far, ends.append, time.monotonic_ns() + SECOND // 2)
+        await until(lambda: attempt.connection is not None)
+        assert not attempt.on_the_wire()
+        await until(lambda: bool(ends))
+        assert ends[0].outcome is Outcome.NOT_SENT and pool.open == 0
+        whole = pool.start(1, lambda _: REQUEST, far, ends.append)
+        await until(whole.on_the_wire)
+        whole.give_up(Outcome.CANCELLED)
+        await until(lambda: len(ends) == 2)
+        assert ends[1].outcome is Outcome.CANCELLED
+        listener.close()
+
+    run(main())
--- a/tests/store/test_log.py
+++ b/tests/store/test_log.py
@@ -163,3 +163,11 @@
             assert found[:len(committed)] == committed
             assert found[len(committed):] == pending[:len(found) - len(committed)]
             committed, pending = found, []
+
+
+@given(st.binary(max_size=FILE_HEAD))
+def test_a_file_whose_head_was_spoilt_while_it_was_made_is_begun_anew(head: bytes) -> None:
+    disk = Disk()
+    disk.seen["log"] = disk.kept["log"] = head
+    log = Log(disk, "log", KIND)
+    assert log.open().payloads == [] and disk.seen["log"] == file_head(KIND)
