--- a/tests/mllp/test_carrier.py
+++ b/tests/mllp/test_carrier.py
@@ -161,3 +161,35 @@
         except Unreadable:
             continue
         assert answer is None or answer.ack.control_id == b"m1"
+
+
+def test_a_frame_cut_at_any_byte_is_not_taken_and_its_resend_is() -> None:
+    async def main() -> None:
+        async with place(Says("AA"), mllp=True) as here:
+            whole = frame(message())
+            for at in range(len(whole)):
+                clinic = await here.clinic()
+                clinic.writer.write(whole[:at])
+                clinic.writer.write_eof()
+                assert await clinic.reader.read() == b""
+                clinic.writer.close()
+            assert not here.stub.seen
+            assert await (await here.clinic()).say(message()) == "AA" and len(here.stub.seen) == 1
+
+    run(main())
+
+
+def test_an_acknowledgement_cut_at_any_byte_proves_nothing() -> None:
+    async def main() -> None:
+        async with place(Says("AA"), mllp=True) as here:
+            clinic = await here.clinic()
+            for at in range(len(ack("AA", message("m100")))):
+                async def cut(stub: Stub, got: Message, writer: asyncio.StreamWriter, at: int = at) -> None:
+                    writer.write(ack("AA", got.body)[:at])
+                    writer.close()
+
+                here.stub.handler = cut
+                assert [await clinic.say(message(f"m{100 + at}")) for _ in range(2)] == ["AE"] * 2
+                assert len(here.stub.seen) == at + 1
+
+    run(main())
