--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -135,8 +135,8 @@
             self._submit(identity, header, asked, arrived)
         else:
             then = partial(self._stored, identity, header, asked, arrived)
-            within = asked.patience * STORE_SHARE / 1e9
-            self.journal.sent(identity, self.memory.open[identity.name].made, then, within)
+            left = arrived + asked.patience * STORE_SHARE - self.clock.monotonic_ns()
+            self.journal.sent(identity, self.memory.open[identity.name].made, then, max(0.0, left / 1e9))
 
     def _stored(self, identity: Identity, header: message.Header, asked: Asked, arrived: int,
                 lasts: bool) -> None:
