A half-written attempt is recalled by a timer that is set only where something is unwritten

tests/node/test_growth.py found it: a timer for every keyed request kept its attempt for the key's window. With write limits at zero it is known at once whether all was handed over, so only what is not gets the timer.

--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -85,7 +85,7 @@
         self.connection, self.written = connection, self.pool.loop.time()
         self.idle = self.written - connection.idle_since if connection.used else None
         connection.send(self.message(left), self)
-        if self.begin_by:
+        if self.begin_by and connection.unwritten:
             self.pool.loop.call_later((self.begin_by - now) / 1e9, self._recall)
         return True
 
