An HTTP sender's answer is never taken for an acknowledgement, whatever it calls itself

Only what the MLLP carrier brought is handed on; a test fails without it. 2 files of MLLP tests pass.

--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -23,9 +23,10 @@
 from dykeshift.engine.terms import Final, How
 from dykeshift.mllp import acks, message
 from dykeshift.mllp.acks import Code, Problem
+from dykeshift.mllp.carrier import MllpAnswer
 from dykeshift.mllp.framing import VT
 from dykeshift.mllp.journal import ANSWER_WITHIN, Journal
-from dykeshift.mllp.mapping import MEDIA_TYPE, Asked, Mapping, made
+from dykeshift.mllp.mapping import Asked, Mapping, made
 from dykeshift.mllp.memory import Identity, Memory, Verdict, identify
 from dykeshift.mllp.session import Session, Slot
 
@@ -158,7 +159,7 @@
             self._give_back(identity, header, _PROBLEMS[How.REFUSED][1])
             return
         code, problem = _PROBLEMS.get(final.how, (Code.AA, None))
-        if final.how is How.SERVED and final.answer.content_type == MEDIA_TYPE:
+        if final.how is How.SERVED and isinstance(final.answer, MllpAnswer):
             content = final.answer.body if acks.wanted(header, code) else b""  # its sender's own words
         else:
             content = self._ack(header, code, problem)
--- a/tests/mllp/test_front.py
+++ b/tests/mllp/test_front.py
@@ -357,6 +357,15 @@
     run(main())
 
 
+def test_what_an_http_sender_calls_hl7_is_not_taken_for_an_acknowledgement() -> None:
+    async def main() -> None:
+        handler = says(answer(b"\x0bnone\x1c", Content_Type="application/hl7-v2"))
+        async with place(handler) as here:
+            assert await (await here.clinic()).say(message()) == "AA"
+
+    run(main())
+
+
 def test_an_acknowledgement_is_not_acknowledged() -> None:
     async def main() -> None:
         async with place(says(answer())) as here:
