--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -1,15 +1,22 @@
-"""The command line: one module a command, loaded only when it is asked for.
+"""The command line: a click group that loads a command's module only when it is asked for.
 
-A command's module has `SUMMARY` through this table, `arguments(parser)` and `run(options) -> int`. Bad input
-raises `Usage`, which becomes one line on standard error and exit code 2.
+A command's module has `command`, a click command or group. Bad input raises `Usage` (or click's own errors),
+which becomes one line on standard error and exit code 2. `--json` prints one JSON object on standard output.
 """
 
 from __future__ import annotations
 
-import argparse
 import importlib
 import sys
 from collections.abc import Sequence
+from typing import Any
+
+try:
+    import click
+except ImportError:  # the daemon does without
+    sys.exit("lifttrail: the commands need the extra: pip install 'dykeshift[cli]'")
+
+from dykeshift import __version__
 
 COMMANDS = {
     "demo": "a whole installation on this machine's loopback, with a live view and faults to order",
@@ -20,45 +27,55 @@
 }
 
 
-class Usage(Exception):
+class Usage(click.ClickException):
     """What the user asked for cannot be done as asked; its text is one line."""
 
+    exit_code = 2
+
 
-class _Parser(argparse.ArgumentParser):
-    def error(self, message: str) -> None:  # type: ignore[override]
-        raise Usage(f"{self.prog}: {message}")
+class Lazy(click.Group):
+    """Knows its commands by name and summary; imports one when it runs or tells of itself."""
 
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        command: click.Command = importlib.import_module(f"dykeshift.cli.{name}").command
+        return command
 
-def _overview() -> str:
-    width = max(map(len, COMMANDS))
-    lines = [f"  {name.ljust(width)}  {text}" for name, text in COMMANDS.items()]
-    return "\n".join(["usage: lifttrail COMMAND ...", "", "commands:", *lines, "",
-                      "lifttrail COMMAND --help tells more."])
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl(list(COMMANDS.items()))
+
+
+@click.group("lifttrail", cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="lifttrail")
+def cli() -> None:
+    """A balancer for fleets of HTTP and MLLP servers, with its laboratory."""
 
 
 def main(arguments: Sequence[str]) -> int:
     """Run a command; its exit code."""
-    if not arguments or arguments[0] in ("-h", "--help"):
-        print(_overview())
-        return 0 if arguments else 2
-    name = arguments[0]
     try:
-        if name not in COMMANDS:
-            raise Usage(f"lifttrail: there is no command {name!r}; the commands are {', '.join(COMMANDS)}")
-        command = importlib.import_module(f"dykeshift.cli.{name}")
-        parser = _Parser(prog=f"lifttrail {name}", description=COMMANDS[name])
-        command.arguments(parser)
-        return int(command.run(parser.parse_args(arguments[1:])))
-    except Usage as exc:
-        print(exc, file=sys.stderr)
+        done: Any = cli.main(list(arguments), prog_name="lifttrail", standalone_mode=False)
+        return done if isinstance(done, int) else 0
+    except click.exceptions.NoArgsIsHelpError as exc:
+        print(exc.format_message(), file=sys.stderr)
+        return 2
+    except click.ClickException as exc:
+        text = " ".join(exc.format_message().split())
+        ctx = getattr(exc, "ctx", None)
+        print(f"{ctx.command_path}: {text}" if ctx else text, file=sys.stderr)
         return 2
     except BrokenPipeError:
         sys.stderr.close()
         return 1
-    except KeyboardInterrupt:
+    except (click.Abort, KeyboardInterrupt):
         return 130
 
 
 def console() -> int:
-    """The entry point of the console command."""
+    """The entry point of the console command. Completion: `_LIFTTRAIL_COMPLETE=bash_source lifttrail`."""
     return main(sys.argv[1:])
--- a/dykeshift/cli/check.py
+++ b/dykeshift/cli/check.py
@@ -2,62 +2,64 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+import click
+
 from dykeshift.cli import Usage
 
 TOP = {"name", "listen", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all", "known",
        "settings"}
 
 
-def arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("file", metavar="FILE")
-    parser.add_argument("--json", action="store_true", help="print one JSON object")
-
+@click.command()
+@click.argument("file")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def command(file: str, as_json: bool) -> int:
+    """Say what is wrong with a configuration (JSON) or a feature file (TOML).
 
-def run(options: argparse.Namespace) -> int:
-    """0: nothing found; 1: findings; 2: no file that could be looked over."""
-    if options.file.endswith(".toml"):
-        return _features(options)
+    Ends with 0: nothing found; 1: findings; 2: no file that could be looked over.
+    """
+    if file.endswith(".toml"):
+        return _features(file, as_json)
     try:
-        raw = json.loads(Path(options.file).read_text(encoding="utf-8"))
+        raw = json.loads(Path(file).read_text(encoding="utf-8"))
     except OSError as exc:
-        raise Usage(f"lifttrail check: cannot read {options.file}: {exc.strerror}") from None
+        raise Usage(f"lifttrail check: cannot read {file}: {exc.strerror}") from None
     except ValueError as exc:
-        raise Usage(f"lifttrail check: {options.file} is no JSON: {exc}") from None
+        raise Usage(f"lifttrail check: {file} is no JSON: {exc}") from None
     errors = list(findings(raw))
     hints = [] if errors else list(doubts(raw))
-    if options.json:
-        print(json.dumps({"file": options.file, "errors": errors, "doubts": hints}))
+    if as_json:
+        print(json.dumps({"file": file, "errors": errors, "doubts": hints}))
     else:
         for text in errors:
-            print(f"{options.file}: error: {text}")
+            print(f"{file}: error: {text}")
         for text in hints:
-            print(f"{options.file}: doubtful: {text}")
+            print(f"{file}: doubtful: {text}")
         if not errors:
-            print(f"{options.file}: usable" + (f", {len(hints)} doubts" if hints else ""))
+            print(f"{file}: usable" + (f", {len(hints)} doubts" if hints else ""))
     return 1 if errors else 0
 
 
-def _features(options: argparse.Namespace) -> int:
+def _features(file: str, as_json: bool) -> int:
     """A feature file, looked over without the settings that it will meet."""
     from dykeshift.engine.config import ConfigError
     from dykeshift.node import features
 
-    if not Path(options.file).exists():
-        raise Usage(f"lifttrail check: cannot read {options.file}: No such file or directory")
+    if not Path(file).exists():
+        raise Usage(f"lifttrail check: cannot read {file}: No such file or directory")
     try:
-        on, error = len(features.load(options.file, True, None).parts), ""
+        on, error = len(features.load(file, True, None).parts), ""
     except ConfigError as exc:
         on, error = 0, str(exc)
-    if options.json:
-        print(json.dumps({"file": options.file, "errors": [error] if error else [], "features": on}))
+    if as_json:
+        print(json.dumps({"file": file, "errors": [error] if error else [], "features": on}))
     else:
-        print(f"{options.file}: error: {error}" if error else f"{options.file}: usable, {on} features on")
+        print(f"{file}: error: {error}" if error else f"{file}: usable, {on} features on")
     return 1 if error else 0
 
 
--- a/dykeshift/cli/demo.py
+++ b/dykeshift/cli/demo.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import json
 import logging
 import sys
 import time
+from dataclasses import dataclass
 from typing import Any
 
+import click
+from rich.live import Live
+
 from dykeshift.cli import Usage
 
 FAULTS = ("hang", "slow", "drain", "kill-sender", "kill-balancer", "restart-balancer")
@@ -18,17 +21,28 @@
 FIRST_FAULT = 1.0  # seconds until the first fault that a flag orders, and between two
 
 
-def arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--seconds", type=float, metavar="N", help="end after so long; else with q or Ctrl-C")
-    parser.add_argument("--fault", action="append", default=[], choices=FAULTS, help="may be given often")
-    parser.add_argument("--rate", type=float, default=60.0, metavar="N", help="requests a second")
-    parser.add_argument("--senders", type=int, default=12, metavar="N")
-    parser.add_argument("--balancers", type=int, default=2, metavar="N")
-    parser.add_argument("--seed", type=int, default=1, metavar="N", help="of what clients ask and when")
-    parser.add_argument("--json", action="store_true", help="no view; print one JSON object at the end")
-
-
-def run(options: argparse.Namespace) -> int:
+@dataclass(frozen=True)
+class Wanted:
+    seconds: float | None
+    faults: tuple[str, ...]
+    rate: float
+    senders: int
+    balancers: int
+    seed: int
+    as_json: bool
+
+
+@click.command()
+@click.option("--seconds", type=float, metavar="N", help="End after so long; else with q or Ctrl-C.")
+@click.option("--fault", "faults", multiple=True, type=click.Choice(FAULTS), help="May be given often.")
+@click.option("--rate", type=float, default=60.0, metavar="N", show_default=True, help="Requests a second.")
+@click.option("--senders", type=int, default=12, metavar="N", show_default=True)
+@click.option("--balancers", type=int, default=2, metavar="N", show_default=True)
+@click.option("--seed", type=int, default=1, metavar="N", help="Of what clients ask and when.")
+@click.option("--json", "as_json", is_flag=True, help="No view; print one JSON object at the end.")
+def command(**given: Any) -> int:
+    """Run a whole installation on this machine's loopback, with a live view and faults to order."""
+    options = Wanted(**given)
     if options.seconds is not None and not 0 < options.seconds <= 86_400:
         raise Usage("lifttrail demo: --seconds is more than 0 and at most a day")
     if not (0 < options.rate <= 2000 and 1 <= options.senders <= 100 and 1 <= options.balancers <= 8):
@@ -36,7 +50,7 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     report = asyncio.run(_demo(options))
     broken = report["broken_rules"]
-    if options.json:
+    if options.as_json:
         print(json.dumps(report))
     else:
         answers = ", ".join(f"{n} {name}" for name, n in sorted(report["answers"].items()))
@@ -47,28 +61,28 @@
     return 1 if broken else 0
 
 
-async def _demo(options: argparse.Namespace) -> dict[str, Any]:
+async def _demo(options: Wanted) -> dict[str, Any]:
     from dykeshift.demo import view
     from dykeshift.demo.installation import Installation
 
     home = Installation(options.seed, options.senders, options.balancers, options.rate)
-    live = not options.json and sys.stdout.isatty()
+    live = not options.as_json and sys.stdout.isatty()
     began = time.monotonic()
     try:
         await home.start()
         began = time.monotonic()
-        with _keys(home, live) as quit_asked:
-            orders = asyncio.create_task(_order(home, options.fault))
-            if live:
-                sys.stdout.write(view.CLEAR)
+        screen = Live(screen=True, auto_refresh=False) if live else None
+        with _keys(home, live) as quit_asked, screen or contextlib.nullcontext():
+            orders = asyncio.create_task(_order(home, options.faults))
             before, then = 0, began
             while not quit_asked.is_set():
                 now = time.monotonic()
                 if options.seconds is not None and now - began >= options.seconds and orders.done():
                     break
-                if live:
+                if screen is not None:
                     asked = sum(home.tally.classes.values())
-                    view.draw(home, now - began, (asked - before) / max(now - then, 1e-3))
+                    rate = (asked - before) / max(now - then, 1e-3)
+                    screen.update(view.picture(home, now - began, rate), refresh=True)
                     before, then = asked, now
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(quit_asked.wait(), FRAME)
@@ -84,7 +98,7 @@
             "broken_rules": tally.broken_rules, "notes": list(tally.notes)}
 
 
-async def _order(home: Any, faults: list[str]) -> None:
+async def _order(home: Any, faults: tuple[str, ...]) -> None:
     for name in faults:
         await asyncio.sleep(FIRST_FAULT)
         await home.fault(name)
--- a/dykeshift/cli/init.py
+++ b/dykeshift/cli/init.py
@@ -2,23 +2,18 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import sys
 from pathlib import Path
 from typing import Any
 
+import click
+
 from dykeshift.cli import Usage
 
 MS = 1_000_000
 
 
-def arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("file", nargs="?", metavar="FILE", help="where to write it; else standard output")
-    parser.add_argument("--force", action="store_true", help="write over a file that is there")
-    parser.add_argument("--json", action="store_true", help="the same without the comments")
-
-
 def example() -> dict[str, Any]:
     """The configuration as data. Keys that begin with `//` are comments: the program skips them."""
     def service(name: str, about: str, aim: int, deadline: int, idempotency: str) -> dict[str, Any]:
@@ -63,18 +58,23 @@
     return [_bare(v) for v in value] if isinstance(value, list) else value
 
 
-def run(options: argparse.Namespace) -> int:
+@click.command()
+@click.argument("file", required=False)
+@click.option("--force", is_flag=True, help="Write over a file that is there.")
+@click.option("--json", "as_json", is_flag=True, help="The same without the comments.")
+def command(file: str | None, force: bool, as_json: bool) -> int:
+    """Write a commented example configuration to FILE, or to standard output."""
     config = example()
-    text = json.dumps(_bare(config) if options.json else config, indent=2) + "\n"
-    if options.file is None:
+    text = json.dumps(_bare(config) if as_json else config, indent=2) + "\n"
+    if file is None:
         sys.stdout.write(text)
         return 0
     try:
-        with Path(options.file).open("w" if options.force else "x", encoding="utf-8") as file:
-            file.write(text)
+        with Path(file).open("w" if force else "x", encoding="utf-8") as to:
+            to.write(text)
     except FileExistsError:
-        raise Usage(f"lifttrail init: {options.file} is there already; --force writes over it") from None
+        raise Usage(f"lifttrail init: {file} is there already; --force writes over it") from None
     except OSError as exc:
-        raise Usage(f"lifttrail init: cannot write {options.file}: {exc.strerror}") from None
-    print(f"wrote {options.file}; `lifttrail check {options.file}` looks it over", file=sys.stderr)
+        raise Usage(f"lifttrail init: cannot write {file}: {exc.strerror}") from None
+    print(f"wrote {file}; `lifttrail check {file}` looks it over", file=sys.stderr)
     return 0
--- a/dykeshift/cli/mllp.py
+++ b/dykeshift/cli/mllp.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import ipaddress
@@ -13,36 +12,19 @@
 from random import Random
 from typing import Any
 
+import click
+
 from dykeshift.cli import Usage
 
 MOST = 100_000
 
 
-def arguments(parser: argparse.ArgumentParser) -> None:
-    commands = parser.add_subparsers(dest="action", required=True, metavar="send|serve|make|journal")
-    send = commands.add_parser("send", help="send the messages of a file and show what comes back")
-    send.add_argument("file", metavar="FILE", help="messages, framed or with an empty line between")
-    send.add_argument("--to", required=True, metavar="HOST:PORT")
-    send.add_argument("--times", type=int, default=1, metavar="N", help="send all so often, as resends")
-    send.add_argument("--wait", type=float, default=5.0, metavar="S", help="seconds for an acknowledgement")
-    send.add_argument("--piece", type=int, default=0, metavar="N", help="bytes a write; else all at once")
-    send.add_argument("--cut", type=int, metavar="N", help="end the last frame after N bytes, and close")
-    send.add_argument("--not-loopback", action="store_true", help="HOST may be another machine's")
-    serve = commands.add_parser("serve", help="answer messages as a script says")
-    serve.add_argument("--script", required=True, metavar="FILE", help="a line a message: AA, wait 1 AE, ...")
-    serve.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
-    serve.add_argument("--seconds", type=float, metavar="S", help="end after so long; else with Ctrl-C")
-    make = commands.add_parser("make", help="write made-up messages to standard output")
-    make.add_argument("--count", type=int, default=1, metavar="N")
-    make.add_argument("--seed", type=int, default=1, metavar="N")
-    journal = commands.add_parser("journal", help="say what a journal holds and what of it is damaged")
-    journal.add_argument("directory", metavar="DIRECTORY")
-    for one in (send, serve, journal):
-        one.add_argument("--json", action="store_true", help="print JSON")
-
-
-def run(options: argparse.Namespace) -> int:
-    return {"send": _send, "serve": _serve, "make": _make, "journal": _journal}[options.action](options)
+JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+@click.group(no_args_is_help=False)
+def command() -> None:
+    """Send, answer and make HL7 messages over MLLP; look into a journal."""
 
 
 def _address(text: str, anywhere: bool = False) -> tuple[str, int]:
@@ -85,75 +67,99 @@
     return contents
 
 
-def _send(options: argparse.Namespace) -> int:
+@command.command("send")
+@click.argument("file")
+@click.option("--to", required=True, metavar="HOST:PORT")
+@click.option("--times", type=int, default=1, metavar="N", help="Send all so often, as resends.")
+@click.option("--wait", type=float, default=5.0, metavar="S", help="Seconds for an acknowledgement.")
+@click.option("--piece", type=int, default=0, metavar="N", help="Bytes a write; else all at once.")
+@click.option("--cut", type=int, metavar="N", help="End the last frame after N bytes, and close.")
+@click.option("--not-loopback", is_flag=True, help="HOST may be another machine's.")
+@JSON
+def send_file(file: str, to: str, times: int, wait: float, piece: int, cut: int | None, not_loopback: bool,
+              as_json: bool) -> int:
+    """Send the messages of FILE (framed, or with an empty line between) and show what comes back."""
     from dykeshift.standins.mllp_script import send
 
-    to = _address(options.to, options.not_loopback)
-    if not (1 <= options.times <= MOST and options.wait > 0 and options.piece >= 0):
+    address = _address(to, not_loopback)
+    if not (1 <= times <= MOST and wait > 0 and piece >= 0):
         raise Usage(f"lifttrail mllp send: --times is 1 to {MOST}, --wait over 0, --piece 0 or more")
     try:
-        contents = split_messages(_read(options.file))
+        contents = split_messages(_read(file))
     except ValueError as exc:
-        raise Usage(f"lifttrail mllp send: {options.file}: {exc}") from None
+        raise Usage(f"lifttrail mllp send: {file}: {exc}") from None
     try:
-        heard = asyncio.run(send(contents * options.times, to, options.wait, options.piece, options.cut))
+        heard = asyncio.run(send(contents * times, address, wait, piece, cut))
     except OSError as exc:
-        raise Usage(f"lifttrail mllp send: cannot connect to {options.to}: {exc.strerror or exc}") from None
-    if options.json:
+        raise Usage(f"lifttrail mllp send: cannot connect to {to}: {exc.strerror or exc}") from None
+    if as_json:
         print(json.dumps([{"control_id": h.control_id, "codes": h.codes, "end": h.end} for h in heard]))
     else:
         for one in heard:
             print(f"{one.control_id}: {' '.join(one.codes) or '-'} ({one.end})")
     good = all(one.end == "answered" and one.codes[-1][1] == "A" for one in heard)
-    return 0 if good and len(heard) == len(contents) * options.times else 1
+    return 0 if good and len(heard) == len(contents) * times else 1
 
 
-def _serve(options: argparse.Namespace) -> int:
+@command.command("serve")
+@click.option("--script", "file", required=True, metavar="FILE", help="A line a message: AA, wait 1 AE, ...")
+@click.option("--listen", default="127.0.0.1:0", metavar="HOST:PORT", show_default=True)
+@click.option("--seconds", type=float, metavar="S", help="End after so long; else with Ctrl-C.")
+@JSON
+def serve(file: str, listen: str, seconds: float | None, as_json: bool) -> int:
+    """Answer messages as a script says."""
     from dykeshift.standins.mllp_script import ScriptedServer, ScriptError, read_script
 
-    host, port = _address(options.listen)
+    host, port = _address(listen)
     try:
-        script = read_script(_read(options.script).decode("utf-8", "replace"))
+        script = read_script(_read(file).decode("utf-8", "replace"))
     except ScriptError as exc:
-        raise Usage(f"lifttrail mllp serve: {options.script}: {exc}") from None
+        raise Usage(f"lifttrail mllp serve: {file}: {exc}") from None
 
     def told(content: bytes, what: str) -> None:
         from dykeshift.standins.hl7 import read_note
 
         name = read_note(content).control_id
         row = {"control_id": name, "did": what}
-        print(json.dumps(row) if options.json else f"{name}: {what}", flush=True)
+        print(json.dumps(row) if as_json else f"{name}: {what}", flush=True)
 
     async def main() -> None:
         server = ScriptedServer(script, told=told)
         try:
             listening = await server.start(host, port)
         except OSError as exc:
-            raise Usage(f"lifttrail mllp serve: cannot listen on {options.listen}: {exc.strerror}") from None
+            raise Usage(f"lifttrail mllp serve: cannot listen on {listen}: {exc.strerror}") from None
         print(f"listening on {server.address[0]}:{server.address[1]}", file=sys.stderr, flush=True)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(options.seconds):
+            async with asyncio.timeout(seconds):
                 await listening.serve_forever()
 
     asyncio.run(main())
     return 0
 
 
-def _make(options: argparse.Namespace) -> int:
+@command.command("make")
+@click.option("--count", type=int, default=1, metavar="N", show_default=True)
+@click.option("--seed", type=int, default=1, metavar="N", show_default=True)
+def make(count: int, seed: int) -> int:
+    """Write made-up messages to standard output."""
     from dykeshift.standins import hl7
 
-    if not 1 <= options.count <= MOST:
+    if not 1 <= count <= MOST:
         raise Usage(f"lifttrail mllp make: --count is 1 to {MOST}")
     made = datetime.now(UTC).strftime("%Y%m%d%H%M%S+0000")
-    generator = hl7.Generator(Random(options.seed), made, f"CLINIC{options.seed}")
-    for _ in range(options.count):
+    generator = hl7.Generator(Random(seed), made, f"CLINIC{seed}")
+    for _ in range(count):
         sys.stdout.buffer.write(hl7.block(generator.note().content()))
     sys.stdout.buffer.flush()
     return 0
 
 
-def _journal(options: argparse.Namespace) -> int:
-    """0: whole; 1: something is damaged or cut off. Nothing is changed."""
+@command.command("journal")
+@click.argument("directory")
+@JSON
+def journal(directory: str, as_json: bool) -> int:
+    """Say what a journal holds and what of it is damaged (then it ends with 1). Nothing is changed."""
     from dykeshift.store.records import Foreign, scan
 
     try:
@@ -164,11 +170,11 @@
     from dykeshift.store.log import Recovered
     from dykeshift.store.segments import Found
 
-    directory, rows, found = Path(options.directory), list[dict[str, Any]](), list[Found]()
+    folder, rows, found = Path(directory), list[dict[str, Any]](), list[Found]()
     try:
-        paths = sorted(directory.glob(f"{STEM}-*.log"))
-        if not directory.is_dir() or not paths:
-            raise Usage(f"lifttrail mllp journal: there is no journal in {options.directory}")
+        paths = sorted(folder.glob(f"{STEM}-*.log"))
+        if not folder.is_dir() or not paths:
+            raise Usage(f"lifttrail mllp journal: there is no journal in {directory}")
         for number, path in enumerate(paths):
             data = path.read_bytes()
             got = scan(data, KIND)
@@ -178,10 +184,10 @@
         memory = Memory[None](0, Bounds(age=1 << 62, entries=1 << 40, bytes=1 << 50), complete=True)
         report = replay(found, memory, 0)
     except OSError as exc:
-        raise Usage(f"lifttrail mllp journal: cannot read {options.directory}: {exc.strerror}") from None
+        raise Usage(f"lifttrail mllp journal: cannot read {directory}: {exc.strerror}") from None
     except Foreign as exc:
         raise Usage(f"lifttrail mllp journal: {path.name}: {exc}") from None
-    if options.json:
+    if as_json:
         print(json.dumps({"files": rows, "answers": report.answered, "unanswered": report.unanswered}))
     else:
         for row in rows:
--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import hashlib
 import json
 import os
@@ -12,6 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+import click
+
 from dykeshift.cli import Usage
 from dykeshift.cli.terminal import Progress
 
@@ -19,26 +20,12 @@
 LISTED = 50  # failed seeds that are listed; the others are counted
 
 
-def arguments(parser: argparse.ArgumentParser) -> None:
-    commands = parser.add_subparsers(dest="action", required=True, metavar="run|replay|shrink")
-    run = commands.add_parser("run", help="play many seeds")
-    run.add_argument("--seeds", default="0:100", metavar="A:B", help="from A up to, without, B; or one seed")
-    run.add_argument("--mllp", action="store_true", help="days with clinics, seeds A+mllp to B+mllp")
-    run.add_argument("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="processes")
-    replay = commands.add_parser("replay", help="play one seed or scenario file again")
-    replay.add_argument("scenario", metavar="SEED|FILE")
-    replay.add_argument("--trace", metavar="FILE", help="write the time line there; - for standard output")
-    shrink = commands.add_parser("shrink", help="find the smallest scenario that breaks the same rule")
-    shrink.add_argument("scenario", metavar="SEED|FILE")
-    shrink.add_argument("--rule", help="the rule that must stay broken; else the first that breaks")
-    shrink.add_argument("--budget", type=int, default=600, metavar="N", help="days to play at the most")
-    shrink.add_argument("--out", metavar="FILE", help="write the scenario there, not to standard output")
-    for one in (run, replay, shrink):
-        one.add_argument("--json", action="store_true", help="print one JSON object")
+JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 
 
-def run(options: argparse.Namespace) -> int:
-    return {"run": _run, "replay": _replay, "shrink": _shrink}[options.action](options)
+@click.group(no_args_is_help=False)
+def command() -> None:
+    """Play the balancer on a virtual clock against faults drawn from seeds."""
 
 
 def read_seeds(text: str) -> list[str]:
@@ -67,24 +54,31 @@
         raise Usage(f"lifttrail sim: {text}: {exc}") from None
 
 
-def _run(options: argparse.Namespace) -> int:
+@command.command("run")
+@click.option("--seeds", default="0:100", metavar="A:B", show_default=True,
+              help="From A up to, without, B; or one seed.")
+@click.option("--mllp", is_flag=True, help="Days with clinics, seeds A+mllp to B+mllp.")
+@click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
+@JSON
+def run(seeds: str, mllp: bool, jobs: int, as_json: bool) -> int:
+    """Play many seeds; 1 where a rule was broken."""
     from dykeshift.sim.runner import Played, play_all
 
     from dykeshift.sim.scenario import WITH_MLLP
 
-    seeds = [seed + (WITH_MLLP if options.mllp else "") for seed in read_seeds(options.seeds)]
-    if options.jobs < 1:
+    names = [seed + (WITH_MLLP if mllp else "") for seed in read_seeds(seeds)]
+    if jobs < 1:
         raise Usage("lifttrail sim: --jobs is at least 1")
-    progress, count = Progress(len(seeds)), [0, 0]
+    count = [0, 0]
 
     def seen(played: Played) -> None:
         count[0] += 1
         count[1] += bool(played.rules)
-        progress.show(*count)
+        progress.show(count[0], f"{count[1]} failed")
 
     began = time.monotonic()
-    done = play_all(seeds, options.jobs, seen)
-    progress.end()
+    with Progress(len(names), "days") as progress:
+        done = play_all(names, jobs, seen)
     wall = time.monotonic() - began
     failed = [p for p in done if p.rules]
     virtual = sum(p.virtual for p in done)
@@ -97,7 +91,7 @@
         "rules": dict(Counter(rule for p in failed for rule in p.rules)),
         "failures": [{"seed": p.seed, "rules": list(p.rules), "first": p.first} for p in failed],
     }
-    if options.json:
+    if as_json:
         print(json.dumps(report))
         return 1 if failed else 0
     for played in failed[:LISTED]:
@@ -113,31 +107,36 @@
     return 1 if failed else 0
 
 
-def _replay(options: argparse.Namespace) -> int:
+@command.command("replay")
+@click.argument("scenario")
+@click.option("--trace", metavar="FILE", help="Write the time line there; - for standard output.")
+@JSON
+def replay(scenario: str, trace: str | None, as_json: bool) -> int:
+    """Play one seed or scenario file again; 1 where a rule was broken."""
     from dykeshift.sim.day import play
     from dykeshift.sim.kernel import EPOCH, SECOND
 
-    scenario = _load(options.scenario)
+    day = _load(scenario)
     lines = list[str]()
 
     def tracing(at: int, text: str) -> None:
         lines.append(f"{(at - EPOCH) / SECOND:12.6f}  {text}")
 
-    result = play(scenario, tracing if options.trace else None)
-    if options.trace == "-":
+    result = play(day, tracing if trace else None)
+    if trace == "-":
         print("\n".join(lines))
-    elif options.trace:
+    elif trace:
         try:
-            Path(options.trace).write_text("\n".join(lines) + "\n", encoding="utf-8")
+            Path(trace).write_text("\n".join(lines) + "\n", encoding="utf-8")
         except OSError as exc:
-            raise Usage(f"lifttrail sim: cannot write {options.trace}: {exc.strerror}") from None
+            raise Usage(f"lifttrail sim: cannot write {trace}: {exc.strerror}") from None
     breaches = [{"rule": b.rule, "at_s": round((b.at - EPOCH) / SECOND, 6), "text": b.text}
                 for b in result.breaches]
-    if options.json:
+    if as_json:
         print(json.dumps({"seed": result.seed, "digest": result.digest, "events": result.steps,
                           "figures": result.figures, "breaches": breaches}))
     else:
-        for number, fault in enumerate(scenario.faults):
+        for number, fault in enumerate(day.faults):
             print(f"fault {number}: {fault.kind} at {fault.at:.3f} s for {fault.length:.3f} s, "
                   f"which {fault.which}, size {fault.size}")
         for one in breaches:
@@ -147,35 +146,41 @@
     return 1 if breaches else 0
 
 
-def _shrink(options: argparse.Namespace) -> int:
+@command.command("shrink")
+@click.argument("scenario")
+@click.option("--rule", help="The rule that must stay broken; else the first that breaks.")
+@click.option("--budget", type=int, default=600, metavar="N", show_default=True, help="Days to play at most.")
+@click.option("--out", metavar="FILE", help="Write the scenario there, not to standard output.")
+@JSON
+def shrink(scenario: str, rule: str | None, budget: int, out: str | None, as_json: bool) -> int:
+    """Find the smallest scenario that breaks the same rule."""
     from dykeshift.sim.referee import RULES
     from dykeshift.sim.shrink import NothingBroken, Shrinker
 
-    if options.rule is not None and options.rule not in RULES:
-        raise Usage(f"lifttrail sim: there is no rule {options.rule!r}; the rules are {', '.join(RULES)}")
-    on = sys.stderr.isatty()
+    if rule is not None and rule not in RULES:
+        raise Usage(f"lifttrail sim: there is no rule {rule!r}; the rules are {', '.join(RULES)}")
 
     def seen(plays: int, faults: int, asks: int) -> None:
-        if on:
-            sys.stderr.write(f"\r{plays} days played: {faults} faults, {asks} requests left ")
+        progress.show(plays, f"{faults} faults, {asks} requests left")
 
     try:
-        found = Shrinker(_load(options.scenario), options.rule, options.budget, seen).run()
+        with Progress(budget, "days") as progress:
+            found = Shrinker(_load(scenario), rule, budget, seen).run()
     except NothingBroken:
-        raise Usage(f"lifttrail sim: {options.scenario} breaks no rule: nothing to shrink") from None
+        raise Usage(f"lifttrail sim: {scenario} breaks no rule: nothing to shrink") from None
     text = found.scenario.dump()
-    if options.out:
+    if out:
         try:
-            Path(options.out).write_text(text + "\n", encoding="utf-8")
+            Path(out).write_text(text + "\n", encoding="utf-8")
         except OSError as exc:
-            raise Usage(f"lifttrail sim: cannot write {options.out}: {exc.strerror}") from None
+            raise Usage(f"lifttrail sim: cannot write {out}: {exc.strerror}") from None
     summary = {"rule": found.rule, "text": found.text, "faults": len(found.scenario.faults),
                "requests": len(found.scenario.asks), "plays": found.plays}
-    if options.json:
+    if as_json:
         print(json.dumps({**summary, "scenario": json.loads(text)}))
         return 0
     print(f"{found.rule}: {found.text} ({summary['faults']} faults, {summary['requests']} requests, "
           f"{found.plays} days played)", file=sys.stderr)
-    if not options.out:
+    if not out:
         print(text)
     return 0
--- a/dykeshift/cli/terminal.py
+++ b/dykeshift/cli/terminal.py
@@ -2,33 +2,30 @@
 
 from __future__ import annotations
 
-import sys
-import time
+from types import TracebackType
+
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, TextColumn, TimeRemainingColumn
+from rich.progress import Progress as Bar
 
 
 class Progress:
-    """A bar on standard error: done, failed, time left."""
-
-    WIDTH = 30
-
-    def __init__(self, total: int) -> None:
-        self.total = total
-        self.began = time.monotonic()
-        self.shown = 0.0
-        self.on = sys.stderr.isatty()
-
-    def show(self, done: int, failed: int) -> None:
-        now = time.monotonic()
-        if not self.on or now - self.shown < 0.1 and done < self.total:
-            return
-        self.shown = now
-        part = done / max(1, self.total)
-        bar = "#" * int(part * self.WIDTH)
-        left = (now - self.began) * (1 - part) / part if part else 0.0
-        sys.stderr.write(f"\r[{bar:<{self.WIDTH}}] {done}/{self.total}  {failed} failed  {left:4.0f} s left ")
-        sys.stderr.flush()
-
-    def end(self) -> None:
-        if self.on:
-            sys.stderr.write("\r\x1b[K")
-            sys.stderr.flush()
+    """A bar on standard error: done, a remark, time left. A context manager."""
+
+    def __init__(self, total: float, what: str = "") -> None:
+        console = Console(stderr=True)
+        self._bar = Bar(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(),
+                        TextColumn("{task.fields[remark]}"), TimeRemainingColumn(),
+                        console=console, transient=True, disable=not console.is_terminal)
+        self._task = self._bar.add_task(what, total=total, remark="")
+
+    def __enter__(self) -> Progress:
+        self._bar.start()
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, exc: BaseException | None,
+                 trace: TracebackType | None) -> None:
+        self._bar.stop()
+
+    def show(self, done: float, remark: str = "") -> None:
+        self._bar.update(self._task, completed=done, remark=remark)
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -31,6 +31,14 @@
     code, out, _ = said(capsys, "--help")
     assert code == 0 and all(f"  {name} " in out for name in COMMANDS)
     assert said(capsys)[0] == 2
+    assert said(capsys, "--version")[1].startswith("lifttrail")
+
+
+def test_the_shell_completes_commands() -> None:
+    done = subprocess.run([sys.executable, "-m", "dykeshift"], capture_output=True, text=True, check=True,
+                          env={**os.environ, "_LIFTTRAIL_COMPLETE": "bash_complete", "COMP_WORDS": "lifttrail d",
+                               "COMP_CWORD": "1"})
+    assert done.stdout.strip() == "plain,demo"
 
 
 @pytest.mark.parametrize("arguments", [
