--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -22,6 +22,7 @@
     "demo": "a whole installation on this machine's loopback, with a live view and faults to order",
     "init": "write a commented example configuration",
     "check": "say what is wrong with a configuration",
+    "experiment": "play policies and settings over a grid of days, compare them, report with plots",
     "mllp": "send, answer and make HL7 messages over MLLP; look into a journal",
     "sim": "play the balancer on a virtual clock against faults drawn from seeds",
 }
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -35,9 +35,9 @@
 
 
 def test_the_shell_completes_commands() -> None:
+    asked = {"_LIFTTRAIL_COMPLETE": "bash_complete", "COMP_WORDS": "lifttrail d", "COMP_CWORD": "1"}
     done = subprocess.run([sys.executable, "-m", "dykeshift"], capture_output=True, text=True, check=True,
-                          env={**os.environ, "_LIFTTRAIL_COMPLETE": "bash_complete", "COMP_WORDS": "lifttrail d",
-                               "COMP_CWORD": "1"})
+                          env={**os.environ, **asked})
     assert done.stdout.strip() == "plain,demo"
 
 
