--- a/tests/fleet/test_experiments.py
+++ b/tests/fleet/test_experiments.py
@@ -85,7 +85,8 @@
     ("count\"", "cuont\"", "unknown field `cuont` - at `$.senders`"),
     ("[4, 6]", "[0]", "`$.senders.count`"),
     ("[4, 6]", "[]", "needs a path with values"), ("[[axis]]", "[[axes]]", "unknown field `axes`"),
-    ("load = 0.5 }", "load = 'x' }", "`$.load[0].load`"), ("warm_s = 0.1", "warm_s = 9", "as long as the day"),
+    ("load = 0.5 }", "load = 'x' }", "`$.load[0].load`"),
+    ("warm_s = 0.1", "warm_s = 9", "as long as the day"),
     ("senders.count", "load.7.load", "no place 'load.7.load'"), ("[day]", "[day", "Expected ']'"),
     ('name = "small"', "", "missing required field `name`"),
 ])
