A few slow answers turn nobody away: quick ones are kept in hand

Cause: admission falls by 0.05 with each slow answer from a ceiling of 1, so one request in twenty after any single late one was refused while 40% of the fleet was idle; in large tiers, where an instance sees few answers, for seconds. Change: quick answers may lift it to 1.15, so that three slow ones in a row cost nothing; a jam shows as before.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -21,6 +21,7 @@
 GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
 GROW, CUT = 2.0, 0.8  # room grows by this over the instances, who all grow at once; shrinks on failures
 ADMIT_UP, ADMIT_DOWN = 0.1, 0.05  # for a quick answer, for a slow one: up while a third are quick
+MOST_ADMIT = 1.15  # quick answers in hand for a few slow ones: where each answer is rare, one is no jam
 LEAST_ADMIT = 0.1  # enough to notice that answers are quick again
 REGROW = 0.1  # of a room below one, at the least, for each quick answer: two or three undo a cut
 CALM = 0.45  # of the aim: a server whose answers lately took longer is not idle, whoever keeps it busy
@@ -419,7 +420,7 @@
 
     def _advice(self, item: Open) -> int:
         """When to come back: soon, while a retry can still be in time; later the fewer are let in."""
-        return int(min(item.klass.aim * ADVICE_SHARE / self.admit, self.settings.retry_advice_limit))
+        return int(min(item.klass.aim * ADVICE_SHARE / min(1.0, self.admit), self.settings.retry_advice_limit))
 
     # ---- health ----
 
@@ -461,7 +462,7 @@
         if end.outcome in LATE and not stall:
             self.admit = max(LEAST_ADMIT, self.admit - ADMIT_DOWN)
         if end.outcome is Outcome.OK and quick:
-            self.admit = min(1.0, self.admit + ADMIT_UP)
+            self.admit = min(MOST_ADMIT, self.admit + ADMIT_UP)
             if server.in_flight > server.room - 1 and share <= self.easy and not self._says_busy(server):
                 # A room below one is a share of the time and grows in proportion, as it is cut, at any size.
                 grow = GROW / self.settings.balancers
@@ -537,7 +538,7 @@
         self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
         self._appraise()
         if not self.out:  # nor does it know of a jam, but the others may, and all open at once
-            self.admit += (1 - self.admit) / self.settings.balancers
+            self.admit += max(0.0, 1 - self.admit) / self.settings.balancers
         self.servers = {n: s for n, s in self.servers.items()
                         if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
 
