--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -23,6 +23,7 @@
     "init": "write a commented example configuration",
     "check": "say what is wrong with a configuration",
     "experiment": "play policies and settings over a grid of days, compare them, report with plots",
+    "load": "put a balancer under load and measure its service",
     "mllp": "send, answer and make HL7 messages over MLLP; look into a journal",
     "sim": "play the balancer on a virtual clock against faults drawn from seeds",
 }
--- /dev/null
+++ b/dykeshift/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: an open or closed loop of requests at any balancer, measured from when each was due."""
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -16,6 +16,7 @@
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
+LOOK = 10 * DRAW  # servers looked at for them: more would cost more with each server of the fleet
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
 ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
 GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
@@ -115,6 +116,9 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # those that run
         self.pool: list[Server] = []  # those of them that this instance keeps in touch with
+        self.cold: list[Server] = []  # those that may be cold; the others are warm for good
+        self.groups: dict[tuple[Scope, int], list[Server]] = {}  # ready ones by scope, made when asked for
+        self.sorted = self.unsure = False  # `ready` is in the order of ranks; some server is not sure
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
         self.open: dict[str, Open] = {}
@@ -162,7 +166,7 @@
             for server in self.servers.values():
                 if server.entry.id not in listed:
                     server.entry = replace(server.entry, state=ServerState.GONE)
-        rooms = [s.room for s in self.ready]  # one that comes later is trusted like those already there
+        rooms = [s.room for s in self.ready[:LOOK]]  # one that comes later is trusted like those there
         room = sum(rooms) / len(rooms) if rooms else ROOM / self.settings.balancers
         for entry in update.entries:
             known = self.servers.get(entry.id)
@@ -171,9 +175,13 @@
                                                 [Lane() for _ in self.settings.classes])
             else:
                 known.entry = entry
-        for server in self.servers.values():  # changes alone say, too, that all else is as it was
-            server.sure = update.kind is not ListKind.CACHED
+        if self.unsure or update.kind is ListKind.CACHED:
+            self.unsure = update.kind is ListKind.CACHED
+            for server in self.servers.values():  # changes alone say, too, that all else is as it was
+                server.sure = not self.unsure
         self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
+        self.cold = [s for s in self.ready if self._cold(now, s)]
+        self.groups, self.sorted = {}, False
         self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
         self._gather(now)
         return self._done()
@@ -183,20 +191,25 @@
 
         Met more seldom, what was learned of a server is no longer true, and connections cost too much.
         """
-        self.ready.sort(key=lambda s: s.rank)
+        if not self.sorted:
+            self.ready.sort(key=lambda s: s.rank)
+            self.sorted = True
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
         self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
-        self.whole = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
+        pooled = set(map(id, self.pool)) if self.cold and len(self.pool) < len(self.ready) else None
+        lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or id(s) in pooled)
+        self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
 
     # ---- draw ----
 
     def _draw(self, now: int, item: Open) -> list[Server]:
         """Up to DRAW servers at random without replacement, of those that this request may go to."""
         bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()  # few drop its repeats
-        pool, picked, aside = self.ready if bound else self.pool, list[Server](), list[Server]()
-        hung, most = list[Server](), len(pool) if self._tight(now, item) else DRAW
-        for i in range(len(pool)):
+        pool = self._group(bound, item.klass.scope) if bound else self.pool
+        picked, aside, hung, looks = list[Server](), list[Server](), list[Server](), min(len(pool), LOOK)
+        most = looks if self._tight(now, item) else DRAW
+        for i in range(looks):
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
             if self._allowed(now, item, pool[i]):
@@ -205,7 +218,16 @@
                 if len(picked) == most:
                     break
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
-        return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside or hung)[:DRAW]
+        return picked if picked and len(aside) * 2 <= looks else (picked + aside or hung)[:DRAW]
+
+    def _group(self, anchor: Attempt, scope: Scope) -> list[Server]:
+        """Those ready that drop repeats of what this attempt did."""
+        entry = anchor.server.entry
+        place = {Scope.ALL: 0, Scope.ZONE: entry.zone, Scope.CELL: entry.cell}[scope]
+        if (scope, place) not in self.groups:
+            self.groups[scope, place] = [s for s in self.ready if scope is Scope.ALL or place == (
+                s.entry.zone if scope is Scope.ZONE else s.entry.cell)]
+        return self.groups[scope, place]
 
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
         """Whether this class gets no answers there, whatever others get: left to the last."""
@@ -420,7 +442,8 @@
 
     def _advice(self, item: Open) -> int:
         """When to come back: soon, while a retry can still be in time; later the fewer are let in."""
-        return int(min(item.klass.aim * ADVICE_SHARE / min(1.0, self.admit), self.settings.retry_advice_limit))
+        advice = item.klass.aim * ADVICE_SHARE / min(1.0, self.admit)
+        return int(min(advice, self.settings.retry_advice_limit))
 
     # ---- health ----
 
@@ -478,6 +501,7 @@
                 rest = max(rest, usual)  # its refusals come at once and would keep it the freest of all
             if end.outcome is Outcome.CONNECT_FAILED:
                 server.rank += 1  # dead, or its connections are all taken by others: left to them
+                self.sorted = False
             # Less than one at a time: many balancers with one attempt each do not jam a server.
             server.rest_until = max(server.rest_until, now + int(rest))
 
@@ -532,15 +556,17 @@
         fresh = max(SMOOTH, 1 / max(1, self.sweeps - 1))  # before there is a mean to smooth, the plain mean
         self.arrivals += fresh * ((self.arrived - self.swept) / SWEEP_SHARE - self.arrivals)
         self.swept = self.arrived
+        self.cold = [s for s in self.cold if self._cold(now, s)]
         self._gather(now)
         # Prevents rooms that grow through an overload, and all servers with them, from ending in a jam.
         # While servers warm up help is on its way, and larger rooms bridge the time until then.
-        self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
+        self.easy = EASY * (SOFTER if self.cold else 1 - HARDER * self.crowd)
         self._appraise()
         if not self.out:  # nor does it know of a jam, but the others may, and all open at once
             self.admit += max(0.0, 1 - self.admit) / self.settings.balancers
-        self.servers = {n: s for n, s in self.servers.items()
-                        if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
+        if len(self.ready) < len(self.servers):
+            self.servers = {n: s for n, s in self.servers.items()
+                            if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
