A cold server's budget is used up to the margin that chance needs at its size

Cause: half of the budget was left free at every size, and at 300 balancers three quarters of what was allowed lapsed unused, so cold servers got 2 to 17% of their limit.

--- a/dykeshift/fleet/world.py
+++ b/dykeshift/fleet/world.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import heapq
 from collections.abc import Callable
 from itertools import count
@@ -110,8 +111,13 @@
         if self.arrivals:
             self.at(self.arrivals[0], self._next, 0)
         end = FIRST + nanoseconds(self.day.seconds)
-        self._loop(end, progress)
-        self._drain(end)
+        gc.collect()
+        gc.freeze()  # the fleet lives as long as the day: walked again and again, it would count as its cost
+        try:
+            self._loop(end, progress)
+            self._drain(end)
+        finally:
+            gc.unfreeze()
         return self._figures(perf_counter_ns() - began)
 
     def _loop(self, end: int, progress: Callable[[float], None] | None) -> None:
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from math import sqrt
 from random import Random
 
 from dykeshift.interface import NOT_RUN, Action, AttemptEnd, Cancel, Fail, Idempotency, ListKind, LoadReport
@@ -34,7 +35,9 @@
 WAIT_SHARE = 0.4  # of the aim: no delayed copy before this, a second try still fits into the rest
 ROOM = 4.0  # what all instances together trust a server with before anything is known
 LEAST_ROOM = 0.05  # below one, a share of the time: a failing server is still tried now and then
-SAFETY = 0.5  # of the cold budget is used; the rest covers chance, handshakes and a small server of its kind
+SAFETY = 0.5  # of what it bears a server is sure to bear, also where nothing is known of its like
+CHANCE = 3.0  # standard deviations of the work in a window that the cold budget leaves free
+MOST_USED = 0.9  # of the cold budget, at any size: a small server of its kind, handshakes
 LAPSE = 0.5  # of an overload window: credit with a cold server is kept no longer
 SMOOTH = 0.1  # weight of the newest sample in a running mean: about the last twenty samples count
 NEAR_MOST, NEAR_PACE = 2, 0.3  # ours at a near server, its pace: up to these it still counts as idle
@@ -520,16 +523,18 @@
     def _cold_room(self, now: int, server: Server) -> bool:
         """Whether a cold server may be sent one more attempt: rule 4 over any number of balancers.
 
-        Credit grows with each request, so that the server gets from each instance at most SAFETY x
+        Credit grows with each request, so that the server gets from each instance at most a part of
         multiple x warmth of the work that one of its servers answers on average, and from all together no
-        more than that part of what a whole one carries. It starts at random, so that the instances take
-        turns where the share of each is far below one attempt a window, and what is not used lapses.
+        more than that part of what a whole one carries (_used says which). It starts at random, so that
+        the instances take turns where the share of each is far below one attempt a window, and what is
+        not used lapses.
         """
         if not self._cold(now, server):
             return True
         served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
-        bears = SAFETY * self.settings.overload_multiple * self._warmth(now, server) * served
+        bears = self.settings.overload_multiple * self._warmth(now, server) * served
         bears *= server.entry.weight / self.mean_weight / self.whole
+        bears *= self._used(bears * self.arrivals * self.settings.balancers)
         server.credit += bears * (self.arrived - server.credited)
         server.credited = self.arrived
         most = 1 + bears * self.arrivals * LAPSE
@@ -537,6 +542,15 @@
             server.credit = most if most > 2 else server.credit % 1
         return server.credit >= 1
 
+    @staticmethod
+    def _used(limit: float) -> float:
+        """The part u of a budget of so many requests a window that leaves room for chance.
+
+        Their work varies like that of exponential sizes: u + CHANCE x sqrt(u / limit) = 1, solved for u.
+        """
+        spread = CHANCE / sqrt(max(limit, 1.0))
+        return min(MOST_USED, (sqrt(spread * spread + 4) - spread) ** 2 / 4)
+
     # ---- timers ----
 
     def on_timer(self, now: int, token: str) -> list[Action]:
