--- a/dykeshift/load/transports.py
+++ b/dykeshift/load/transports.py
@@ -13,7 +13,7 @@
 from dykeshift.standins import hl7
 
 REFUSED = (429, 503)
-TRIGGERS = {"safe": "QRY^A19", "keyed": "SIU^S12", "unsafe": "ORM^O01"}
+NOTES = {"safe": "status-check", "keyed": "reminder-set", "unsafe": "sms-send"}  # stand-ins' messages
 
 
 class Transport(Protocol):
@@ -78,7 +78,7 @@
 
     async def ask(self, name: str, kind: Kind, left_s: float, turn: int) -> Answer:
         # A clinic's resend is the same message under the same control id.
-        note = hl7.Note(name, "LOAD", TRIGGERS[kind.kind], "original", self.cost, self.made, "Load^Test")
+        note = hl7.Note(name, "LOAD", NOTES[kind.kind], "original", self.cost, self.made, "Load^Test")
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(left_s):
