--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -176,8 +176,9 @@
 
 # ---- on loopback ----
 
-ANSWERS = {"/served": b"200 OK\r\nContent-Length: 2\r\n\r\nok", "/refused": (
-    b"503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n"), "/failed": b"500 No\r\nContent-Length: 0\r\n\r\n"}
+ANSWERS = {"/served": b"200 OK\r\nContent-Length: 2\r\n\r\nok",
+           "/refused": b"503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n",
+           "/failed": b"500 No\r\nContent-Length: 0\r\n\r\n"}
 
 
 @contextlib.asynccontextmanager
@@ -263,7 +264,8 @@
     (HERE, "--seconds", "0"), (HERE, "--shape", "steps"), (HERE, "--shape", "steps", "--steps", "5"),
     (HERE, "--class", "a:1:odd:100"), (HERE, "--class", "a:0.5:safe:100"), (HERE, "--class", "a"),
     (HERE, "--trace", "/no/such", "--shape", "trace"), (HERE, "--search", "x"),
-    (HERE, "--against", "/no/such"), (HERE, "--search", "0.9,99,100", "--shape", "closed"), (HERE, "--processes", "1000"),
+    (HERE, "--against", "/no/such"), (HERE, "--search", "0.9,99,100", "--shape", "closed"),
+    (HERE, "--processes", "1000"),
 ])
 def test_what_it_will_not_do_is_one_line(arguments: tuple[str, ...], capsys: Capture) -> None:
     code = main(["load", *arguments])
