Structured logs of the daemon: events with names and fields, by structlog, off by default

Need: other teams feed logs to programs, which had to read sentences. Change: [logs] in deploy/lifttrail.toml gives JSON or lines; each call says its event's name and fields beside its sentence (logging's extra), so that without the section the log is what the platform expects and structlog is not loaded.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -111,7 +111,8 @@
         try:
             self.generation, _, listed = self.reader.read(known)
         except ValueError as exc:
-            log.warning("the known list is dropped: %s", exc)
+            log.warning("the known list is dropped: %s", exc,
+                        extra={"event": "list.known-dropped", "fields": {"reason": str(exc)}})
             return
         self.apply(ListKind.CACHED, listed)
 
@@ -200,7 +201,8 @@
         try:
             generation, whole, listed = self.reader.read(json.loads(answer.body))
         except (ValueError, RecursionError) as exc:
-            log.warning("an update from discovery is dropped: %s", exc)
+            log.warning("an update from discovery is dropped: %s", exc,
+                        extra={"event": "list.dropped", "fields": {"reason": str(exc)}})
             return False
         if current:
             self._hear_no_more()
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -157,7 +157,8 @@
         try:
             actions = method(self.clock.monotonic_ns(), *args)
         except Exception:
-            log.exception("the module failed in %s", method.__name__)
+            log.exception("the module failed in %s", method.__name__,
+                          extra={"event": "module.failed", "fields": {"method": method.__name__}})
             if job is not None:
                 self._answer(job, FAILED)
             return False
@@ -192,7 +193,8 @@
     def _send(self, action: Send) -> None:
         job = self.jobs.get(action.request_id)
         if job is None:
-            log.error("the module sends for a request that is over: %s", action.request_id)
+            log.error("the module sends for a request that is over: %s", action.request_id,
+                      extra={"event": "module.sends-late", "fields": {"request": action.request_id}})
             return
         number, now = len(job.attempts), self.clock.monotonic_ns()
         until = min(job.deadline, now + action.timeout) if action.timeout else job.deadline
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -268,7 +268,8 @@
         try:
             self.front.driver.submit(incoming, self.began, self.final)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
-            log.exception("request %s", incoming.id)
+            log.exception("request %s", incoming.id,
+                          extra={"event": "request.failed", "fields": {"request": incoming.id}})
             if self.busy:
                 self.final(FAILED)
 
--- a/dykeshift/mllp/journal.py
+++ b/dykeshift/mllp/journal.py
@@ -225,15 +225,17 @@
             self._fail(error)
             return
         if self.failed:
-            log.warning("the journal goes on")
+            log.warning("the journal goes on", extra={"event": "journal.goes-on"})
             self.failed = ""
         self._write()
 
     def _fail(self, error: BaseException) -> None:
         if not isinstance(error, Failed | OSError):
-            log.error("the journal failed: %s: %s", type(error).__name__, error)
+            log.error("the journal failed: %s: %s", type(error).__name__, error,
+                      extra={"event": "journal.failed", "fields": {"error": str(error)}})
         if not self.failed:
-            log.warning("the journal takes nothing: %s", error)
+            log.warning("the journal takes nothing: %s", error,
+                        extra={"event": "journal.full", "fields": {"error": str(error)}})
         self.failed = str(error)
         batch, self.waiting = self.waiting, []
         for _, kept in batch:
--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -18,7 +18,8 @@
     from dykeshift.store.disk import Disk
 
 FILE = "deploy/lifttrail.toml"
-SECTIONS = {"mllp": "dykeshift.node.mllp"}  # each has Options, check, carrier, objection, connections, start
+# Each has Options, check, carrier, objection, connections, start.
+SECTIONS = {"logs": "dykeshift.node.logs", "mllp": "dykeshift.node.mllp"}
 
 
 class Service(Protocol):
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -27,11 +27,14 @@
         try:
             new = self.load()
         except config.ConfigError as exc:
-            log.error("the old configuration is kept: %s", exc)
+            log.error("the old configuration is kept: %s", exc,
+                      extra={"event": "configuration.kept", "fields": {"reason": str(exc)}})
             return
         if new.discovery == self.discovery.address:
-            log.info("discovery is the same in the new configuration")
+            log.info("discovery is the same in the new configuration",
+                     extra={"event": "discovery.same"})
             return
-        log.info("discovery is at %s:%d now", *new.discovery)
+        log.info("discovery is at %s:%d now", *new.discovery,
+                 extra={"event": "discovery.moved", "fields": {"to": "%s:%d" % new.discovery}})
         self.discovery.move(new.discovery)
         self.driver.discovery_moved()
