--- a/dykeshift/node/logs.py
+++ b/dykeshift/node/logs.py
@@ -73,8 +73,9 @@
 
 def formatter(lines: bool) -> logging.Formatter:
     """For people (`lines`) or for programs: JSON, one object a line."""
-    people, programs = structlog.dev.ConsoleRenderer(event_key="message"), structlog.processors.JSONRenderer()
-    render: Processor = people if lines else programs
+    render: Processor = structlog.processors.JSONRenderer()
+    if lines:
+        render = structlog.dev.ConsoleRenderer(event_key="message")
     return structlog.stdlib.ProcessorFormatter(
         foreign_pre_chain=[structlog.stdlib.add_log_level,
                            structlog.processors.TimeStamper(fmt="iso", utc=True)],
--- a/tests/cli/test_mllp.py
+++ b/tests/cli/test_mllp.py
@@ -174,8 +174,8 @@
 def test_what_is_off_is_not_imported() -> None:
     script = ("import sys\nfrom dykeshift.node import features, __main__\n"
               "assert not features.load('deploy/lifttrail.toml', False, None).parts\n"
-              "print([m for m in sys.modules if m.startswith(('dykeshift.mllp', 'dykeshift.store', 'msgspec', 'structlog',"
-              " 'tomllib'))])")
+              "print([m for m in sys.modules if m.startswith(('dykeshift.mllp', 'dykeshift.store', 'msgspec',"
+              " 'structlog', 'tomllib'))])")
     command = [sys.executable, "-c", script]
     done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout.strip() == "[]"
