--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -19,6 +19,7 @@
 from dykeshift.mllp.memory import identify
 from dykeshift.sim.installation import DEADLINES, MLLP_PORT, Node, Post
 from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Line, Process, Stuck, World
+from dykeshift.sim.loop import Program
 from dykeshift.sim.net import Cut, Endpoint, Network, Weather
 from dykeshift.sim.referee import Breach, Referee, Terms
 from dykeshift.sim.scenario import CLASSES, HEAL, KINDS, PROBES, RECOVERY, Ask, Scenario
@@ -69,7 +70,7 @@
         self.by_name: dict[str, Sender] = {}
         self.outages: list[tuple[frozenset[str], int, int]] = []
         self.registries: dict[tuple[str, int], Registry] = {}
-        self.registry_processes: dict[tuple[str, int], Process] = {}
+        self.registry_processes: dict[tuple[str, int], Program] = {}
         self.registry_hosts: dict[str, Host] = {}
         self.listing: dict[str, Instance] = {}
         self.discovery = ("10.2.0.1", 8500)
@@ -80,7 +81,7 @@
         self.rids: dict[str, str] = {}  # the ids under which they went to HTTP senders
         self.net.tap, self.net.arrival = self._handed_over, self._arrived
         self.start_registry(self.discovery)
-        self.posts = [Post(self, n) for n in range(o.senders)]
+        self.posts = [Post(self, self, n) for n in range(o.senders)]
         for post in self.posts:
             post.start(cold=False)
         self.nodes = [Node(self, n) for n in range(o.balancers)]
@@ -98,7 +99,7 @@
         registry = Registry(self.world.stream(f"registry/{address[0]}/{self.world.now}"))
         registry.generation = 1 + self.rng.randrange(100)
         registry.listed = dict(self.listing)
-        process = Process(self.world, host, f"d{address[0][-1]}")
+        process = Program(self.world, host, f"d{address[0][-1]}")
         self.net.attach(process)
         process.loop.start(registry.serve(*address))
         self.registries[address], self.registry_processes[address] = registry, process
@@ -110,7 +111,7 @@
                 return
             self.listing[instance.id] = instance
             for address, registry in self.registries.items():
-                self._inside(self.registry_processes[address], registry.put, instance)
+                self.inside(self.registry_processes[address], registry.put, instance)
 
         if delay:
             self.world.after(int(delay * SECOND), put)
@@ -127,12 +128,12 @@
             if lifecycle == "left":
                 del self.listing[name]
             for address, registry in self.registries.items():
-                self._inside(self.registry_processes[address], registry.leave, name, lifecycle)
+                self.inside(self.registry_processes[address], registry.leave, name, lifecycle)
 
         self.world.after(int(delay * SECOND), leave)
 
     @staticmethod
-    def _inside(process: Process, call: Callable[..., Any], *args: Any) -> None:
+    def inside(process: Process, call: Callable[..., Any], *args: Any) -> None:
         """Have a process do something in its next round."""
         if process.alive:
             process.loop.call_soon(call, *args)
@@ -142,7 +143,7 @@
     def _start_clients(self) -> None:
         host = self.net.host("10.9.0.1", "z0")
         host.steady = True
-        process = self.clients = Process(self.world, host, "clients")
+        process = self.clients = Program(self.world, host, "clients")
         self.net.attach(process)
         front = self.front = Front(self.world.stream("front"), self.scenario.options.front_notice)
         self.crowd = Crowd(front, self, self.world.stream("crowd"), on_end=self._errand_ended,
@@ -160,7 +161,7 @@
             self.world.at(EPOCH + int(ask.at * SECOND), self._begin, errand)
 
     def _begin(self, errand: Errand) -> None:
-        self._inside(self.clients, self.crowd.begin, errand)
+        self.inside(self.clients, self.crowd.begin, errand)
 
     def _errand_ended(self, errand: Errand, how: str, answer: Message | None) -> None:
         status = f" {answer.status}" if answer is not None else ""
@@ -185,7 +186,7 @@
         # A deadline of its own is not told: the mapping's holds.
         patience = DEADLINES[note.klass] / 1000
         letter = Letter(note, patience, ask.retries, ask.leaves, ask.half, ask.twin)
-        self._inside(self.clients, self.clinics[ask.clinic].send, letter)
+        self.inside(self.clients, self.clinics[ask.clinic].send, letter)
 
     def _letter_ended(self, letter: Letter, code: str) -> None:
         name = letter.note.control_id
@@ -353,9 +354,9 @@
         if stop_at_first and self.referee.breaches:
             return
         self._check_service()
-        self._inside(self.clients, self.crowd.hang_up)
+        self.inside(self.clients, self.crowd.hang_up)
         for clinic in self.clinics:
-            self._inside(self.clients, clinic.hang_up)
+            self.inside(self.clients, clinic.hang_up)
         quiet = end + self.scenario.options.keepalive
         self.world.run(EPOCH + int((quiet + 1.0) * SECOND), stop)
         self.clients.kill()
@@ -401,7 +402,7 @@
                                     f"{process.name} is quiet and has {', '.join(bad)}")
 
     @staticmethod
-    def _count(node: Node, process: Process) -> dict[str, int]:
+    def _count(node: Node, process: Program) -> dict[str, int]:
         driver = node.front.driver
         fronts = [service.front for service in node.services]
         return {"clinics": sum(len(front.lines) for front in fronts),
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -10,22 +10,35 @@
 import signal
 from collections.abc import Callable
 from dataclasses import fields
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from dykeshift.sim.kernel import EPOCH, MS, SECOND
-from dykeshift.sim.net import Endpoint
+from dykeshift.sim.installation import Node, Post
+from dykeshift.sim.loop import Program
+from dykeshift.sim.net import Cut, Endpoint
 from dykeshift.sim.scenario import HEAL, Fault
+from dykeshift.sim.scene import Scene
+from dykeshift.standins.registry import Registry
 from dykeshift.standins.sender import Mood
 
-if TYPE_CHECKING:
-    from dykeshift.sim.day import Day
-    from dykeshift.sim.installation import Node, Post
-
 KILL_AFTER = 1.5 + 0.8  # seconds from SIGTERM to SIGKILL: the longest deadline and a little more
 
 
+class Stage(Scene, Protocol):
+    """What can be harmed on a day."""
+
+    nodes: list[Node]
+    posts: list[Post]
+    registries: dict[tuple[str, int], Registry]
+    registry_processes: dict[tuple[str, int], Program]
+
+    def start_registry(self, address: tuple[str, int]) -> None: ...
+
+    def outage(self, hosts: frozenset[str], length: int) -> Cut: ...
+
+
 class Faults:
-    def __init__(self, day: Day) -> None:
+    def __init__(self, day: Stage) -> None:
         self.day = day
         self.world, self.net = day.world, day.net
         self.cuts: list[tuple[str, int, Any]] = []  # streams that are cut: which way, until when, its draw
@@ -61,7 +74,7 @@
         for address, registry in day.registries.items():
             registry.delay, registry.fail_share = 0.0, 0.0
             registry.silent = registry.forgets = False
-            day._inside(day.registry_processes[address], registry.thaw)
+            day.inside(day.registry_processes[address], registry.thaw)
         for node in day.nodes:
             node.host.wall_offset = 0
             node.disk.slow = 0.0
@@ -86,7 +99,7 @@
         for one in fields(calm):
             setattr(post.mood, one.name, getattr(calm, one.name))
         if post.sender is not None and post.process is not None:
-            self.day._inside(post.process, post.sender.wake)
+            self.day.inside(post.process, post.sender.wake)
 
     # ---- balancers ----
 
@@ -327,7 +340,7 @@
     def _discovery_stale(self, fault: Fault) -> None:
         for address, registry in self.day.registries.items():
             registry.freeze()
-            self._then(fault.length, self.day._inside, self.day.registry_processes[address], registry.thaw)
+            self._then(fault.length, self.day.inside, self.day.registry_processes[address], registry.thaw)
 
     # ---- clients ----
 
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -5,7 +5,7 @@
 import contextlib
 import functools
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
@@ -17,17 +17,16 @@
 from dykeshift.node.mllp import Options
 from dykeshift.sim import referee as rules
 from dykeshift.sim.kernel import MS, SECOND, Host, Process, VirtualClock
+from dykeshift.sim.loop import Program
 from dykeshift.sim.scenario import CLASSES, KINDS, Scenario
+from dykeshift.sim.scene import Scene
 from dykeshift.standins import hl7
 from dykeshift.standins.disk import Disk
 from dykeshift.standins.mllp_sender import MllpLink
 from dykeshift.standins.registry import Instance
-from dykeshift.standins.sender import Link, Mood, Sender, Shape
+from dykeshift.standins.sender import Link, Mood, Sender, Shape, Witness
 from dykeshift.store.log import Failed
 
-if TYPE_CHECKING:
-    from dykeshift.sim.day import Day
-
 
 def settings(scenario: Scenario) -> dict[str, Any]:
     """The settings as a deployment words them."""
@@ -132,13 +131,13 @@
 class Node:
     """A balancer under its name and address, through all its lives."""
 
-    def __init__(self, day: Day, number: int) -> None:
+    def __init__(self, day: Scene, number: int) -> None:
         self.day, self.number, self.name = day, number, f"n{number}"
         self.zone = f"z{number % day.scenario.options.zones}"
         self.host: Host = day.net.host(f"10.0.0.{number + 1}", self.zone)
         self.address = (self.host.name, 8081)
         self.lives = 0
-        self.process: Process | None = None
+        self.process: Program | None = None
         self.front: Any = None
         self.services: list[Any] = []
         self.disk = VirtualDisk(number + 1)
@@ -163,7 +162,7 @@
                     "seed": f"{day.scenario.seed}-{self.name}-{self.lives}",
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.descriptors},
                     "known": known, "settings": given}
-        process = self.process = Process(day.world, self.host, f"{self.name}.{self.lives}",
+        process = self.process = Program(day.world, self.host, f"{self.name}.{self.lives}",
                                          options.descriptors, options.callback_us * 1000)
         process.stalls = self.stalls
         process.on_exit = self._ended
@@ -190,7 +189,8 @@
                 self.day.referee.gave_up(self.day.world.now, name)
 
     def _ended(self, process: Process) -> None:
-        for fault in process.loop.faults:
+        assert self.process is process
+        for fault in self.process.loop.faults:
             self.day.referee.breach(rules.FAULT, self.day.world.now, f"{process.name}: {fault}")
         if process.exit_code != -9:
             if not process.terminated:
@@ -209,15 +209,15 @@
 class Post:
     """A sender's place: one machine, and the sender processes that follow one another on it."""
 
-    def __init__(self, day: Day, number: int) -> None:
+    def __init__(self, day: Scene, witness: Witness, number: int) -> None:
         options = day.scenario.options
-        self.day, self.number = day, number
+        self.day, self.witness, self.number = day, witness, number
         self.zone = f"z{number % options.zones}"
         self.cell: int = number % options.racks
         self.host: Host = day.net.host(f"10.1.0.{number + 1}", self.zone)
         self.address = (self.host.name, 8081)
         self.lives = 0
-        self.process: Process | None = None
+        self.process: Program | None = None
         self.sender: Sender | None = None
         self.mood: Mood = Mood()
 
@@ -233,9 +233,9 @@
                       key_window=options.window)
         link = MllpLink if options.mllp_senders else Link
         rng = day.world.stream(f"sender/{name}")
-        self.sender = Sender(name, self.cell, day.racks[self.cell], day, rng, shape, self.mood, cold,
+        self.sender = Sender(name, self.cell, day.racks[self.cell], self.witness, rng, shape, self.mood, cold,
                              link)
-        self.process = Process(day.world, self.host, name)
+        self.process = Program(day.world, self.host, name)
         day.net.attach(self.process)
         self.process.loop.start(self.sender.serve(*self.address))
         day.by_name[name] = self.sender
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -5,8 +5,9 @@
 happens, happens within an event; between two events `watchers` look at the world (the checkers do).
 
 A `Process` is what the operating system knows of a running program: its host, its signals, its
-descriptors and whether it is running, stalled or dead. It owns one `VirtualLoop` (loop.py). A dead process
-runs nothing more, whatever still refers to it; its sockets are closed by the kernel, not by its code.
+descriptors and whether it is running, stalled or dead. What runs its code is an event loop, of which the
+kernel knows `Rounds`; loop.py brings it (`Program`). A dead process runs nothing more, whatever still refers
+to it; its sockets are closed by the kernel, not by its code.
 
 Promises that hold at every instant: `now` never runs backwards; no code of a process runs while it is
 stalled or after its death; the same seed gives the same events in the same order, in any process and for
@@ -15,16 +16,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from signal import SIGTERM
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from dykeshift.sim.loop import VirtualLoop
+from typing import Any, Protocol
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -145,9 +144,29 @@
     steady: bool = False  # no segment to or from it is late by a spike
 
 
+class Rounds(Protocol):
+    """What the kernel, the network and the transports ask of a process's event loop."""
+
+    flavour: Flavour
+    spent: int  # nanoseconds that this round's callbacks have taken so far
+    net: Any  # given by the network that the host is on
+
+    def signalled(self, number: int) -> None: ...
+
+    def discard(self) -> None: ...
+
+    def readable(self, socket: Any) -> None: ...
+
+    def at_end_of_round(self, one: Any) -> None: ...
+
+    def call_soon(self, callback: Callable[..., object], *args: Any) -> asyncio.Handle: ...
+
+    def create_future(self) -> asyncio.Future[Any]: ...
+
+
 @dataclass(slots=True, eq=False)
 class Process:
-    """A running program on a host. `limit` bounds its descriptors."""
+    """A running program on a host, as the kernel sees it. `limit` bounds its descriptors."""
 
     world: World
     host: Host
@@ -160,15 +179,12 @@
     stalls: list[tuple[int, int]] = field(default_factory=list)
     sockets: dict[int, Any] = field(default_factory=dict)  # by number: open descriptors
     opened: int = 0
-    loop: VirtualLoop = field(init=False)
+    loop: Rounds = field(init=False)
     terminated: bool = False  # it has been asked to end
     on_exit: Callable[[Process], None] | None = None
     pending_signals: list[int] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        from dykeshift.sim.loop import new_loop
-
-        self.loop = new_loop(self)
         self.world.processes.append(self)
 
     # ---- descriptors ----
--- a/dykeshift/sim/loop.py
+++ b/dykeshift/sim/loop.py
@@ -23,13 +23,11 @@
 from asyncio import events
 from collections import deque
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass, field
+from typing import Any
 
 from dykeshift.sim import net, transport
-from dykeshift.sim.kernel import MS, SECOND
-
-if TYPE_CHECKING:
-    from dykeshift.sim.kernel import Process
+from dykeshift.sim.kernel import MS, SECOND, Process
 
 EXIT_FAULT = 70  # a program whose main coroutine raised
 
@@ -314,8 +312,15 @@
         return made, protocol
 
 
-def new_loop(process: Process) -> VirtualLoop:
-    return VirtualLoop(process)  # type: ignore[abstract]  # typeshed marks all of asyncio's defaults so
+@dataclass(slots=True, eq=False)
+class Program(Process):
+    """A process with the event loop that runs it."""
+
+    loop: VirtualLoop = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.loop = VirtualLoop(self)  # type: ignore[abstract]  # typeshed marks all of asyncio's defaults so
+        Process.__post_init__(self)
 
 
 class _Buried:
--- a/dykeshift/sim/transport.py
+++ b/dykeshift/sim/transport.py
@@ -9,17 +9,16 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any, cast
 
-if TYPE_CHECKING:
-    from dykeshift.sim.loop import VirtualLoop
-    from dykeshift.sim.net import Address, DatagramPort, Endpoint, Listener
+from dykeshift.sim.kernel import Rounds
+from dykeshift.sim.net import Address, DatagramPort, Endpoint, Listener
 
 HIGH = 64 * 1024  # bytes unwritten from which a protocol is asked to pause, unless it says otherwise
 
 
 class TcpTransport(asyncio.Transport):
-    def __init__(self, loop: VirtualLoop, endpoint: Endpoint, protocol: Any) -> None:
+    def __init__(self, loop: Rounds, endpoint: Endpoint, protocol: Any) -> None:
         super().__init__({"peername": endpoint.peer.address, "sockname": endpoint.address})
         self.loop, self.endpoint, self.protocol = loop, endpoint, protocol
         self.buffer = bytearray()
@@ -179,7 +178,7 @@
 class VirtualServer(asyncio.AbstractServer):
     """What `create_server` gives."""
 
-    def __init__(self, loop: VirtualLoop, listener: Listener, factory: Any) -> None:
+    def __init__(self, loop: Rounds, listener: Listener, factory: Any) -> None:
         self.loop, self.listener, self.factory = loop, listener, factory
         listener.accept = self._accept
         if listener.waiting:
@@ -196,7 +195,7 @@
         return self.listener.open
 
     def get_loop(self) -> asyncio.AbstractEventLoop:
-        return self.loop
+        return cast(asyncio.AbstractEventLoop, self.loop)
 
     async def start_serving(self) -> None:
         """It serves from its making on."""
@@ -209,7 +208,7 @@
 
 
 class UdpTransport(asyncio.DatagramTransport):
-    def __init__(self, loop: VirtualLoop, port: DatagramPort, protocol: Any, remote: Address | None) -> None:
+    def __init__(self, loop: Rounds, port: DatagramPort, protocol: Any, remote: Address | None) -> None:
         super().__init__({"sockname": port.address, "peername": remote})
         self.loop, self.port, self.protocol, self.remote = loop, port, protocol, remote
         self.closed = False
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from dykeshift.sim import referee as rules
+from dykeshift.sim.installation import Node
 from dykeshift.sim.net import Endpoint
+from dykeshift.sim.scene import Scene
 from dykeshift.standins import hl7
 from dykeshift.standins.messages import Message, Messages, Unreadable
 
-if TYPE_CHECKING:
-    from dykeshift.sim.day import Day
-    from dykeshift.sim.installation import Node
-
 
 class Wire:
     """What passes on one connection of a balancer, read from outside."""
 
-    def __init__(self, day: Day, endpoint: Endpoint) -> None:
+    def __init__(self, day: Scene, endpoint: Endpoint) -> None:
         self.day, self.endpoint = day, endpoint
         self.requests, self.answers = Messages(), Messages()
         self.mllp = day.scenario.options.mllp_senders and endpoint.peer.host.name.startswith("10.1.")
--- a/tests/sim/test_loop.py
+++ b/tests/sim/test_loop.py
@@ -10,12 +10,13 @@
 
 import pytest
 
-from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Process, Stuck, VirtualClock, World
+from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Stuck, VirtualClock, World
+from dykeshift.sim.loop import Program
 from tests.sim.world import PLAIN
 
 
-def process(flavour: Flavour = PLAIN, seed: str = "loop") -> Process:
-    return Process(World(seed, flavour), Host("h"), "p")
+def process(flavour: Flavour = PLAIN, seed: str = "loop") -> Program:
+    return Program(World(seed, flavour), Host("h"), "p")
 
 
 def test_sleeps_timeouts_and_tasks_take_virtual_time_only() -> None:
@@ -59,7 +60,7 @@
         world = World(str(n), PLAIN)
         said: list[str] = []
         for name in "ab":
-            Process(world, Host(name), name).loop.call_later(1, said.append, name)
+            Program(world, Host(name), name).loop.call_later(1, said.append, name)
         world.run(EPOCH + 2 * SECOND)
         seen["".join(said)] += 1
     assert set(seen) == {"ab", "ba"}
@@ -192,7 +193,7 @@
     for seed in range(30):
         one = process(seed=str(seed))
 
-        async def main(one: Process = one) -> None:
+        async def main(one: Program = one) -> None:
             future: asyncio.Future[Any] = one.loop.create_future()
 
             async def wait() -> str:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from dykeshift.sim.kernel import EPOCH, SECOND, Flavour, Process, World
+from dykeshift.sim.kernel import EPOCH, SECOND, Flavour, World
+from dykeshift.sim.loop import Program
 from dykeshift.sim.net import Network, Weather
 
 SERVER = ("10.1.0.1", 80)
@@ -67,8 +68,8 @@
             self.server.loop.start(self._serve())
             self.run(0.001)
 
-    def process(self, name: str, host: Any, limit: int = 1000) -> Process:
-        process = Process(self.world, host, name, limit)
+    def process(self, name: str, host: Any, limit: int = 1000) -> Program:
+        process = Program(self.world, host, name, limit)
         self.net.attach(process)
         return process
 
@@ -83,7 +84,7 @@
     def run(self, seconds: float) -> None:
         self.world.run(self.world.now + int(seconds * SECOND))
 
-    def do(self, process: Process, main: Coroutine[Any, Any, Any], seconds: float = 5.0) -> Any:
+    def do(self, process: Program, main: Coroutine[Any, Any, Any], seconds: float = 5.0) -> Any:
         """Run a coroutine in a process for so long; what it returned, or its exception raised."""
         task = process.loop.create_task(main)
         self.run(seconds)
@@ -98,6 +99,6 @@
 
         return self.do(self.client, go(), 0.1)  # type: ignore[no-any-return]
 
-    def within(self, process: Process, call: Callable[..., Any], *args: Any, seconds: float = 0.1) -> None:
+    def within(self, process: Program, call: Callable[..., Any], *args: Any, seconds: float = 0.1) -> None:
         process.loop.call_soon(call, *args)
         self.run(seconds)
