--- a/dykeshift/demo/installation.py
+++ b/dykeshift/demo/installation.py
@@ -107,7 +107,10 @@
 class Installation:
     """Discovery, senders, balancers and clients, and the faults that can be done to them."""
 
-    def __init__(self, seed: int, senders: int = 12, balancers: int = 2, rate: float = 60.0) -> None:
+    def __init__(self, seed: int, senders: int = 12, balancers: int = 2, rate: float = 60.0,
+                 speeds: tuple[float, ...] = SPEEDS, slots: int = 4) -> None:
+        """`rate`: the demo's own requests a second, 0 for none; `speeds`: of the senders, in turn."""
+        self.speeds, self.slots = speeds, slots
         self.rng = Random(seed)
         self.senders_wanted, self.balancers_wanted, self.rate = senders, balancers, rate
         self.tally = Tally()
@@ -139,7 +142,8 @@
         self.tally.names = {b.address: b.name for b in self.balancers}
         self._spawn(self.front.watch([b.address for b in self.balancers]))
         await self._until(lambda: len(self.front.taken_in) == len(self.balancers), START)
-        self.asking = asyncio.get_running_loop().create_task(self._ask())
+        if self.rate:
+            self.asking = asyncio.get_running_loop().create_task(self._ask())
 
     @staticmethod
     async def _until(condition: Callable[[], bool], seconds: float) -> None:
@@ -155,7 +159,7 @@
     async def add_sender(self, cold: bool = True) -> None:
         number = self.made
         self.made += 1
-        shape = Shape(slots=4, speed=SPEEDS[number % len(SPEEDS)], cold_time=6.0)
+        shape = Shape(slots=self.slots, speed=self.speeds[number % len(self.speeds)], cold_time=6.0)
         cell = number % len(self.racks)
         sender = Sender(f"s{number}", cell, self.racks[cell], self.tally, Random(self.rng.random()), shape,
                         cold=cold)
--- a/dykeshift/lab/plan.py
+++ b/dykeshift/lab/plan.py
@@ -61,7 +61,7 @@
 
 class Plan(Base, frozen=True):
     name: str
-    subject: Literal["model", "simulation"] = "model"
+    subject: Literal["model", "simulation", "processes"] = "model"
     policies: Annotated[tuple[str, ...], Meta(min_length=1)] = (OWN,)
     seeds: Annotated[int, Meta(ge=1, le=10_000)] | tuple[int, ...] = 3
     day: dict[str, Any] = field(default_factory=dict)
@@ -111,8 +111,12 @@
     try:
         plan = msgspec.convert(tomllib.loads(text), Plan)
         for cell in cells(plan):
-            if plan.subject == "model":
-                msgspec.convert(cell.day, Day)
+            if plan.subject != "simulation":
+                day = msgspec.convert(cell.day, Day)
+            if plan.subject == "processes":
+                from dykeshift.lab import processes
+
+                processes.check(day)
     except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as exc:
         raise PlanError(f"{name}: {exc}") from None
     return plan
--- a/dykeshift/lab/subjects.py
+++ b/dykeshift/lab/subjects.py
@@ -1,4 +1,4 @@
-"""What an experiment plays: the model or the simulation."""
+"""What an experiment plays: the model, the simulation, or real processes on loopback."""
 
 from __future__ import annotations
 
@@ -45,6 +45,10 @@
         figures = play(msgspec.convert(cell.day, Day), maker(cell.policy), cell.seed)
         made: dict[str, Any] = msgspec.to_builtins(figures)
         return made
+    if subject == "processes":
+        from dykeshift.lab.processes import run_day
+
+        return run_day(msgspec.convert(cell.day, Day), cell.seed)
     return _simulated(cell)
 
 
--- a/tests/fleet/test_experiments.py
+++ b/tests/fleet/test_experiments.py
@@ -120,6 +120,41 @@
     assert row["figures"]["broken"] == 0 and row["figures"]["requests"] > 10
 
 
+def test_real_processes_and_the_model_agree_on_a_small_day(tmp_path: Path) -> None:
+    """The same day in both; bounds for a busy machine (benchmarks/fleet_check.py has figures)."""
+    text = """
+name = "both"
+seeds = [1]
+[day]
+warm_s = 0
+load = [{ seconds = 2.5, load = 0.15 }]
+senders = { count = 4, slots = 4, kinds = [{ share = 0.5, speed = 0.6 }] }
+balancers = { count = 2 }
+work = { law = "constant", mean_ms = 40 }
+"""
+    figures = []
+    for subject in ("processes", "model"):
+        told = f'subject = "{subject}"\n{text}'
+        (row,) = runs.execute(parse(told), told, tmp_path / subject, 1, lambda n, row: None)
+        figures.append(row["figures"])
+    real, model = figures
+    assert real["served"] > 0.97 and model["served"] > 0.97
+    assert abs(real["attempts"] - model["attempts"]) < 0.25
+    assert model["percentiles_ms"]["50"] * 0.8 < real["percentiles_ms"]["50"]
+
+
+@pytest.mark.parametrize(("day", "said"), [
+    ("troubles = [{ kind = 'hang', at = 1 }]", "no troubles"),
+    ("senders = { count = 100 }", "at most 60 senders"),
+    ("work = { law = 'exponential' }", "work is constant"),
+    ("load = [{ seconds = 9, swing = 1 }]", "one steady"),
+])
+def test_what_real_processes_cannot_play_is_refused(day: str, said: str) -> None:
+    work = "" if "work" in day else "work = { law = 'constant' }\n"
+    with pytest.raises(PlanError, match=said):
+        parse(f"name = 'x'\nsubject = 'processes'\n[day]\nwarm_s = 0.5\n{work}{day}")
+
+
 def test_intervals_cover_the_mean_as_often_as_they_say() -> None:
     rng = np.random.default_rng(3)
     covered = sum(low <= 5.0 <= high for low, high in (
