--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -36,8 +36,8 @@
 ROOM = 4.0  # what all instances together trust a server with before anything is known
 LEAST_ROOM = 0.05  # below one, a share of the time: a failing server is still tried now and then
 SAFETY = 0.5  # of what it bears a server is sure to bear, also where nothing is known of its like
-CHANCE = 3.0  # standard deviations of the work in a window that the cold budget leaves free
-MOST_USED = 0.9  # of the cold budget, at any size: a small server of its kind, handshakes
+CHANCE = 4.5  # standard deviations of the work in a window that the cold budget leaves free
+MOST_USED = 0.7  # of the cold budget, at any size: a small server of its kind, large requests
 LAPSE = 0.5  # of an overload window: credit with a cold server is kept no longer
 SMOOTH = 0.1  # weight of the newest sample in a running mean: about the last twenty samples count
 NEAR_MOST, NEAR_PACE = 2, 0.3  # ours at a near server, its pace: up to these it still counts as idle
@@ -546,7 +546,8 @@
     def _used(limit: float) -> float:
         """The part u of a budget of so many requests a window that leaves room for chance.
 
-        Their work varies like that of exponential sizes: u + CHANCE x sqrt(u / limit) = 1, solved for u.
+        u + CHANCE x sqrt(u / limit) = 1, solved for u: the work of so many requests of exponential size
+        varies so; CHANCE is half as much again as those need, as sizes may vary more and are not told.
         """
         spread = CHANCE / sqrt(max(limit, 1.0))
         return min(MOST_USED, (sqrt(spread * spread + 4) - spread) ** 2 / 4)
