--- a/benchmarks/paper.py
+++ b/benchmarks/paper.py
@@ -49,17 +49,38 @@
             "load_closed_form": round(known.load, 4) if known else None, "load_model": round(got.busy, 4)}
 
 
+def draw(done: list[dict[str, Any]], to: str) -> None:
+    """Closed forms as crosses, the model with its intervals."""
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(11, 3.6), layout="constrained")
+    panels = (("4", "servers", 0.7), ("5, 6", "d", 0.3), ("5, 6", "d", 0.7), ("9", "d", 0.7))
+    for axes, (name, along, rate) in zip(figure.subplots(1, 4), panels, strict=True):
+        mine = [r for r in done if r["figure"] == name and r["rate"] == rate and r["policy"] == "riq"]
+        places = [str(r[along]) for r in mine]
+        axes.errorbar(places, [r["model"] for r in mine], [r["half_interval"] for r in mine], fmt="o",
+                      capsize=2, label="model, 95%")
+        axes.plot(places, [r["closed_form"] for r in mine], "kx", label="closed form")
+        axes.set(title=f"figure {name}, rate {rate}", xlabel=along, ylabel="mean response")
+        axes.set_yscale("log")
+    axes.legend()
+    figure.savefig(to, format="svg", metadata={"Date": None})
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--servers", type=int, default=1000)
     parser.add_argument("--jobs", type=int, default=200_000, help="jobs in each setting")
     parser.add_argument("--processes", type=int, default=os.cpu_count() or 1)
     parser.add_argument("--json", action="store_true")
+    parser.add_argument("--plot", metavar="FILE", help="draw figures 4, 5 and 9 there as SVG")
     options = parser.parse_args()
     if options.servers < 20:
         parser.error("--servers is at least 20")
     with ProcessPoolExecutor(options.processes) as pool:
         done = list(pool.map(one, rows(options.servers, options.jobs)))
+    if options.plot:
+        draw(done, options.plot)
     if options.json:
         print(json.dumps(done))
         return 0
--- a/dykeshift/cli/experiment.py
+++ b/dykeshift/cli/experiment.py
@@ -92,18 +92,23 @@
 @command.command("report")
 @click.argument("directory", type=Path)
 @click.option("--out", type=Path, metavar="FILE", help="Else report.html in the directory.")
+@click.option("--plots", "plots_to", type=Path, metavar="DIR", help="Write each plot there as SVG, too.")
 @JSON
-def report(directory: Path, out: Path | None, as_json: bool) -> int:
+def report(directory: Path, out: Path | None, plots_to: Path | None, as_json: bool) -> int:
     """Write a self-contained page with plots, tables and the commands that made them."""
     from dykeshift.lab import plan as plans
     from dykeshift.lab import runs
-    from dykeshift.lab.report import page
+    from dykeshift.lab.report import page, plots
 
     to = out or directory / "report.html"
     try:
         plan, rows, code = runs.load(directory)
         text = page(plan, rows, code, f"lifttrail experiment run FILE --out {directory}")
         to.write_text(text, encoding="utf-8")
+        for name, svg in (plots(plan, rows) if plots_to else {}).items():
+            assert plots_to is not None
+            plots_to.mkdir(parents=True, exist_ok=True)
+            (plots_to / f"{name}.svg").write_text(svg, encoding="utf-8")
     except plans.PlanError as exc:
         raise Usage(f"lifttrail experiment report: {exc}") from None
     except OSError as exc:
--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -44,7 +44,7 @@
 def _load(text: str) -> Any:
     from dykeshift.sim import scenario
 
-    if text.removesuffix(scenario.WITH_MLLP).isdecimal():
+    if text.removesuffix(scenario.WITH_MLLP).removesuffix(scenario.COLD_AT_SIZE).isdecimal():
         return scenario.draw(text)
     try:
         return scenario.load(Path(text).read_text(encoding="utf-8"))
@@ -58,15 +58,19 @@
 @click.option("--seeds", default="0:100", metavar="A:B", show_default=True,
               help="From A up to, without, B; or one seed.")
 @click.option("--mllp", is_flag=True, help="Days with clinics, seeds A+mllp to B+mllp.")
+@click.option("--cold", is_flag=True, help="Days of many balancers and cold senders, A+cold to B+cold.")
 @click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
 @JSON
-def run(seeds: str, mllp: bool, jobs: int, as_json: bool) -> int:
+def run(seeds: str, mllp: bool, cold: bool, jobs: int, as_json: bool) -> int:
     """Play many seeds; 1 where a rule was broken."""
     from dykeshift.sim.runner import Played, play_all
 
-    from dykeshift.sim.scenario import WITH_MLLP
+    from dykeshift.sim.scenario import COLD_AT_SIZE, WITH_MLLP
 
-    names = [seed + (WITH_MLLP if mllp else "") for seed in read_seeds(seeds)]
+    if mllp and cold:
+        raise Usage("lifttrail sim: --mllp and --cold are two kinds of days")
+    kind = WITH_MLLP if mllp else COLD_AT_SIZE if cold else ""
+    names = [seed + kind for seed in read_seeds(seeds)]
     if jobs < 1:
         raise Usage("lifttrail sim: --jobs is at least 1")
     count = [0, 0]
--- a/dykeshift/lab/report.py
+++ b/dykeshift/lab/report.py
@@ -43,6 +43,13 @@
             f"<style>{STYLE}</style>{body}</html>\n")
 
 
+def plots(plan: Plan, rows: list[Row]) -> dict[str, str]:
+    """The SVG of each figure that the plan shows."""
+    lines = [line for line in means(rows, plan.show) if line.value.seeds]
+    return {name: _plot(plan, name, [line for line in lines if line.figure == name])
+            for name in plan.show if any(line.figure == name for line in lines)}
+
+
 def _series(plan: Plan, lines: list[Line]) -> tuple[list[str], dict[str, dict[str, Estimate]]]:
     """Along the last axis of the plan; a series for each policy and each point of the other axes."""
     if not plan.axis:
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -33,6 +33,7 @@
 )
 DISK_FAULTS = ("disk-full", "disk-slow", "disk-fails")  # drawn where balancers keep a journal
 WITH_MLLP = "+mllp"  # ends the names of seeds whose days have clinics
+COLD_AT_SIZE = "+cold"  # and of those with many balancers before few senders that restart under load
 
 
 class ScenarioError(ValueError):
@@ -141,7 +142,9 @@
 
 
 def draw(seed: str) -> Scenario:
-    """The scenario that belongs to a seed; one that ends with `+mllp` is the same day with clinics."""
+    """The scenario that belongs to a seed; `+mllp`: the same day with clinics; `+cold`: another kind."""
+    if seed.endswith(COLD_AT_SIZE):
+        return _cold_at_size(_rng(seed, "cold"), seed)
     if seed.endswith(WITH_MLLP):
         return _with_clinics(_rng(seed, "clinics"), seed, draw(seed.removesuffix(WITH_MLLP)))
     options = _draw_options(_rng(seed, "options"))
@@ -226,13 +229,16 @@
         if fault.kind == "costly":
             asks += [_ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost * fault.size, options)
                      for _ in range(6)]
-    for n in range(24):
-        klass = n % 3
-        at = HEAL + RECOVERY + n * PROBES / 24
-        asks.append(Ask(_round(at, options), klass, 1.5, 30, retries=2))
+    asks += _last_asks(options)
     return tuple(sorted(asks, key=lambda a: a.at))
 
 
+def _last_asks(options: Options) -> list[Ask]:
+    """Those that show whether all is well again."""
+    first = HEAL + RECOVERY
+    return [Ask(_round(first + n * PROBES / 24, options), n % 3, 1.5, 30, retries=2) for n in range(24)]
+
+
 def _ask(rng: Random, at: float, mix: tuple[float, ...], cost: float, options: Options) -> Ask:
     klass = rng.choices(range(3), mix)[0]
     work = max(5, int(rng.expovariate(1 / cost)))
@@ -247,6 +253,23 @@
     )
 
 
+# ---- days on which the cold budget is all that keeps a sender up ----
+
+def _cold_at_size(rng: Random, seed: str) -> Scenario:
+    """So many balancers that one attempt of each is more than a cold sender bears: rooms alone don't help."""
+    options = Options(balancers=rng.choice([40, 60]), senders=5, slots=1, cold_share=0.12, cold_time=20.0,
+                      callback_us=0, keepalive=5.0)
+    rate, load = rng.choice([120.0, 160.0]), rng.choice([0.7, 0.9])
+    cost = load * options.senders * options.slots * 1000 / rate
+    asks, at = list[Ask](), 0.0
+    while (at := at + rng.expovariate(rate)) < CHAOS:
+        work = min(max(2, int(rng.expovariate(1 / cost))), int(cost * 4))
+        asks.append(Ask(_round(at, options), rng.choices(range(3), (0.2, 0.4, 0.4))[0], 1.0, work, retries=2))
+    faults = (Fault("release", round(rng.uniform(0.5, 2.0), 3), 2.0, rng.randrange(1000), 1.0),
+              Fault("kill-sender", round(rng.uniform(2.5, 4.0), 3), 0.3, rng.randrange(1000), 0.5))
+    return Scenario(seed, options, (*asks, *_last_asks(options)), faults)
+
+
 # ---- days with clinics ----
 
 def _with_clinics(rng: Random, seed: str, day: Scenario) -> Scenario:
--- a/tests/fleet/test_experiments.py
+++ b/tests/fleet/test_experiments.py
@@ -107,7 +107,8 @@
     assert {line["policy"] for line in lines} == {"lifttrail"} and all(x["seeds"] == 2 for x in lines)
     assert main(["experiment", "compare", out, out, "--figure", "in_aim", "--json"]) == 0
     assert all(line["mean"] == 0 for line in json.loads(capsys.readouterr().out))
-    assert main(["experiment", "report", out]) == 0
+    assert main(["experiment", "report", out, "--plots", out]) == 0
+    assert (file.with_suffix("") / "in_aim.svg").read_text().startswith("<svg")
     page = (file.with_suffix("") / "report.html").read_text()
     assert page.count("<svg") == 2 and "lifttrail experiment run" in page and "http-equiv" not in page
     assert main(["experiment", "compare", "/no/such"]) == main(["experiment", "report", "/no/such"]) == 2
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -30,7 +30,7 @@
 from dykeshift.node import reload
 from dykeshift.sim import referee
 from dykeshift.sim.day import play
-from dykeshift.sim.scenario import Scenario, draw
+from dykeshift.sim.scenario import COLD_AT_SIZE, Scenario, draw
 from tests.sim.defect import Mutant, Patch
 from tests.sim.mllp_mutants import MLLP_MUTANTS
 
@@ -327,6 +327,10 @@
     return [(driver.Driver, "_do", do)]
 
 
+def _ignore_cold_budget() -> list[Patch]:
+    return [(module.Balancer, "_cold_room", lambda self, now, one: True)]
+
+
 MUTANTS = [
     Mutant("answers a client twice", "server", (referee.TWICE_ANSWERED,), _answer_twice),
     Mutant("holds refusals back for 100 ms", "driver", (referee.HELD_BACK,), _hold_back),
@@ -365,6 +369,7 @@
     Mutant("keeps a crowd in mind that has gone", "rules", (referee.DEAF,), _crowd_for_good),
     Mutant("asks for timers that fire early", "driver", (referee.FAULT,), _spin),
     Mutant("raises in one of fifty timers", "rules", (referee.FAULT,), _raise_now_and_then),
+    Mutant("ignores the cold budget", "rules", (referee.COLD,), _ignore_cold_budget, COLD_AT_SIZE),
     *MLLP_MUTANTS,
 ]
 BY_NAME = {mutant.name: mutant for mutant in MUTANTS}
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -37,6 +37,12 @@
     assert not failed, "\n".join(failed)
 
 
+def test_days_with_cold_senders_before_many_balancers_break_no_rule() -> None:
+    seeds = [f"{seed}+cold" for seed in range(8)]
+    failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
+    assert not failed, "\n".join(failed)
+
+
 def test_a_quiet_day_is_served_whole() -> None:
     asks = tuple(Ask(0.5 + n / 20, n % 3, 1.0, 20) for n in range(100))
     result = play(Scenario("quiet", Options(), asks))
@@ -151,6 +157,7 @@
     "keeps a crowd in mind that has gone": "46",
     "asks for timers that fire early": "2",
     "raises in one of fifty timers": "1",
+    "ignores the cold budget": "0+cold",
     "forgets what it answered": "0+mllp",
     "sends what the journal does not have": "9+mllp",
     "takes a start without a journal for a first one": "29+mllp",
