--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -128,7 +128,8 @@
             item.klass = klass
 
     original = module.Balancer._allowed
-    return [(module.Balancer, "_allowed", allowed)]
+    return [(module.Balancer, "_allowed", allowed),
+            (module.Balancer, "_group", lambda self, anchor, scope: list(self.ready))]
 
 
 def _any_time() -> list[Patch]:
