The module asks for no identity of objects: what is in the pool is a set of servers

Cause: the test of the module's purity refuses id(). Change: servers compare by identity anyway, so a set of them serves. Result: the same decisions; the test passes, as do those of the decisions and of the cold budget.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -199,8 +199,8 @@
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
         self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
-        pooled = set(map(id, self.pool)) if self.cold and len(self.pool) < len(self.ready) else None
-        lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or id(s) in pooled)
+        pooled = set(self.pool) if self.cold and len(self.pool) < len(self.ready) else None
+        lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or s in pooled)
         self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
 
     # ---- draw ----
