A watch that waited in vain is repeated after several times its wait, not at once

Ruled out: a shorter wait of the first call (hold 0) changes no queue; patience alone (10 s) leaves 16 of 40. Change: rules.py, on_list: the pause grows with what the failed watch waited, up to half of the longest time without asking; discovery.py: a call is given up 2 s after its wait, as the protocol says, not 1 s.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -18,10 +18,12 @@
 
 log = logging.getLogger(__name__)
 
-# How long a watch may wait at discovery: short, so that one that has fallen silent shows within two
+# How long a watch may wait at discovery: short, so that one that has fallen silent shows within three
 # seconds. Going on from the last answer is no new call, and no work for discovery.
 HOLD_MS = 1_000
-GRACE = 1.0  # seconds more until a watch that said nothing counts as failed
+# Seconds more until a watch that said nothing counts as failed: what the protocol gives an answer after the
+# wait. A call that is given up sooner may still stand in discovery's queue, and its repeat behind it.
+GRACE = 2.0
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
 PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -48,6 +48,8 @@
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
+WATCH_BACK = 4.0  # times what a failed watch waited: its place in discovery's queue is served for nobody
+WATCH_LONGEST = 0.5  # of the longest time without asking: no pause is longer
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
@@ -132,7 +134,7 @@
         self.hints = [0.0] * len(settings.classes)  # running mean of the cost hints
         self.out = 0  # attempts that have not come back
         self.yielded = 0.0  # part of the latest requests that a server answered
-        self.watch_failures = 0
+        self.watch_failures = self.watched = 0  # in a row; when discovery was asked last or answered last
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
         self.acts: list[Action] = []
 
@@ -144,25 +146,23 @@
 
     def on_start(self, now: int) -> list[Action]:
         if self.settings.ask_discovery:
-            self.acts.append(Watch())
+            self._watch(now)
         return self.on_timer(now, "sweep")
 
     def on_discovery_moved(self, now: int) -> list[Action]:
         """Another discovery answers from now on: asked at once, and not blamed for the old one's failures."""
         self.watch_failures = 0
         if self.settings.ask_discovery:
-            self.acts.append(Watch())
+            self._watch(now)
         return self._done()
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
         if update.kind is ListKind.FAILED:
-            if self.settings.ask_discovery:  # well before it counts as told; spread, as all may fail together
-                self.watch_failures = min(self.watch_failures + 1, 4)
-                pause = self.settings.ask_every * WATCH_SHARE * 2 ** (self.watch_failures - 1)
-                self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+            if self.settings.ask_discovery:
+                self._ask_later(now)
             return self._done()
         if update.kind is not ListKind.CACHED:
-            self.watch_failures = 0
+            self.watch_failures, self.watched = 0, now
         if update.kind is not ListKind.DELTA:
             listed = {e.id for e in update.entries}
             for server in self.servers.values():
@@ -188,6 +188,22 @@
         self._gather(now)
         return self._done()
 
+    def _ask_later(self, now: int) -> None:
+        """A pause before the next watch: well before all counts as told; spread, as all may fail at once.
+
+        One that waited in vain leaves its call in discovery's queue. While all balancers repeat sooner than
+        that queue is worked off, every call in it is dead before its turn, and none ever gets a list.
+        """
+        self.watch_failures = min(self.watch_failures + 1, 4)
+        longest = self.settings.ask_every * WATCH_LONGEST
+        first = max(self.settings.ask_every * WATCH_SHARE, WATCH_BACK * (now - self.watched))
+        pause = min(first * 2 ** (self.watch_failures - 1), longest)
+        self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+
+    def _watch(self, now: int) -> None:
+        self.watched = now
+        self.acts.append(Watch())
+
     def _gather(self, now: int) -> None:
         """The pool: no more servers than this instance has requests for in an overload window.
 
@@ -558,7 +574,7 @@
             self._sweep(now)
             self.acts.append(SetTimer("sweep", now + int(self.settings.overload_window * SWEEP_SHARE)))
         elif token == "watch":
-            self.acts.append(Watch())
+            self._watch(now)
         elif token.startswith("r:"):
             item = self.open.get(token[2:])
             if item is not None and not item.closed:
