A balancer draws from as many servers as it meets within the longest aim

Cause: rules.py, _gather: the pool was all that is met in an overload window (3 s), while a jam forms within an aim. Change: as many as are met in the longest aim, and while there is no mean, by the rate so far.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -135,6 +135,8 @@
         self.out = 0  # attempts that have not come back
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = self.watched = 0  # in a row; when discovery was asked last or answered last
+        self.longest_aim = max((c.aim for c in settings.classes), default=0)
+        self.started = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
         self.acts: list[Action] = []
 
@@ -145,6 +147,7 @@
     # ---- the list of servers ----
 
     def on_start(self, now: int) -> list[Action]:
+        self.started = now
         if self.settings.ask_discovery:
             self._watch(now)
         return self.on_timer(now, "sweep")
@@ -205,14 +208,18 @@
         self.acts.append(Watch())
 
     def _gather(self, now: int) -> None:
-        """The pool: no more servers than this instance has requests for in an overload window.
+        """The pool: no more servers than this instance has requests for in the longest aim.
 
-        Met more seldom, what was learned of a server is no longer true, and connections cost too much.
+        Each is met about once in that time, in which a jam can form. Met more seldom, what was learned of a
+        server is no longer true: rooms, paces and rests follow what was, and a connection is dialled for
+        nearly every request.
         """
         if not self.sorted:
             self.ready.sort(key=lambda s: s.rank)
             self.sorted = True
-        met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
+        met = self.arrivals * self.longest_aim / self.settings.overload_window
+        if self.sweeps < 2:  # twice what came so far: without a mean yet, the pool has to grow as they come
+            met = max(met, 2 * self.arrived * min(1.0, self.longest_aim / max(1, now - self.started)))
         self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
         pooled = set(self.pool) if self.cold and len(self.pool) < len(self.ready) else None
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -325,7 +325,7 @@
             request = Request(f"x{n}", 2, world.now + 1500 * MS, retry=again)
             world.requests[request.id] = Seen(request, CLASSES[2])
             world.play(world.balancer.on_request(world.now, request))
-            world.advance(40 * MS)
+            world.advance(5 * MS)
             world.end_all(request.id)
         met.append(len(world.balancer.pool))
         world.settle()
@@ -470,3 +470,25 @@
     world.end(rid, 0, Outcome.RESET)
     sends = [a for a in world.actions if isinstance(a, Send) and a.request_id == rid]
     assert [s.begin_by for s in sends] == [began + world.settings.classes[1].window] * 2
+
+
+@pytest.mark.parametrize(("gap", "least", "most"), [(40, 10, 11), (10, 35, 45), (4, 60, 60)])
+def test_the_pool_holds_what_is_met_within_the_longest_aim(gap: int, least: int, most: int) -> None:
+    """join+vast: of 60 servers, each met every three seconds, rooms and paces told what had been."""
+    world = fleet(60)
+    for _ in range(400):
+        rid = world.submit(2)
+        world.advance(gap * MS)
+        world.end_all(rid)
+    assert least <= len(world.balancer.pool) <= most
+    world.settle()
+
+
+def test_the_pool_grows_with_the_first_requests_before_any_mean_is_known() -> None:
+    """100 servers, 16 balancers in the model: ten servers took the first half second of each balancer."""
+    world = fleet(100)
+    for n in range(100):
+        world.submit(2)
+        world.advance(2 * MS)
+        assert len(world.balancer.pool) > min(n, 98), "more requests have come than servers are drawn from"
+    world.settle()
