--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -158,7 +158,7 @@
     "asks for timers that fire early": "2",
     "raises in one of fifty timers": "1",
     "ignores the cold budget": "0+cold",
-    "forgets what it answered": "1+mllp",
+    "forgets what it answered": "2+mllp",
     "sends what the journal does not have": "9+mllp",
     "takes a start without a journal for a first one": "53+mllp",
     "rejects what failed": "0+mllp",
