A cold server's budget counts the instances that draw from it, not all there are

Seen: with pools of 13 of 60 servers and 40 balancers nine draw from one server, yet rules.py (_cold_room) took the limit of all 40, 4.6 times what really comes; the part of the budget left free for chance was too small by as much. Change: _sharing, the instances that draw from one server; a module test fails without it.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -226,6 +226,10 @@
         lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or s in pooled)
         self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
 
+    def _sharing(self) -> float:
+        """How many instances draw from one server, where all have pools of this one's size."""
+        return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.ready)))
+
     # ---- draw ----
 
     def _draw(self, now: int, item: Open) -> list[Server]:
@@ -556,7 +560,7 @@
         served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
         bears = self.settings.overload_multiple * self._warmth(now, server) * served
         bears *= server.entry.weight / self.mean_weight / self.whole
-        bears *= self._used(bears * self.arrivals * self.settings.balancers)
+        bears *= self._used(bears * self.arrivals * self._sharing())
         server.credit += bears * (self.arrived - server.credited)
         server.credited = self.arrived
         most = 1 + bears * self.arrivals * LAPSE
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -492,3 +492,19 @@
         world.advance(2 * MS)
         assert len(world.balancer.pool) > min(n, 98), "more requests have come than servers are drawn from"
     world.settle()
+
+
+def test_a_cold_servers_limit_is_that_of_the_instances_that_draw_from_it() -> None:
+    """Of 40 instances with pools of 10 of 60 servers, seven draw from one: chance weighs more for seven."""
+    world = fleet(60, balancers=40)
+    asked = []
+    used = world.balancer._used
+    world.balancer._used = lambda limit: asked.append(limit) or used(limit)  # type: ignore[func-returns-value,method-assign]
+    warm_up(world, 60, 2)
+    started = world.now
+    world.announce(ListKind.DELTA, *(entry(n, started=started) for n in range(60)))
+    warm_up(world, 20, 2)
+    b = world.balancer
+    assert len(b.pool) < 20 and asked
+    all_to_a_whole_one = b.settings.overload_multiple * b.arrivals * b.settings.balancers / len(b.ready)
+    assert max(asked) <= 2 * all_to_a_whole_one * b.settings.cold_share + 1
