What run imports and starts is held by a test, and what build makes anew

The test runs the daemon's main under an audit hook until it serves and ends: no process started, no module of MLLP, store, commands, model or the extras loaded; its own defect (a program started) is caught. deploy/build is run with a stand-in interpreter over no .venv, an empty folder, an older and another path's one: each made anew, a whole one left alone.

--- /dev/null
+++ b/tests/node/test_one_process.py
@@ -0,0 +1,112 @@
+"""What `run` is: one process of the interpreter that starts no other and holds no other front's libraries."""
+
+from __future__ import annotations
+
+import ast
+import json
+import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.node.stubs import configuration
+
+ROOT = Path(__file__).parents[2]
+# What else the daemon could bring: other fronts, the commands and what the extras install.
+OTHERS = {"click", "rich", "msgspec", "structlog", "numpy", "matplotlib", "aiohttp", "hdrh", "tomllib",
+          "dykeshift.mllp", "dykeshift.store", "dykeshift.sim", "dykeshift.fleet", "dykeshift.lab",
+          "dykeshift.load", "dykeshift.standins", "dykeshift.demo", "dykeshift.cli", "dykeshift.benchlink"}
+FORBIDDEN = {"os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system",
+             "subprocess.Popen", "pty.spawn"}
+# Stands in for the interpreter's own start: notes what would start a process, ends the program once it serves.
+WATCHED = """
+import asyncio, json, os, runpy, signal, sys
+seen = []
+sys.addaudithook(lambda event, args: seen.append(event) if event in %r else None)
+if %r:
+    %s
+from dykeshift.node import __main__ as node
+settle = node.settle
+def serving(*args):
+    settle(*args)
+    os.kill(os.getpid(), signal.SIGTERM)
+node.settle = serving
+node.LINGER = 0.0
+code = node.main()
+print(json.dumps({"code": code, "seen": seen, "modules": sorted(sys.modules)}))
+"""
+
+
+def served(tmp_path: Path, before: str = "") -> dict[str, object]:
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps(configuration(("127.0.0.1", 9))))
+    program = WATCHED % (FORBIDDEN, bool(before), before or "pass")
+    ended = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True,
+                           env={**os.environ, "NODE_CONFIG": str(config)}, timeout=60, check=False)
+    assert ended.returncode == 0, ended.stderr
+    told: dict[str, object] = json.loads(ended.stdout.splitlines()[-1])
+    return told
+
+
+def test_run_starts_no_process_and_imports_nothing_of_other_fronts(tmp_path: Path) -> None:
+    told = served(tmp_path)
+    assert told["code"] == 0
+    assert told["seen"] == []
+    modules = told["modules"]
+    assert isinstance(modules, list) and "dykeshift.rules" in modules
+    assert not [m for m in modules if m in OTHERS or any(m.startswith(o + ".") for o in OTHERS)]
+
+
+def test_the_watch_over_run_sees_a_process_that_is_started(tmp_path: Path) -> None:
+    """The check's own defect: a daemon that starts a program is caught."""
+    told = served(tmp_path, "import subprocess; subprocess.run(['true'])")
+    assert "subprocess.Popen" in str(told["seen"])
+
+
+def test_run_ends_by_exec_in_the_interpreter() -> None:
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    words = deploy["run"].split()
+    assert words == ["exec", ".venv/bin/python", "-m", "dykeshift.node"]
+    source = ast.parse((ROOT / "dykeshift/node/__main__.py").read_text())
+    names = {a.name for n in ast.walk(source) if isinstance(n, ast.Import) for a in n.names}
+    assert not names & {"subprocess", "multiprocessing"}
+
+
+@pytest.mark.parametrize("left", ["nothing", "a folder", "an older one", "another's"])
+def test_build_makes_anew_what_is_not_whole(tmp_path: Path, left: str) -> None:
+    """With a stand-in for the interpreter: what `build` asks of it, not what the registry answers."""
+    calls = tmp_path / "calls"
+    stand_in = tmp_path / "bin" / "python3"
+    stand_in.parent.mkdir()
+    stand_in.write_text(f"""#!/bin/sh
+echo "$@" >>{calls}
+case "$*" in
+*version*) echo 3.11 ;;
+"-m venv .venv") mkdir -p .venv/bin && cp "$0" .venv/bin/python ;;
+esac
+""")
+    stand_in.chmod(0o755)
+    root = tmp_path / "root"
+    (root / "deploy").mkdir(parents=True)
+    (root / "deploy/build").write_text((ROOT / "deploy/build").read_text())
+    (root / "requirements.txt").write_text("one==1\n")
+    env = {**os.environ, "PATH": f"{stand_in.parent}:{os.environ['PATH']}"}
+
+    def build() -> str:
+        calls.write_text("")
+        subprocess.run(["sh", "deploy/build"], cwd=root, env=env, check=True, timeout=60)
+        return calls.read_text()
+
+    if left == "a folder":
+        (root / ".venv").mkdir()
+    elif left != "nothing":
+        build()
+        (root / "requirements.txt").write_text("one==2\n")
+        if left == "another's":
+            (root / "requirements.txt").write_text("one==1\n")
+            (root / ".venv/made-from.txt").write_text("elsewhere\n")
+    assert "install -r requirements.txt" in build()
+    assert "install" not in build(), "what is whole is left alone"
