--- a/tests/node/test_one_process.py
+++ b/tests/node/test_one_process.py
@@ -21,7 +21,7 @@
           "dykeshift.load", "dykeshift.standins", "dykeshift.demo", "dykeshift.cli", "dykeshift.benchlink"}
 FORBIDDEN = {"os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system",
              "subprocess.Popen", "pty.spawn"}
-# Stands in for the interpreter's own start: notes what would start a process, ends the program once it serves.
+# Notes what would start a process, and ends the program once it serves.
 WATCHED = """
 import asyncio, json, os, runpy, signal, sys
 seen = []
