--- /dev/null
+++ b/tests/fleet/before.py
@@ -0,0 +1,29 @@
+"""What the module did before the days at size: seeded defects for tests, the other side for the benchmark."""
+
+from __future__ import annotations
+
+from dykeshift.interface import Action, ListKind, ServerList, SetTimer
+from dykeshift.rules import DRAW, POOL_LEAST, SAFETY, WATCH_SHARE, Balancer
+
+
+class Hasty(Balancer):
+    """Repeats a failed watch after pauses that know nothing of what the call had waited."""
+
+    def on_list(self, now: int, update: ServerList) -> list[Action]:
+        if update.kind is not ListKind.FAILED:
+            return super().on_list(now, update)
+        self.watch_failures = min(self.watch_failures + 1, 4)
+        pause = self.settings.ask_every * WATCH_SHARE * 2 ** (self.watch_failures - 1)
+        return [SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random())))]
+
+
+class Wide(Balancer):
+    """Draws from all servers that it meets within an overload window."""
+
+    def _gather(self, now: int) -> None:
+        super()._gather(now)
+        met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
+        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
+        pool = set(self.pool)
+        lacking = sum(1 - self._warmth(now, s) for s in self.cold if s in pool)
+        self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
