--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -19,7 +19,7 @@
 
 FILE = "deploy/lifttrail.toml"
 # Each has Options, check, carrier, objection, connections, start.
-SECTIONS = {"logs": "dykeshift.node.logs", "mllp": "dykeshift.node.mllp"}
+SECTIONS = {"logs": "dykeshift.node.logs", "mllp": "dykeshift.node.mllp", "tally": "dykeshift.node.tally"}
 
 
 class Service(Protocol):
--- /dev/null
+++ b/dykeshift/node/tally.py
@@ -0,0 +1,119 @@
+"""`[tally]`: now and then one record of the log with what was counted since the last, to add up over a fleet.
+
+What is counted goes over the seam between driver and decision module, so it is counted there: the module is
+wrapped, and without the section there is no wrapper. `benchmarks/tally.py` adds up the logs of all balancers.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING, Annotated, Any
+
+from msgspec import Meta, Struct
+
+from dykeshift.interface import Action, AttemptEnd, Fail, Refuse, Request, Send, ServerList, Settings, Watch
+from dykeshift.rules import Balancer
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from dykeshift.clock import Clock
+    from dykeshift.engine import config
+    from dykeshift.engine.requests import Objection
+    from dykeshift.engine.upstream import Carrier
+    from dykeshift.node.features import Host
+
+log = logging.getLogger(__name__)
+EVENT = "tally"
+
+
+class Options(Struct, frozen=True, forbid_unknown_fields=True):
+    every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 5.0
+
+
+class Counted:
+    """A decision module that notes what goes in and out. Decides nothing."""
+
+    def __init__(self, module: Balancer) -> None:
+        self.module = module
+        self.counts: Counter[str] = Counter()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.module, name)
+
+    def on_request(self, now: int, request: Request) -> list[Action]:
+        self.counts["retries" if request.retry else "requests"] += 1
+        return self._noted(self.module.on_request(now, request))
+
+    def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
+        self.counts["end_" + end.outcome.name.lower()] += 1
+        return self._noted(self.module.on_attempt_end(now, end))
+
+    def on_list(self, now: int, update: ServerList) -> list[Action]:
+        self.counts["list_" + update.kind.name.lower()] += 1
+        return self._noted(self.module.on_list(now, update))
+
+    def on_timer(self, now: int, token: str) -> list[Action]:
+        return self._noted(self.module.on_timer(now, token))
+
+    def _noted(self, actions: list[Action]) -> list[Action]:
+        for action in actions:
+            if isinstance(action, Send):
+                self.counts["attempts"] += 1
+            elif isinstance(action, Refuse):
+                self.counts["refused"] += 1
+            elif isinstance(action, Fail):
+                self.counts["failed"] += 1
+            elif isinstance(action, Watch):
+                self.counts["watches"] += 1
+        return actions
+
+
+class Tally:
+    """Writes the record, from one timer."""
+
+    def __init__(self, host: Host, every: float) -> None:
+        self.host, self.every = host, every
+        self.module = Counted(host.driver.balancer)
+        host.driver.balancer = self.module  # type: ignore[assignment]
+        self.timer = host.loop.call_later(every, self._write)
+
+    def _write(self) -> None:
+        module, driver = self.module, self.host.driver
+        now = self.host.clock.monotonic_ns()
+        state = {"pool": len(module.pool), "ready": len(module.ready), "cold": len(module.cold),
+                 "resting": sum(now < s.rest_until for s in module.pool), "connections": driver.pool.open,
+                 "admit": round(module.admit, 3), "crowd": round(module.crowd, 3)}
+        fields = {"seconds": self.every, "counts": dict(module.counts), "state": state}
+        module.counts.clear()
+        log.info("counts of %g s", self.every, extra={"event": EVENT, "fields": fields})
+        self.timer = self.host.loop.call_later(self.every, self._write)
+
+    def drain(self) -> None: ...
+
+    def busy(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        self.timer.cancel()
+
+
+def check(options: Options, settings: Settings | None) -> None:
+    """Nothing beyond the kinds of its values."""
+
+
+def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> Carrier | None:
+    return None
+
+
+def objection(options: Options) -> Objection | None:
+    return None
+
+
+def connections(options: Options, given: config.Config) -> int:
+    return 0
+
+
+async def start(options: Options, host: Host) -> Tally:
+    return Tally(host, options.every_s)
