The tally's test waits for the record it is about

It read the first two lines, which on a busy machine need not hold a failed list; it now reads until one does.

--- a/tests/node/test_tally.py
+++ b/tests/node/test_tally.py
@@ -40,7 +40,8 @@
     done = counted.actions
     assert wrapper.counts["requests"] == 50 and wrapper.counts["list_full"] == 1
     assert wrapper.counts["attempts"] == sum(isinstance(a, Send) for a in done)
-    assert wrapper.counts["refused"] + wrapper.counts["failed"] == sum(isinstance(a, Refuse | Fail) for a in done)
+    given_up = wrapper.counts["refused"] + wrapper.counts["failed"]
+    assert given_up == sum(isinstance(a, Refuse | Fail) for a in done)
     ends = sum(n for name, n in wrapper.counts.items() if name.startswith("end_"))
     assert ends == wrapper.counts["attempts"]
 
@@ -54,14 +55,18 @@
         env={**os.environ, "NODE_CONFIG": str(path), "LIFTTRAIL_FEATURES": str(features)})
     assert process.stderr is not None
     try:
-        log.write_text("".join(process.stderr.readline() for _ in range(2)))
+        told = ""
+        while "list_failed" not in told:  # discovery refuses, and is asked again and again
+            told = process.stderr.readline()
+            assert told
+        log.write_text(told)
     finally:
         process.terminate()
         assert process.wait(30) == 0
         process.stderr.close()
     assert main([str(log), "--json"]) == 0
     row = json.loads(capsys.readouterr().out)[0]
-    assert row["balancers"] == 1 and row["watches"] + row["list_failed"] > 0
+    assert row["balancers"] == 1 and row["list_failed"] > 0
 
 
 def test_counts_are_added_up_by_period_and_told_for_each_first_try(
