--- a/tests/node/test_tally.py
+++ b/tests/node/test_tally.py
@@ -84,7 +84,8 @@
 
 
 @pytest.mark.parametrize("text", [
-    None, "", "nothing of ours\n", '{"event": "tally"}', '{"event": "tally", ', line("05", {"requests": "many"}),
+    None, "", "nothing of ours\n",
+    '{"event": "tally"}', '{"event": "tally", ', line("05", {"requests": "many"}),
     line("05", {}, state={}), line("05", {}, timestamp="yesterday"), line("05", {}, seconds=None)])
 def test_bad_input_is_one_line_and_exit_2(text: str | None, tmp_path: Path,
                                           capsys: pytest.CaptureFixture[str]) -> None:
