The logs and the tally share the parts of a feature that serves nothing

dykeshift/node/logs.py and tally.py each held the same four functions and the same service; they stand once, in dykeshift/node/quiet.py. Behaviour unchanged; lint, types, import rules and the tests of both features pass.

--- a/dykeshift/node/logs.py
+++ b/dykeshift/node/logs.py
@@ -15,17 +15,13 @@
 from msgspec import Struct
 from structlog.typing import Processor
 
-from dykeshift.engine import config
-from dykeshift.interface import Settings
+from dykeshift.node.quiet import Still, carrier, check, connections, objection
 
 if TYPE_CHECKING:
-    import asyncio
-
-    from dykeshift.clock import Clock
-    from dykeshift.engine.requests import Objection
-    from dykeshift.engine.upstream import Carrier
     from dykeshift.node.features import Host
 
+__all__ = ["Options", "carrier", "check", "connections", "formatter", "objection", "start"]
+
 Event = MutableMapping[str, Any]
 
 
@@ -34,33 +30,6 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
-def check(options: Options, settings: Settings | None) -> None:
-    """Nothing beyond the kinds of its values."""
-
-
-def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> Carrier | None:
-    return None
-
-
-def objection(options: Options) -> Objection | None:
-    return None
-
-
-def connections(options: Options, given: config.Config) -> int:
-    return 0
-
-
-class Still:
-    """A log has nothing to drain; its records are written as they come."""
-
-    def drain(self) -> None: ...
-
-    def busy(self) -> bool:
-        return False
-
-    def close(self) -> None: ...
-
-
 async def start(options: Options, host: Host) -> Still:
     lines = sys.stderr.isatty() if options.form == "auto" else options.form == "lines"
     handler = logging.StreamHandler()
--- a/dykeshift/node/tally.py
+++ b/dykeshift/node/tally.py
@@ -12,18 +12,15 @@
 
 from msgspec import Meta, Struct
 
-from dykeshift.interface import Action, AttemptEnd, Fail, Refuse, Request, Send, ServerList, Settings, Watch
+from dykeshift.interface import Action, AttemptEnd, Fail, Refuse, Request, Send, ServerList, Watch
+from dykeshift.node.quiet import Still, carrier, check, connections, objection
 from dykeshift.rules import Balancer
 
 if TYPE_CHECKING:
-    import asyncio
-
-    from dykeshift.clock import Clock
-    from dykeshift.engine import config
-    from dykeshift.engine.requests import Objection
-    from dykeshift.engine.upstream import Carrier
     from dykeshift.node.features import Host
 
+__all__ = ["Counted", "Options", "Tally", "carrier", "check", "connections", "objection", "start"]
+
 log = logging.getLogger(__name__)
 EVENT = "tally"
 
@@ -70,7 +67,7 @@
         return actions
 
 
-class Tally:
+class Tally(Still):
     """Writes the record, from one timer."""
 
     def __init__(self, host: Host, every: float) -> None:
@@ -90,30 +87,9 @@
         log.info("counts of %g s", self.every, extra={"event": EVENT, "fields": fields})
         self.timer = self.host.loop.call_later(self.every, self._write)
 
-    def drain(self) -> None: ...
-
-    def busy(self) -> bool:
-        return False
-
     def close(self) -> None:
         self.timer.cancel()
 
 
-def check(options: Options, settings: Settings | None) -> None:
-    """Nothing beyond the kinds of its values."""
-
-
-def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> Carrier | None:
-    return None
-
-
-def objection(options: Options) -> Objection | None:
-    return None
-
-
-def connections(options: Options, given: config.Config) -> int:
-    return 0
-
-
 async def start(options: Options, host: Host) -> Tally:
     return Tally(host, options.every_s)
