The tally counts clients that go and watches at a new discovery

Seen on reading the change again: two of the module's events went past the wrapper, so a request answered by the driver because its time was over was in no count, and a watch after SIGHUP neither. Both are counted now; the test fails without them.

--- a/benchmarks/tally.py
+++ b/benchmarks/tally.py
@@ -14,8 +14,8 @@
 from datetime import datetime
 from typing import Any
 
-COUNTED = ("attempts", "refused", "failed", "end_ok", "end_cancelled", "end_timeout", "end_connect_failed",
-           "end_full", "watches", "list_failed")  # shown for each first try
+COUNTED = ("attempts", "refused", "failed", "gone", "end_ok", "end_cancelled", "end_timeout",
+           "end_connect_failed", "end_full", "watches", "list_failed")  # shown for each first try
 SHOWN = ("pool", "ready", "cold", "resting", "connections", "admit", "crowd")  # means over the balancers
 
 
--- a/dykeshift/node/tally.py
+++ b/dykeshift/node/tally.py
@@ -51,6 +51,13 @@
         self.counts["list_" + update.kind.name.lower()] += 1
         return self._noted(self.module.on_list(now, update))
 
+    def on_client_gone(self, now: int, request_id: str) -> list[Action]:
+        self.counts["gone"] += 1  # the client left, or its time was over and the driver answered
+        return self._noted(self.module.on_client_gone(now, request_id))
+
+    def on_discovery_moved(self, now: int) -> list[Action]:
+        return self._noted(self.module.on_discovery_moved(now))
+
     def on_timer(self, now: int, token: str) -> list[Action]:
         return self._noted(self.module.on_timer(now, token))
 
--- a/tests/node/test_tally.py
+++ b/tests/node/test_tally.py
@@ -46,6 +46,16 @@
     assert ends == wrapper.counts["attempts"]
 
 
+def test_clients_that_go_and_watches_at_a_new_discovery_are_counted_too() -> None:
+    world = World(make_settings(ask_discovery=True), 7)
+    wrapper = Counted(world.balancer)
+    world.balancer = wrapper  # type: ignore[assignment]
+    world.announce(ListKind.FULL, *(entry(n) for n in range(6)))
+    world.play(wrapper.on_client_gone(world.now, world.submit(2)))
+    assert world.play(wrapper.on_discovery_moved(world.now))
+    assert wrapper.counts["gone"] == 1 and wrapper.counts["watches"] == 1
+
+
 def test_the_daemon_writes_what_the_tool_reads(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path, features, log = tmp_path / "config.json", tmp_path / "lifttrail.toml", tmp_path / "n0.log"
     path.write_text(json.dumps(configuration(("127.0.0.1", 9))))
