Console, ledger, one drain, upstreams out by hand, settings at SIGHUP

A console on the daemon's loop (six calls, callers bounded), a ledger fed where things happen, one drain state machine for SIGTERM and standby, bans as events of the module, classes at places that never change so that requests under way keep theirs, files checked as at the start and taken whole or not at all.

--- a/dykeshift/cli/check.py
+++ b/dykeshift/cli/check.py
@@ -83,13 +83,6 @@
             Reader(SYSTEM, given.zones, given.kinds).read(given.known)
         except ValueError as exc:
             yield f"known: {exc}"
-    for klass in given.settings.classes:
-        if klass.deadline <= 0 or klass.aim <= 0:
-            yield f"class {klass.name}: aim and deadline are positive"
-    if not given.settings.classes:
-        yield "settings.services is empty: there is nothing to balance"
-    if len({c.name for c in given.settings.classes}) < len(given.settings.classes):
-        yield "settings.services names a class twice"
 
 
 def doubts(raw: dict[str, Any]) -> Iterator[str]:
--- /dev/null
+++ b/dykeshift/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' calls: figures, upstreams out by hand, standby."""
--- /dev/null
+++ b/dykeshift/console/calls.py
@@ -0,0 +1,130 @@
+"""What each call asks and how it is answered: no sockets, no clock. It knows a desk that does as asked.
+
+Nothing changes unless the answer is a yes; every no is one plain line.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+MAX_BODY = 4096
+MAX_NAME = 256
+
+
+class Desk(Protocol):
+    """Who carries the calls out."""
+
+    def figures(self) -> dict[str, Any]: ...
+
+    def enter(self, name: str) -> bool:
+        """Ban an upstream; False: none of that name was ever listed."""
+
+    def exit(self, name: str) -> bool: ...
+
+    def standby(self) -> None: ...
+
+    def active(self) -> bool:
+        """False: the process is ending."""
+
+
+class No(Exception):
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    body: bytes
+    kind: bytes = b"text/plain"
+    allow: bytes = b""
+
+
+def _status(desk: Desk, body: bytes) -> Answer:
+    return _said("serving")
+
+
+def _metrics(desk: Desk, body: bytes) -> Answer:
+    text = json.dumps(desk.figures(), separators=(",", ":"))
+    return Answer(200, text.encode() + b"\n", b"application/json")
+
+
+def _enter(desk: Desk, body: bytes) -> Answer:
+    name = _name(body)
+    if not desk.enter(name):
+        raise No(404, "no upstream of that name was ever listed")
+    return _said("out by hand")
+
+
+def _exit(desk: Desk, body: bytes) -> Answer:
+    name = _name(body)
+    if not desk.exit(name):
+        raise No(404, "no upstream of that name was ever listed")
+    return _said("back")
+
+
+def _standby(desk: Desk, body: bytes) -> Answer:
+    desk.standby()
+    return _said("draining")
+
+
+def _active(desk: Desk, body: bytes) -> Answer:
+    if not desk.active():
+        raise No(409, "the process is ending")
+    return _said("serving")
+
+
+def _said(text: str) -> Answer:
+    return Answer(200, text.encode() + b"\n")
+
+
+def _name(body: bytes) -> str:
+    try:
+        given = json.loads(body)
+    except (ValueError, RecursionError):
+        raise No(400, "the body is no JSON") from None
+    name = given.get("name") if isinstance(given, dict) else None
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME:
+        raise No(400, 'the body is no object with a "name" of 1 to 256 characters')
+    return name
+
+
+Call = Callable[[Desk, bytes], Answer]
+CALLS: dict[bytes, tuple[bytes, Call]] = {
+    b"/status": (b"GET", _status),
+    b"/status/metrics": (b"GET", _metrics),
+    b"/maintenance/enter": (b"PUT", _enter),
+    b"/maintenance/exit": (b"PUT", _exit),
+    b"/standby": (b"PUT", _standby),
+    b"/active": (b"PUT", _active),
+}
+
+
+def answer(desk: Desk, method: bytes, target: bytes, body: bytes) -> Answer:
+    """One whole call."""
+    found = CALLS.get(target.partition(b"?")[0])
+    if found is None:
+        return refusal(404, "there is no such call")
+    wanted, call = found
+    if method != wanted:
+        return Answer(405, b"the method of this call is " + wanted + b"\n", allow=wanted)
+    try:
+        return call(desk, body)
+    except No as exc:
+        return refusal(exc.status, str(exc))
+
+
+def refusal(status: int, text: str) -> Answer:
+    return Answer(status, text.encode() + b"\n")
+
+
+def render(answer: Answer, reason: bytes) -> bytes:
+    lines = [b"HTTP/1.1 %d %s" % (answer.status, reason), b"Content-Type: " + answer.kind,
+             b"Content-Length: %d" % len(answer.body), b"Connection: close"]
+    if answer.allow:
+        lines.append(b"Allow: " + answer.allow)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + answer.body
--- /dev/null
+++ b/dykeshift/console/shell.py
@@ -0,0 +1,116 @@
+"""The console's listener: one call to a connection, callers bounded in number and time."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import cast
+
+import httptools
+
+from dykeshift.console import calls
+from dykeshift.console.calls import Answer, Desk
+from dykeshift.engine.http1 import Gatherer, Unacceptable, status_of
+
+MOST = 16  # callers at once; their descriptors are set aside
+HOLD = 6.0  # seconds for a whole call, and again for reading its answer
+BACKLOG = 128
+
+
+class Console:
+    def __init__(self, loop: asyncio.AbstractEventLoop, desk: Desk) -> None:
+        self.loop, self.desk = loop, desk
+        self.callers: dict[Caller, None] = {}  # in the order of their coming
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: tuple[str, int]) -> None:
+        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
+
+    def admit(self, caller: Caller) -> None:
+        """Count one in. Over the number, the oldest that has sent nothing makes room, else the oldest."""
+        self.callers[caller] = None
+        if len(self.callers) > MOST:
+            others = [c for c in self.callers if c is not caller]
+            next((c for c in others if not c.fed), others[0]).abort()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            if not caller.answered:
+                caller.abort()
+
+
+class Caller(Gatherer, asyncio.Protocol):
+    __slots__ = ("console", "transport", "parser", "target", "answered", "whole", "timer")
+
+    def __init__(self, console: Console) -> None:
+        super().__init__(calls.MAX_BODY)
+        self.console = console
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.answered = self.whole = False
+        self.timer = console.loop.call_later(HOLD, self.abort)
+
+    def abort(self) -> None:
+        self.console.callers.pop(self, None)
+        if self.transport is not None:
+            self.transport.abort()
+
+    # ---- callbacks of the transport ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.console.admit(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered or self.parser is None:
+            return
+        try:
+            self.parser.feed_data(data)
+            self.count(len(data))
+        except httptools.HttpParserUpgrade:
+            self._answer(calls.refusal(400, "no upgrade is offered"))
+        except (httptools.HttpParserError, Unacceptable) as exc:
+            if not self.whole:  # what follows a whole call is not read
+                self._answer(calls.refusal(status_of(exc), "unacceptable or malformed HTTP"))
+        if self.whole and not self.answered:
+            method = self.parser.get_method()
+            self._answer(calls.answer(self.console.desk, method, self.target, bytes(self.body)))
+
+    def eof_received(self) -> bool:
+        return True  # who has sent its call and closed that way still gets its answer
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.console.callers.pop(self, None)
+        self.timer.cancel()
+        self.transport = self.parser = None
+
+    # ---- callbacks of the parser ----
+
+    def on_url(self, url: bytes) -> None:
+        if not self.whole:
+            self.target += url
+
+    def on_headers_complete(self) -> None:
+        if self.whole:
+            return
+        super().on_headers_complete()
+        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        if not self.whole:
+            super().on_body(data)
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+    def _answer(self, answer: Answer) -> None:
+        assert self.transport is not None
+        self.answered = True
+        self.timer.cancel()
+        self.timer = self.console.loop.call_later(HOLD, self.abort)
+        self.transport.write(calls.render(answer, HTTPStatus(answer.status).phrase.encode()))
+        self.transport.write_eof()  # read on until it closes: a reset could take the answer with it
--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -33,6 +33,7 @@
     kinds: tuple[str, ...]
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
+    console: Address | None = None  # where operators call
 
 
 def read_address(text: Any) -> Address:
@@ -42,15 +43,20 @@
     return host, int(port)
 
 
-def load(path: str) -> Config:
+def _no_number(text: str) -> Any:
+    raise ValueError(f"{text} is no number")
+
+
+def load(path: str, console: str | None = None) -> Config:
+    """`console`: an address that goes before the file's."""
     try:
         with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as exc:
+            raw = json.load(file, parse_constant=_no_number)
+    except (OSError, ValueError, RecursionError) as exc:
         raise ConfigError(f"cannot read the configuration {path!r}: {exc}") from None
     try:
-        return parse(raw)
-    except (Malformed, ValueError, TypeError, AttributeError) as exc:
+        return parse({**raw, "console": console} if console else raw)
+    except (Malformed, ValueError, TypeError, AttributeError, OverflowError) as exc:
         raise ConfigError(f"bad configuration {path!r}: {exc}") from None
 
 
@@ -67,6 +73,11 @@
     given = need(raw, "settings", "")
     limits = need(given, "bounds", "settings.")
     seed = str(need(raw, "seed", ""))
+    settings = parse_settings(given)
+    if not settings.classes:
+        raise Malformed("settings.services is empty: there is nothing to balance")
+    if len({c.name for c in settings.classes}) < len(settings.classes):
+        raise Malformed("settings.services names a class twice")
     return Config(
         name=str(raw.get("name", "balancer")),
         listen=read_address(need(raw, "listen", "")),
@@ -74,9 +85,10 @@
         seed=int.from_bytes(seed.encode(), "big"),
         connections=most_connections(raw.get("limits", {})),
         known=raw.get("known"),
-        settings=parse_settings(given),
+        settings=settings,
         zones=tuple(map(str, given.get("failureDomains", ()))),
         kinds=tuple(map(str, given.get("kinds", ()))),
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
+        console=read_address(raw["console"]) if raw.get("console") else None,
     )
--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -83,6 +83,8 @@
     def __init__(self, done: Callable[[Answer | None], None]) -> None:
         self.done = done
 
+    def whole(self) -> None: ...
+
     def answered(self, answer: Answer) -> None:
         self.done(answer)
 
--- /dev/null
+++ b/dykeshift/engine/drain.py
@@ -0,0 +1,77 @@
+"""One drain for SIGTERM, the operators' standby and an upgrade: a state machine without sockets or clock.
+
+Serving: clients are taken. Draining: `/ready` says no; answers close their connections; what is idle is
+closed; new connections are still served, as some come until everybody has noticed. Ending: the same, and
+after LINGER nobody is accepted; when all is answered, or the longest deadline is over, it is over. Standby
+and back may follow each other at will; nothing takes an ending back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+SILENT = 1.0  # seconds of a drain after which connections that never asked go too; new ones come for 0.3
+LINGER = 0.6  # seconds after SIGTERM in which new connections still come
+
+
+class State(Enum):
+    SERVING = auto()
+    DRAINING = auto()
+    ENDING = auto()
+    OVER = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """What is to be done now."""
+
+    close_kept: bool = False  # idle connections that have been answered
+    close_silent: bool = False  # also those on which nothing was ever asked
+    stop_accepting: bool = False
+
+
+class Drain:
+    """Times are seconds on one clock that never runs backwards."""
+
+    def __init__(self, shared: bool = False) -> None:
+        """`shared`: another process accepts from the same listener, so nobody need wait for stragglers."""
+        self.shared = shared
+        self.state = State.SERVING
+        self.since = 0.0
+        self.longest = 0.0
+
+    @property
+    def taking(self) -> bool:
+        """Whether connections are kept and `/ready` may say yes."""
+        return self.state is State.SERVING
+
+    @property
+    def ending(self) -> bool:
+        return self.state in (State.ENDING, State.OVER)
+
+    def standby(self, now: float) -> None:
+        if self.state is State.SERVING:
+            self.state, self.since = State.DRAINING, now
+
+    def active(self) -> bool:
+        """Whether it could be taken back."""
+        if self.ending:
+            return False
+        self.state = State.SERVING
+        return True
+
+    def terminate(self, now: float, longest: float) -> None:
+        """`longest`: seconds that a request may take; what is unfinished after that is none."""
+        if not self.ending:
+            self.state, self.since, self.longest = State.ENDING, now, longest
+
+    def look(self, now: float, busy: bool) -> Orders:
+        """Called every so often while it does not serve. `busy`: something taken is not answered."""
+        if self.taking:
+            return Orders()
+        age = now - self.since
+        closed = self.ending and (self.shared or age >= LINGER)
+        if closed and (not busy or age >= LINGER + self.longest):
+            self.state = State.OVER
+        return Orders(close_kept=True, close_silent=age >= SILENT or closed, stop_accepting=closed)
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -27,12 +27,15 @@
     ServerList,
     ServerState,
     SetTimer,
+    Settings,
     Watch,
 )
+from dykeshift.engine.ledger import Tier
 from dykeshift.engine.tenants import Listed, Tenants
 from dykeshift.engine.terms import FAILED, LATE, Asked, Final, How
 from dykeshift.engine.upstream import Attempt, End, Pool
 from dykeshift.rules import Balancer
+from dykeshift.settings import succeed
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +50,7 @@
     """A request until it is answered and all its attempts have come back."""
 
     incoming: Asked
+    tier: Tier
     deadline: int
     reply: Callable[[Final], None]
     attempts: list[Attempt | None] = field(default_factory=list)  # None: has come back
@@ -64,19 +68,31 @@
         self.balancer = balancer
         self.pool = pool
         self.watch = watch
+        self.ledger = pool.ledger
+        self.tiers = [self.ledger.tier(c.name) for c in balancer.settings.classes]
         self.jobs: dict[str, Job] = {}
         self.tenants = Tenants()
         self.ready: set[int] = set()  # upstreams that the list held shows as running
+        self.listed_ever: set[int] = set()
 
     # ---- events ----
 
+    def take_settings(self, new: Settings) -> Settings:
+        """Others from now on, requests under way excepted; with the places of all classes known so far."""
+        merged = succeed(self.balancer.settings, new)
+        self.tiers = [self.ledger.tier(c.name) for c in merged.classes]
+        self._tell(self.balancer.on_settings, merged)
+        return merged
+
     def start(self) -> None:
         self._tell(self.balancer.on_start)
 
     def submit(self, incoming: Asked, arrived: int, reply: Callable[[Final], None]) -> None:
         """Take a request; `reply` is called exactly once, unless the client goes first."""
         deadline = arrived + max(0, incoming.patience - RETURN)
-        job = self.jobs[incoming.id] = Job(incoming, deadline, reply)
+        tier = self.tiers[incoming.klass]
+        tier.taken += 1
+        job = self.jobs[incoming.id] = Job(incoming, tier, deadline, reply)
         left = deadline - self.clock.monotonic_ns()
         # Rounded up: a timer that fires early would let the module begin once more in the last instant.
         job.guard = self.loop.call_later(max(0, left) / 1e9 + 0.001, self._expire, job)
@@ -88,6 +104,7 @@
         job = self.jobs.get(request_id)
         if job is not None and not job.closed:
             job.closed = True
+            job.tier.end(None)
             self._tell(self.balancer.on_client_gone, request_id, job=job)
             self._forget(job)
 
@@ -100,6 +117,7 @@
         if kind is not ListKind.DELTA:
             for number in set(self.pool.upstreams) - {one.entry.id for one in listed}:
                 self._remove(number)
+        self.listed_ever.update(one.entry.id for one in listed)
         for one in listed:
             entry = one.entry
             if entry.state is ServerState.GONE:
@@ -116,6 +134,22 @@
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
 
+    def ban(self, number: int) -> bool:
+        """By hand: nothing new to that upstream. False, and nothing changes: it was never listed."""
+        if number not in self.listed_ever:
+            return False
+        self._tell(self.balancer.on_ban, number)
+        self.pool.ban(number, out=True)
+        return True
+
+    def end_ban(self, number: int) -> bool:
+        """False: it was never listed."""
+        if number not in self.listed_ever:
+            return False
+        self.pool.ban(number, out=False)
+        self._tell(self.balancer.on_ban_end, number)
+        return True
+
     def _remove(self, number: int) -> None:
         self.pool.drop(number)
         self.ready.discard(number)
@@ -238,6 +272,7 @@
 
     def _finish(self, job: Job, final: Final) -> None:
         job.closed = True
+        job.tier.end(final.how)
         for attempt in job.attempts:
             if attempt is not None and not attempt.on_the_wire():
                 # That it does not go out is no calling off, which settings may forbid.
--- a/dykeshift/engine/link.py
+++ b/dykeshift/engine/link.py
@@ -10,7 +10,10 @@
 
 
 class Exchange(Protocol):
-    """Whoever sent the message; exactly one of the two is called, once."""
+    """Whoever sent the message; exactly one of the last two is called, once."""
+
+    def whole(self) -> None:
+        """The message's last byte has been handed over; before either of the two below, if at all."""
 
     def answered(self, answer: Any) -> None: ...
 
@@ -62,6 +65,8 @@
         assert self.transport is not None and self.exchange is None
         self.exchange, self.fed = exchange, 0
         self.transport.write(data)
+        if not self.unwritten and self.exchange is exchange:
+            exchange.whole()
 
     def close(self) -> None:
         """Give up whatever is on it; the exchange hears nothing any more."""
@@ -81,6 +86,8 @@
 
     def resume_writing(self) -> None:
         self.unwritten = False
+        if self.exchange is not None:
+            self.exchange.whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
--- a/dykeshift/engine/requests.py
+++ b/dykeshift/engine/requests.py
@@ -60,9 +60,13 @@
     """Knows the classes; turns a whole HTTP message into a request or raises BadRequest."""
 
     def __init__(self, classes: tuple[RequestClass, ...], objection: Objection | None = None) -> None:
-        self.classes = classes
         self.objection = objection  # where the upstreams speak another protocol
-        self.numbers: dict[bytes, int] = {c.name.encode(): n for n, c in enumerate(classes)}
+        self.know(classes, frozenset())
+
+    def know(self, classes: tuple[RequestClass, ...], retired: frozenset[int]) -> None:
+        """The classes at their places; those retired are not accepted any more."""
+        self.classes = classes
+        self.numbers = {c.name.encode(): n for n, c in enumerate(classes) if n not in retired}
 
     def read(self, method: bytes, target: bytes, headers: dict[bytes, bytes],
              body: bytes | bytearray) -> Incoming:
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -11,6 +11,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.arrivals import Arrivals
+from dykeshift.engine.drain import Drain, Orders
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.http1 import Gatherer, Unacceptable, status_of
 from dykeshift.engine.requests import BadRequest, Reader
@@ -68,7 +69,7 @@
     """All client connections together, within a bound."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, reader: Reader,
-                 limit: int) -> None:
+                 limit: int, drain: Drain | None = None) -> None:
         self.loop = loop
         self.clock = clock
         self.driver = driver
@@ -76,7 +77,7 @@
         self.limit = limit
         self.clients: dict[Client, None] = {}  # a dict, as its order is that of their coming
         self.served = 0  # those of them that have been answered
-        self.stopping = False
+        self.drain = drain or Drain()
         self.arrivals = Arrivals(loop, clock)
         self.sweeper = loop.call_later(SWEEP, self.sweep)
 
@@ -84,7 +85,7 @@
         return Client(self)
 
     def is_ready(self) -> bool:
-        return not self.stopping and bool(self.driver.ready)
+        return self.drain.taking and bool(self.driver.ready)
 
     def admit(self, client: Client) -> None:
         """Count a new connection in; over the limit, another makes room.
@@ -108,11 +109,15 @@
     def crowded(self) -> bool:
         return self.served > self.limit * CROWD
 
-    def close_idle(self) -> None:
-        """Close kept connections on which no request has arrived, be it unread."""
-        for client in list(self.clients):
-            if client.between() and client.answers and not client.has_input():
-                client.abort()
+    def busy(self) -> bool:
+        return any(not client.between() for client in self.clients)
+
+    def close_idle(self, orders: Orders) -> None:
+        """Close connections on which no request has arrived, be it unread."""
+        if orders.close_kept:
+            for client in list(self.clients):
+                if client.between() and (client.answers or orders.close_silent) and not client.has_input():
+                    client.abort()
 
 
 class Client(Gatherer, asyncio.Protocol):
@@ -281,7 +286,7 @@
             return
         # In a crowd a first answer ends its connection: many clients ask once and stay, and those that
         # come back would find no room, nor a descriptor of their own to come with.
-        keep = self.keep and not self.front.stopping and (self.answers > 0 or not self.front.crowded())
+        keep = self.keep and self.front.drain.taking and (self.answers > 0 or not self.front.crowded())
         self.busy, self.began, self.request_id, self.fed = False, 0, "", 0
         self.front.served += not self.answers
         self.since, self.answers = self.front.loop.time(), self.answers + 1
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -10,6 +10,7 @@
 from dykeshift.clock import Clock
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.config import Address
+from dykeshift.engine.ledger import Ledger
 from dykeshift.engine.link import Link
 from dykeshift.engine.terms import Asked
 
@@ -25,7 +26,8 @@
 
     address: Address
     started: int
-    open_to_new: bool  # neither draining, gone nor replaced
+    listed_ready: bool
+    open_to_new: bool = False  # neither draining, gone, replaced nor out by hand
     idle: list[Link] = field(default_factory=list)
 
 
@@ -117,6 +119,9 @@
             self.over = True
             self.ended(end)
 
+    def whole(self) -> None:
+        self.pool.ledger.attempts += 1
+
     def answered(self, answer: Any) -> None:
         if self.idle is not None:
             self.pool.staleness.reused(self.idle, False)
@@ -161,14 +166,16 @@
     """Bounded: all connections together never exceed `limit`, whatever is asked for."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, carrier: Carrier, limit: int,
-                 connect_timeout: float, keepalive: float) -> None:
+                 connect_timeout: float, keepalive: float, ledger: Ledger | None = None) -> None:
         self.loop = loop
+        self.ledger = ledger or Ledger()
         self.clock = clock
         self.carrier = carrier
         self.limit = limit
         self.connect_timeout = connect_timeout
         self.keepalive = keepalive * FRESH
         self.upstreams: dict[int, Upstream] = {}
+        self.banned: set[int] = set()  # out by hand
         self.staleness = Staleness()
         self.open = 0
         self.connecting: set[asyncio.Task[None]] = set()
@@ -181,9 +188,20 @@
         if known is None or (known.address, known.started) != (address, started):
             self.drop(number)
             known = self.upstreams[number] = Upstream(address, started, ready)
-        known.open_to_new = ready
-        if not ready:
-            self._close_idle(known)
+        known.listed_ready = ready
+        self._open_or_shut(number)
+
+    def ban(self, number: int, out: bool) -> None:
+        """By hand: what waits for a connection to it is taken back, kept connections are closed."""
+        (self.banned.add if out else self.banned.discard)(number)
+        self._open_or_shut(number)
+
+    def _open_or_shut(self, number: int) -> None:
+        known = self.upstreams.get(number)
+        if known is not None:
+            known.open_to_new = known.listed_ready and number not in self.banned
+            if not known.open_to_new:
+                self._close_idle(known)
 
     def drop(self, number: int) -> None:
         known = self.upstreams.pop(number, None)
@@ -195,7 +213,7 @@
 
     def start(self, number: int, message: Callable[[int], bytes], until: int,
               ended: Callable[[End], None], begin_by: int = 0) -> Attempt:
-        upstream = self.upstreams.get(number) or Upstream(("", 0), 0, False)
+        upstream = self.upstreams.get(number) or Upstream(("", 0), 0, listed_ready=False)
         attempt = Attempt(self, upstream, message, until, ended, begin_by)
         if not upstream.open_to_new:
             self.loop.call_soon(attempt.finish, End(Outcome.NOT_SENT))
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -16,6 +16,7 @@
 from dykeshift.clock import SYSTEM, Clock
 from dykeshift.engine import config, requests
 from dykeshift.engine.discovery import Discovery, Reader
+from dykeshift.engine.drain import Drain, State
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.http_carrier import HttpCarrier
 from dykeshift.node import features
@@ -25,9 +26,8 @@
 from dykeshift.engine.upstream import Pool
 from dykeshift.rules import Balancer
 
-LINGER = 0.6  # seconds after SIGTERM in which new connections still come
 BACKLOG = 1024  # connections that may wait to be accepted
-TICK = 0.02  # seconds between two looks whether all is answered
+TICK = 0.02  # seconds between two looks at a drain
 
 
 async def serve(given: config.Config, load: Callable[[], config.Config], clock: Clock = SYSTEM,
@@ -40,11 +40,22 @@
     discovery = Discovery(loop, clock, given.discovery, Reader(clock, given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
     reader = requests.Reader(given.settings.classes, beside.objection())
-    front = Front(loop, clock, driver, reader, given.connections - beside.connections(given))
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    reload = Reload(load, discovery, driver)
+    drain = Drain()
+    front = Front(loop, clock, driver, reader, given.connections - beside.connections(given), drain)
+    leaving = asyncio.Event()  # set while the drain wants looking after
+
+    def standby() -> None:
+        drain.standby(loop.time())
+        leaving.set()
+
+    def stop() -> None:
+        longest = max((c.deadline for c in driver.balancer.settings.classes), default=0) / 1e9
+        drain.terminate(loop.time(), longest)
+        leaving.set()
+
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGINT, stop)
+    reload = Reload(load, discovery, driver, reader)
     loop.add_signal_handler(signal.SIGHUP, reload)
     driver.start()
     discovery.take_known(given.known)
@@ -55,31 +66,43 @@
     except OSError as exc:
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     services = await beside.start(loop, clock, given, driver)
+    if given.console is not None:
+        from dykeshift.console.shell import Console
+        from dykeshift.node.desk import Desk
+
+        console = Console(loop, Desk(clock, driver, drain, standby))
+        try:
+            await console.listen(given.console)
+        except OSError as exc:
+            raise config.ConfigError(f"cannot listen for operators: {exc}") from None
     if started is not None:
         started(front, server, reload, services)
-    await stop.wait()
-    longest = max((c.deadline for c in given.settings.classes), default=0) / 1e9
-    await wind_down(front, server, services, longest)
+    while drain.state is not State.OVER:
+        await leaving.wait()
+        await wind_down(front, server, services)
+        leaving.clear()
 
 
-async def wind_down(front: Front, server: asyncio.Server, services: list[Service], longest: float) -> None:
-    """Let go of the clients: none is turned away while some may still come, all taken are answered."""
-    loop = asyncio.get_running_loop()
-    front.stopping = True
-    for service in services:
-        service.drain()
-    until = loop.time() + LINGER
-    while loop.time() < until:
-        front.close_idle()
-        await asyncio.sleep(TICK)
-    server.close()
-    until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
-    while loop.time() < until and (any(not client.between() for client in front.clients)
-                                   or any(service.busy() for service in services)):
-        front.close_idle()
+async def wind_down(front: Front, server: asyncio.Server, services: list[Service]) -> None:
+    """Let go of the clients, until it is over or taken back.
+
+    None is turned away while some may still come, all that were taken are answered.
+    """
+    loop, drain = asyncio.get_running_loop(), front.drain
+    told = False
+    while not drain.taking and drain.state is not State.OVER:
+        if drain.ending and not told:
+            told = True
+            for service in services:
+                service.drain()
+        orders = drain.look(loop.time(), front.busy() or any(service.busy() for service in services))
+        if orders.stop_accepting:
+            server.close()
+        front.close_idle(orders)
         await asyncio.sleep(TICK)
-    for service in services:
-        service.close()
+    if drain.state is State.OVER:
+        for service in services:
+            service.close()
 
 
 def settle(*_: object) -> None:
@@ -97,7 +120,7 @@
             raise config.ConfigError("NODE_CONFIG is not set; it names the configuration file")
         # It would end the program; one that comes before there is a handler waits until there is.
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
-        load = partial(config.load, path)
+        load = partial(config.load, path, os.environ.get("NODE_CONSOLE"))
         given = load()
         own = os.environ.get("LIFTTRAIL_FEATURES")
         chosen = features.load(own or features.FILE, own is not None, given.settings)
--- /dev/null
+++ b/dykeshift/node/desk.py
@@ -0,0 +1,49 @@
+"""Who carries out what operators call for: the console's desk in this process."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from dykeshift.clock import Clock
+from dykeshift.engine.discovery import number_of
+from dykeshift.engine.drain import Drain
+from dykeshift.engine.driver import Driver
+
+log = logging.getLogger(__name__)
+
+
+class Desk:
+    def __init__(self, clock: Clock, driver: Driver, drain: Drain, standby: Callable[[], None]) -> None:
+        """`standby` begins the drain; the rest is told to driver and drain."""
+        self.clock, self.driver, self.drain, self.begin = clock, driver, drain, standby
+
+    def figures(self) -> dict[str, Any]:
+        ledger, balancer = self.driver.ledger, self.driver.balancer
+        tiers = {name: {"success": tier.success, "busy": tier.busy, "failure": tier.failure}
+                 for name, tier in ledger.tiers.items()}
+        return {"calls": tiers, "backend_calls": ledger.attempts, "inflight": ledger.inflight,
+                "hosts_listed": len(self.driver.pool.upstreams),
+                "hosts_down": balancer.avoided(self.clock.monotonic_ns()),
+                "reconfig_ok": ledger.reloads, "reconfig_failed": ledger.reloads_failed}
+
+    def enter(self, name: str) -> bool:
+        return self._said(self.driver.ban(number_of(name)), "banned", name)
+
+    def exit(self, name: str) -> bool:
+        return self._said(self.driver.end_ban(number_of(name)), "back", name)
+
+    def _said(self, done: bool, what: str, name: str) -> bool:
+        if done:
+            log.info("upstream %s: %s by hand", name, what,
+                     extra={"event": "upstream." + what, "fields": {"upstream": name}})
+        return done
+
+    def standby(self) -> None:
+        log.info("standby by hand", extra={"event": "drain.standby"})
+        self.begin()
+
+    def active(self) -> bool:
+        log.info("active by hand", extra={"event": "drain.active"})
+        return self.drain.active()
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP: the configuration is read anew, and what may change in service is taken over."""
+"""SIGHUP: the configuration is read anew, and what may change in service is taken over in one step."""
 
 from __future__ import annotations
 
@@ -8,28 +8,36 @@
 from dykeshift.engine import config
 from dykeshift.engine.discovery import Discovery
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.requests import Reader
 
 log = logging.getLogger(__name__)
 
 
 class Reload:
-    """Moves to another discovery; upstreams, connections, requests and what was learned stay.
+    """Takes new settings, and moves to another discovery; connections, requests and what was learned stay.
 
     A file that cannot be used changes nothing. All else in it holds from the next start on.
     """
 
-    def __init__(self, load: Callable[[], config.Config], discovery: Discovery, driver: Driver) -> None:
+    def __init__(self, load: Callable[[], config.Config], discovery: Discovery, driver: Driver,
+                 reader: Reader) -> None:
         self.load = load
         self.discovery = discovery
         self.driver = driver
+        self.reader = reader
 
     def __call__(self) -> None:
+        ledger = self.driver.ledger
         try:
             new = self.load()
         except config.ConfigError as exc:
+            ledger.reloads_failed += 1
             log.error("the old configuration is kept: %s", exc,
                       extra={"event": "configuration.kept", "fields": {"reason": str(exc)}})
             return
+        ledger.reloads += 1
+        taken = self.driver.take_settings(new.settings)
+        self.reader.know(taken.classes, taken.retired)
         if new.discovery == self.discovery.address:
             log.info("discovery is the same in the new configuration",
                      extra={"event": "discovery.same"})
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -103,6 +103,7 @@
     request: Request
     klass: RequestClass
     arrived: int
+    most: int  # attempts
     attempts: list[Attempt] = field(default_factory=list)
     live: int = 0
     closed: bool = False
@@ -121,6 +122,8 @@
         self.ready: list[Server] = []  # those that run
         self.pool: list[Server] = []  # those of them that this instance keeps in touch with
         self.cold: list[Server] = []  # those that may be cold; the others are warm for good
+        self.banned: dict[int, int] = {}  # out by hand, since when
+        self.returned: dict[int, tuple[int, int]] = {}  # put back by hand: when the ban began and ended
         self.groups: dict[tuple[Scope, int], list[Server]] = {}  # ready ones by scope, made when asked for
         self.sorted = self.unsure = False  # `ready` is in the order of ranks; some server is not sure
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
@@ -144,6 +147,27 @@
         acts, self.acts = self.acts, []
         return acts
 
+    # ---- settings ----
+
+    def on_settings(self, now: int, settings: Settings) -> list[Action]:
+        """Others from now on: classes keep their places, new ones come behind, as `settings.succeed` has it.
+
+        A class that comes under a known name has what was learned of the one before it.
+        """
+        known = [c.name for c in self.settings.classes]
+        for klass in settings.classes[len(known):]:
+            like = max((n for n, name in enumerate(known) if name == klass.name), default=-1)
+            self.usual.append(self.usual[like] if like >= 0 else klass.aim * FIRST_GUESS)
+            self.hints.append(self.hints[like] if like >= 0 else 0.0)
+            for server in self.servers.values():
+                lane = server.lanes[like] if like >= 0 else Lane()
+                server.lanes.append(Lane(failures=lane.failures, rest_until=lane.rest_until))
+        self.settings = settings
+        self.longest_aim = max((c.aim for n, c in enumerate(settings.classes) if n not in settings.retired),
+                               default=0)
+        self._appraise()
+        return self._done()
+
     # ---- the list of servers ----
 
     def on_start(self, now: int) -> list[Action]:
@@ -173,24 +197,61 @@
                     server.entry = replace(server.entry, state=ServerState.GONE)
         rooms = [s.room for s in self.ready[:LOOK]]  # one that comes later is trusted like those there
         room = sum(rooms) / len(rooms) if rooms else ROOM / self.settings.balancers
-        for entry in update.entries:
+        for entry in map(self._believed, update.entries):
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                self.servers[entry.id] = Server(entry, room, self.random(), self.random(), self.arrived,
-                                                [Lane() for _ in self.settings.classes])
+                self.servers[entry.id] = self._new(entry, room)
             else:
                 known.entry = entry
         if self.unsure or update.kind is ListKind.CACHED:
             self.unsure = update.kind is ListKind.CACHED
             for server in self.servers.values():  # changes alone say, too, that all else is as it was
                 server.sure = not self.unsure
-        self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
+        self._sort_out(now)
+        return self._done()
+
+    def _new(self, entry: ServerEntry, room: float) -> Server:
+        return Server(entry, room, self.random(), self.random(), self.arrived,
+                      [Lane() for _ in self.settings.classes])
+
+    def _sort_out(self, now: int) -> None:
+        """Which of the servers may be sent to, as the list and the operators say."""
+        self.ready = [s for s in self.servers.values()
+                      if s.entry.state is ServerState.READY and s.entry.id not in self.banned]
         self.cold = [s for s in self.ready if self._cold(now, s)]
         self.groups, self.sorted = {}, False
         self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
         self._gather(now)
+
+    # ---- out by hand ----
+
+    def on_ban(self, now: int, server: int) -> list[Action]:
+        """Nothing new to it until the ban ends, whatever the list says, be it listed now or not."""
+        self.banned.setdefault(server, now)
+        self._sort_out(now)
         return self._done()
 
+    def on_ban_end(self, now: int, server: int) -> list[Action]:
+        """It may have started anew at any moment of the ban: cold since now, until the list says more."""
+        since = self.banned.pop(server, None)
+        if since is not None:
+            self.returned[server] = since, now
+            known = self.servers.get(server)
+            if known is not None and known.entry.started <= since:
+                self.servers[server] = self._new(self._believed(known.entry), known.room)
+            self._sort_out(now)
+        return self._done()
+
+    def _believed(self, entry: ServerEntry) -> ServerEntry:
+        """A start from before a ban by hand may be older than the server that came back from it."""
+        since, until = self.returned.get(entry.id, (0, 0))
+        return replace(entry, started=until) if until and entry.started <= since else entry
+
+    def avoided(self, now: int) -> int:
+        """How many servers of the list get nothing new at this instant, by hand or by choice."""
+        return sum(s.entry.id in self.banned or s.entry.state is ServerState.DRAINING or now < s.rest_until
+                   for s in self.servers.values() if s.entry.state is not ServerState.GONE)
+
     def _ask_later(self, now: int) -> None:
         """A pause before the next watch: well before all counts as told; spread, as all may fail at once.
 
@@ -286,7 +347,7 @@
 
     def _may_send(self, now: int, item: Open) -> bool:
         """Whether one more attempt breaks no rule, to a server that _allowed lets through."""
-        if item.closed or item.streaming or len(item.attempts) >= self.settings.attempt_limit:
+        if item.closed or item.streaming or len(item.attempts) >= item.most:
             return False
         end = item.request.deadline
         if not item.klass.late_share:
@@ -324,7 +385,7 @@
 
     def on_request(self, now: int, request: Request) -> list[Action]:
         klass = self.settings.classes[request.klass]
-        item = self.open[request.id] = Open(request, klass, now)
+        item = self.open[request.id] = Open(request, klass, now, self.settings.attempt_limit)
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         if self.arrived == len(self.pool) and self.sweeps < 2:
             self._gather(now)  # many requests: a start with few servers would refuse some of them
@@ -353,7 +414,7 @@
         safe = item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
         empty = [s for s in idle if not s.in_flight]
         if safe and len(empty) * 2 > DRAW:
-            idle, copies = empty, max(1, self.settings.attempt_limit - 1 - len(item.attempts))
+            idle, copies = empty, max(1, item.most - 1 - len(item.attempts))
         if self._tight(now, item):
             # Idle enough is who is done in time behind what it has of ours: a quick one rather than a slow.
             idle = sorted((s for s in drawn if s.heard), key=lambda s: s.ratio * (1 + s.in_flight))
@@ -410,7 +471,7 @@
         """Nowhere to go: look again soon, and answer before an answer stops being worth waiting for."""
         need = int(NEED * self._expected(item))  # what it will take: later than this it cannot be in time
         until = min(item.request.deadline - self.settings.step, item.arrived + item.klass.aim - need)
-        if now >= until or not self._may_send(now, item):
+        if now >= until or not self._may_send(now, item) or (self.banned and not self.ready):
             self._give_up(now, item)
             return
         again = now + int(item.klass.aim * HOLD_SHARE)
@@ -605,14 +666,17 @@
         self._appraise()
         if not self.out:  # nor does it know of a jam, but the others may, and all open at once
             self.admit += max(0.0, 1 - self.admit) / self.settings.balancers
+        self.returned = {n: ban for n, ban in self.returned.items() if now < ban[1] + self.settings.cold_time}
         if len(self.ready) < len(self.servers):
             self.servers = {n: s for n, s in self.servers.items()
                             if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
-        worths = [max(c.worth, 1e-9) for c in self.settings.classes]
-        costs = [1.0 if self.settings.worth_by_work else u for u in self.usual]
-        per_work = [w / c * sum(costs) / sum(worths) for w, c in zip(worths, costs, strict=True)]
-        fair = self.settings.fairness * len(worths)
-        self.value = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
+        live = [n for n in range(len(self.settings.classes)) if n not in self.settings.retired]
+        worths = {n: max(self.settings.classes[n].worth, 1e-9) for n in live}
+        costs = {n: 1.0 if self.settings.worth_by_work else self.usual[n] for n in live}
+        per_work = {n: worths[n] / costs[n] * sum(costs.values()) / sum(worths.values()) for n in live}
+        fair, best = self.settings.fairness * len(live), max(per_work.values(), default=1.0)
+        self.value = [min(1.0, (per_work[n] + fair) / best) if n in per_work else 1.0
+                      for n in range(len(self.settings.classes))]
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+from dataclasses import replace
 from typing import Any
 
 from dykeshift.interface import Idempotency, LoadReport, RequestClass, Scope, Settings
@@ -41,6 +43,24 @@
         raise Malformed(f"{what} is {text!r}, expected one of {', '.join(table)}") from None
 
 
+def positive(value: Any, what: str) -> int:
+    """A whole number above zero; JSON's own words for others (true, strings, NaN) are none."""
+    if type(value) not in (int, float) or not math.isfinite(value) or int(value) <= 0:
+        raise SettingsError(f"{what} is {value!r}, and a positive number is wanted")
+    return int(value)
+
+
+def succeed(old: Settings, new: Settings) -> Settings:
+    """The new settings with the old ones' classes at their places, so that a place means one class for good.
+
+    A class whose terms have changed is another one; whoever is under way keeps the one it came with.
+    """
+    classes = list(old.classes)
+    classes += [c for c in new.classes if c not in classes]
+    retired = frozenset(n for n, c in enumerate(classes) if c not in new.classes)
+    return replace(new, classes=tuple(classes), retired=retired)
+
+
 def read_settings(text: str) -> Settings:
     """Settings from the wire's JSON."""
     try:
@@ -58,8 +78,8 @@
         classes = tuple(
             RequestClass(
                 name=str(c.get("name", n)),
-                aim=int(need(c, "goalTimeNs", f"services[{n}].")),
-                deadline=int(need(c, "deadlineNs", f"services[{n}].")),
+                aim=positive(need(c, "goalTimeNs", f"services[{n}]."), f"services[{n}].goalTimeNs"),
+                deadline=positive(need(c, "deadlineNs", f"services[{n}]."), f"services[{n}].deadlineNs"),
                 worth=float(need(c, "worth", f"services[{n}].")),
                 late_share=float(c.get("lateShare", 0.0)),
                 idempotency=word(_IDEMPOTENCY, need(c, "idempotency", f"services[{n}]."), "idempotency"),
@@ -75,7 +95,7 @@
             zone=int(raw.get("az", 0)),
             ask_discovery=need(raw, "discovery", "") == "ask",
             ask_every=int(rules.get("askEveryNs", 10_000_000_000)),
-            attempt_limit=max(1, int(need(limits, "maxAttempts", "bounds."))),
+            attempt_limit=positive(need(limits, "maxAttempts", "bounds."), "bounds.maxAttempts"),
             copies_allowed=bool(need(limits, "secondCopies", "bounds.")),
             cancel_allowed=bool(need(limits, "cancelling", "bounds.")),
             cold_share=float(need(rules, "coldFrom", "obligations.")),
@@ -88,7 +108,7 @@
             fairness=worst / (1 - worst),
             retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
         )
-    except (TypeError, ValueError, AttributeError) as exc:
+    except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise SettingsError(f"settings hold a value of the wrong kind: {exc}") from None
 
 
--- a/tests/node/test_one_process.py
+++ b/tests/node/test_one_process.py
@@ -29,12 +29,13 @@
 if %r:
     %s
 from dykeshift.node import __main__ as node
+from dykeshift.engine import drain
 settle = node.settle
 def serving(*args):
     settle(*args)
     os.kill(os.getpid(), signal.SIGTERM)
 node.settle = serving
-node.LINGER = 0.0
+drain.LINGER = 0.0
 code = node.main()
 print(json.dumps({"code": code, "seen": seen, "modules": sorted(sys.modules)}))
 """
