Upgrade: both processes accept from the inherited listener, bans in TMPDIR

Need: the platform holds the listener and starts run once more beside the old one; the program exited with 2, as the address was in use. Now it accepts from NODE_INHERITED_FD, waits for its own first list, keeps bans in a file that both read, and moves its clients while a later process serves. Idle connections of a drain go after 0.4 s, not at once.

--- a/dykeshift/console/calls.py
+++ b/dykeshift/console/calls.py
@@ -15,7 +15,7 @@
 
 
 class Desk(Protocol):
-    """Who carries the calls out."""
+    """Who carries the calls out. OSError: it can't, and nothing has changed."""
 
     def figures(self) -> dict[str, Any]: ...
 
@@ -116,6 +116,8 @@
         return call(desk, body)
     except No as exc:
         return refusal(exc.status, str(exc))
+    except OSError as exc:
+        return refusal(500, f"it could not be written down, and nothing has changed: {exc.strerror}")
 
 
 def refusal(status: int, text: str) -> Answer:
--- a/dykeshift/engine/drain.py
+++ b/dykeshift/engine/drain.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+KEPT = 0.4  # seconds of a drain in which idle connections may bring one more request, answered with a close
 SILENT = 1.0  # seconds of a drain after which connections that never asked go too; new ones come for 0.3
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
 
@@ -38,14 +39,20 @@
         """`shared`: another process accepts from the same listener, so nobody need wait for stragglers."""
         self.shared = shared
         self.state = State.SERVING
+        self.yielding = False  # a later process of this balancer serves too: clients are to move to it
         self.since = 0.0
         self.longest = 0.0
 
     @property
     def taking(self) -> bool:
-        """Whether connections are kept and `/ready` may say yes."""
+        """Whether `/ready` may say yes."""
         return self.state is State.SERVING
 
+    @property
+    def keeping(self) -> bool:
+        """Whether connections are kept after an answer."""
+        return self.taking and not self.yielding
+
     @property
     def ending(self) -> bool:
         return self.state in (State.ENDING, State.OVER)
@@ -72,6 +79,6 @@
             return Orders()
         age = now - self.since
         closed = self.ending and (self.shared or age >= LINGER)
-        if closed and (not busy or age >= LINGER + self.longest):
+        if self.ending and age >= LINGER and (not busy or age >= LINGER + self.longest):
             self.state = State.OVER
-        return Orders(close_kept=True, close_silent=age >= SILENT or closed, stop_accepting=closed)
+        return Orders(close_kept=age >= KEPT, close_silent=age >= SILENT, stop_accepting=closed)
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -74,6 +74,7 @@
         self.tenants = Tenants()
         self.ready: set[int] = set()  # upstreams that the list held shows as running
         self.listed_ever: set[int] = set()
+        self.informed = False  # discovery has spoken in this life
 
     # ---- events ----
 
@@ -113,6 +114,7 @@
 
         False: the module failed over it and may hold only part of it.
         """
+        self.informed = self.informed or kind is not ListKind.CACHED
         listed = self.tenants.settle(kind is not ListKind.DELTA, listed)
         if kind is not ListKind.DELTA:
             for number in set(self.pool.upstreams) - {one.entry.id for one in listed}:
@@ -134,20 +136,23 @@
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
 
-    def ban(self, number: int) -> bool:
-        """By hand: nothing new to that upstream. False, and nothing changes: it was never listed."""
+    def ban(self, number: int, at: int = 0) -> bool:
+        """By hand: nothing new to that upstream. False, and nothing changes: it was never listed.
+
+        `at`: when, where it was not now.
+        """
         if number not in self.listed_ever:
             return False
-        self._tell(self.balancer.on_ban, number)
+        self._do(self.balancer.on_ban(at or self.clock.monotonic_ns(), number))
         self.pool.ban(number, out=True)
         return True
 
-    def end_ban(self, number: int) -> bool:
+    def end_ban(self, number: int, at: int = 0) -> bool:
         """False: it was never listed."""
         if number not in self.listed_ever:
             return False
         self.pool.ban(number, out=False)
-        self._tell(self.balancer.on_ban_end, number)
+        self._do(self.balancer.on_ban_end(at or self.clock.monotonic_ns(), number))
         return True
 
     def _remove(self, number: int) -> None:
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -110,7 +110,7 @@
         return self.served > self.limit * CROWD
 
     def busy(self) -> bool:
-        return any(not client.between() for client in self.clients)
+        return any(not client.between() or client.has_input() for client in self.clients)
 
     def close_idle(self, orders: Orders) -> None:
         """Close connections on which no request has arrived, be it unread."""
@@ -286,7 +286,7 @@
             return
         # In a crowd a first answer ends its connection: many clients ask once and stay, and those that
         # come back would find no room, nor a descriptor of their own to come with.
-        keep = self.keep and self.front.drain.taking and (self.answers > 0 or not self.front.crowded())
+        keep = self.keep and self.front.drain.keeping and (self.answers > 0 or not self.front.crowded())
         self.busy, self.began, self.request_id, self.fed = False, 0, "", 0
         self.front.served += not self.answers
         self.since, self.answers = self.front.loop.time(), self.answers + 1
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -7,9 +7,11 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -26,13 +28,20 @@
 from dykeshift.engine.upstream import Pool
 from dykeshift.rules import Balancer
 
+if TYPE_CHECKING:
+    from dykeshift.node.together import Together
+
+log = logging.getLogger(__name__)
+
 BACKLOG = 1024  # connections that may wait to be accepted
+FIRST_LIST = 3.0  # seconds that a process beside another waits for discovery before it serves: half its time
 TICK = 0.02  # seconds between two looks at a drain
 
 
 async def serve(given: config.Config, load: Callable[[], config.Config], clock: Clock = SYSTEM,
                 started: Callable[[Front, asyncio.Server, Reload, list[Service]], None] | None = None,
-                beside: Features = NONE) -> None:
+                beside: Features = NONE, inherited: socket.socket | None = None) -> None:
+    """`inherited`: a listener that other processes of this balancer have too, instead of `given.listen`."""
     loop = asyncio.get_running_loop()
     carrier = beside.carrier(loop, clock) or HttpCarrier(loop, clock)
     pool = Pool(loop, clock, carrier, given.connections, given.connect_timeout, given.keepalive)
@@ -40,7 +49,7 @@
     discovery = Discovery(loop, clock, given.discovery, Reader(clock, given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
     reader = requests.Reader(given.settings.classes, beside.objection())
-    drain = Drain()
+    drain = Drain(shared=inherited is not None)
     front = Front(loop, clock, driver, reader, given.connections - beside.connections(given), drain)
     leaving = asyncio.Event()  # set while the drain wants looking after
 
@@ -57,12 +66,18 @@
     loop.add_signal_handler(signal.SIGINT, stop)
     reload = Reload(load, discovery, driver, reader)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    together = meet(loop, clock, driver, front) if inherited is not None else None
     driver.start()
     discovery.take_known(given.known)
     if not given.settings.ask_discovery:
         discovery.watch()
+    if inherited is not None:
+        await first_list(driver)
     try:
-        server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
+        if inherited is not None:
+            server = await loop.create_server(front.connect, sock=inherited, backlog=BACKLOG)
+        else:
+            server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
     except OSError as exc:
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     services = await beside.start(loop, clock, given, driver)
@@ -70,17 +85,42 @@
         from dykeshift.console.shell import Console
         from dykeshift.node.desk import Desk
 
-        console = Console(loop, Desk(clock, driver, drain, standby))
+        console = Console(loop, Desk(clock, driver, drain, standby, together))
         try:
             await console.listen(given.console)
         except OSError as exc:
             raise config.ConfigError(f"cannot listen for operators: {exc}") from None
+    if together is not None:
+        together.serve()
     if started is not None:
         started(front, server, reload, services)
     while drain.state is not State.OVER:
         await leaving.wait()
         await wind_down(front, server, services)
         leaving.clear()
+    if together is not None:
+        together.leave()
+
+
+def meet(loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, front: Front) -> Together | None:
+    """The other processes of this balancer, through the folder that they share, if there is one."""
+    path = os.environ.get("TMPDIR")
+    if not path:
+        log.warning("TMPDIR is not set: bans do not outlive this process", extra={"event": "handover.alone"})
+        return None
+    from dykeshift.handover.folder import Folder
+    from dykeshift.node.together import Together
+
+    together = Together(loop, clock, Folder(path), driver, front)
+    together.restore()
+    return together
+
+
+async def first_list(driver: Driver) -> None:
+    """Wait for discovery: the list from before the start may be as old as the process that serves already."""
+    until = driver.loop.time() + FIRST_LIST
+    while not driver.informed and driver.loop.time() < until:
+        await asyncio.sleep(TICK)
 
 
 async def wind_down(front: Front, server: asyncio.Server, services: list[Service]) -> None:
@@ -112,6 +152,20 @@
     gc.freeze()  # what lives as long as the program is not walked again by each collection
 
 
+def inherited() -> socket.socket | None:
+    """The listener that the platform holds and this process was given, if it was."""
+    text = os.environ.get("NODE_INHERITED_FD")
+    if not text:
+        return None
+    try:
+        found = socket.socket(fileno=int(text))
+        if not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ValueError("it does not listen")
+    except (ValueError, OSError) as exc:
+        raise config.ConfigError(f"NODE_INHERITED_FD is {text!r}, which is no listener: {exc}") from None
+    return found
+
+
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     path = os.environ.get("NODE_CONFIG")
@@ -124,7 +178,7 @@
         given = load()
         own = os.environ.get("LIFTTRAIL_FEATURES")
         chosen = features.load(own or features.FILE, own is not None, given.settings)
-        uvloop.run(serve(given, load, started=settle, beside=chosen))
+        uvloop.run(serve(given, load, started=settle, beside=chosen, inherited=inherited()))
     except config.ConfigError as exc:
         print(f"balancer: {exc}", file=sys.stderr)
         return 2
--- a/dykeshift/node/desk.py
+++ b/dykeshift/node/desk.py
@@ -4,20 +4,25 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from dykeshift.clock import Clock
 from dykeshift.engine.discovery import number_of
 from dykeshift.engine.drain import Drain
 from dykeshift.engine.driver import Driver
 
+if TYPE_CHECKING:
+    from dykeshift.node.together import Together
+
 log = logging.getLogger(__name__)
 
 
 class Desk:
-    def __init__(self, clock: Clock, driver: Driver, drain: Drain, standby: Callable[[], None]) -> None:
-        """`standby` begins the drain; the rest is told to driver and drain."""
+    def __init__(self, clock: Clock, driver: Driver, drain: Drain, standby: Callable[[], None],
+                 together: Together | None) -> None:
+        """`standby` begins the drain. `together`: who is told of bans beside this process, and first."""
         self.clock, self.driver, self.drain, self.begin = clock, driver, drain, standby
+        self.together = together
 
     def figures(self) -> dict[str, Any]:
         ledger, balancer = self.driver.ledger, self.driver.balancer
@@ -29,11 +34,18 @@
                 "reconfig_ok": ledger.reloads, "reconfig_failed": ledger.reloads_failed}
 
     def enter(self, name: str) -> bool:
+        if self._known(name) and self.together is not None:
+            self.together.enter(name)
         return self._said(self.driver.ban(number_of(name)), "banned", name)
 
     def exit(self, name: str) -> bool:
+        if self._known(name) and self.together is not None:
+            self.together.exit(name)
         return self._said(self.driver.end_ban(number_of(name)), "back", name)
 
+    def _known(self, name: str) -> bool:
+        return number_of(name) in self.driver.listed_ever
+
     def _said(self, done: bool, what: str, name: str) -> bool:
         if done:
             log.info("upstream %s: %s by hand", name, what,
--- /dev/null
+++ b/dykeshift/node/together.py
@@ -0,0 +1,89 @@
+"""This process and perhaps another as one balancer: the shell round `handover`, on the daemon's loop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from dykeshift.clock import Clock
+from dykeshift.engine.discovery import number_of
+from dykeshift.engine.driver import Driver
+from dykeshift.engine.server import Front
+from dykeshift.handover.bans import Bans
+from dykeshift.handover.folder import Folder
+
+log = logging.getLogger(__name__)
+
+LOOK = 0.05  # seconds between two looks at the folder: a fifth of the grace that bans and drains have
+MS = 1_000_000
+
+
+class Together:
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, folder: Folder, driver: Driver,
+                 front: Front) -> None:
+        self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
+        self.limits = front.limit, driver.pool.limit
+        self.timer: asyncio.TimerHandle | None = None
+
+    def restore(self) -> None:
+        """The bans that another process, or an earlier one, left: before anything is sent."""
+        self._take(self.folder.read())
+
+    def serve(self) -> None:
+        """From now on this process counts as serving, and looks what others do."""
+        self.folder.serve(self.clock.monotonic_ns())
+        self._look()
+
+    def leave(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.folder.leave()
+
+    # ---- bans: what the console calls ----
+
+    def enter(self, name: str) -> None:
+        """OSError: it could not be written, and nothing has changed."""
+        with self.folder.change() as held:
+            held.enter(name, self.clock.time_ns() // MS)
+
+    def exit(self, name: str) -> None:
+        with self.folder.change() as held:
+            held.exit(name, self.clock.time_ns() // MS)
+
+    # ---- the other process ----
+
+    def _look(self) -> None:
+        self.timer = self.loop.call_later(LOOK, self._look)
+        try:
+            if self.folder.changed():
+                self._take(self.folder.read())
+            others, younger = self.folder.others()
+        except OSError as exc:
+            log.warning("the folder shared with other versions can't be read: %s", exc,
+                        extra={"event": "handover.unread", "fields": {"reason": str(exc)}})
+            return
+        front, pool = self.front, self.driver.pool
+        front.limit, pool.limit = (max(1, most // (1 + others)) for most in self.limits)
+        front.drain.yielding = younger > 0
+
+    def _take(self, held: Bans) -> None:
+        """A ban ends by a word that says so alone: a file that is gone or spoilt ends none."""
+        offset = self.clock.monotonic_ns() - self.clock.time_ns()
+
+        def when(unix: int) -> int:
+            return max(1, unix * MS + offset)
+
+        banned = self.driver.balancer.banned
+        for name, (since, until) in held.back.items():
+            number = number_of(name)
+            if name not in held.out and banned.get(number, 0) <= when(until):
+                self._tell(name, self.driver.ban, when(since))
+                self._tell(name, self.driver.end_ban, when(until))
+        for name, since in held.out.items():
+            if number_of(name) not in banned:
+                self._tell(name, self.driver.ban, when(since))
+
+    def _tell(self, name: str, what: Callable[[int, int], bool], at: int) -> None:
+        self.driver.listed_ever.add(number_of(name))  # the other process has checked it
+        what(number_of(name), at)
