--- a/dykeshift/console/shell.py
+++ b/dykeshift/console/shell.py
@@ -33,6 +33,12 @@
             others = [c for c in self.callers if c is not caller]
             next((c for c in others if not c.fed), others[0]).abort()
 
+    def drain(self) -> None:
+        """Operators are answered to the end."""
+
+    def busy(self) -> bool:
+        return False
+
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -91,6 +91,7 @@
             await console.listen(given.console)
         except OSError as exc:
             raise config.ConfigError(f"cannot listen for operators: {exc}") from None
+        services.append(console)
     if together is not None:
         together.serve()
     if started is not None:
--- /dev/null
+++ b/tests/handover/test_bans.py
@@ -0,0 +1,103 @@
+"""Bans as text: nothing readable is dropped. The folder: whole files, locks that end with their holder."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dykeshift.handover import bans
+from dykeshift.handover.bans import Bans, Spoilt, read
+from dykeshift.handover.folder import BANS, Folder
+
+EVENTS = st.lists(st.tuples(st.sampled_from(["enter", "exit"]), st.sampled_from(["s0", "s1", "é"]),
+                            st.integers(1, 2 * bans.KEPT)), max_size=30)
+
+
+@given(EVENTS)
+def test_what_is_written_is_read_again_and_is_what_a_plain_model_says(
+        events: list[tuple[str, str, int]]) -> None:
+    held, out, now = Bans(), dict[str, int](), 0
+    for event, name, wait in events:
+        now += wait
+        if event == "enter":
+            held.enter(name, now)
+            out.setdefault(name, now)
+        else:
+            held.exit(name, now)
+            if name in out:
+                assert held.back[name] == (out.pop(name), now)
+        held = read(held.text())
+        assert held.out == out
+
+
+@pytest.mark.parametrize(("text", "kept"), [
+    ("", set()), ("{", set()), ("[]", set()), ("7", set()), ("[" * 100_000, set()),
+    ('{"v":9,"out":{"s0":5},"back":{}}', {"s0"}),  # of a later version: a ban is a ban
+    ('{"out":{"s0":5,"s1":"noon"}}', {"s0", "s1"}),
+    ('{"v":1,"out":{"s0":-5,"s1":5},"back":{"s2":[1]}}', {"s0", "s1"}),
+    ('{"v":1,"out":["s0"],"back":{}}', set()),
+])
+def test_a_spoilt_text_says_so_and_keeps_every_ban_that_can_be_read(text: str, kept: set[str]) -> None:
+    with pytest.raises(Spoilt) as caught:
+        read(text)
+    assert set(caught.value.bans.out) == kept and "\n" not in str(caught.value)
+
+
+def test_two_holders_of_the_folder_add_to_one_file_and_see_each_other(tmp_path: Path) -> None:
+    one, other = Folder(str(tmp_path)), Folder(str(tmp_path))
+    assert one.read() == Bans() and not one.changed()
+    with one.change() as held:
+        held.enter("s0", 5)
+    assert not one.changed() and other.changed()
+    with other.change() as held:
+        held.enter("s1", 6)
+    assert other.read().out == {"s0": 5, "s1": 6} and one.changed()
+    assert one.read().out == {"s0": 5, "s1": 6}
+    assert not one.changed()
+    assert not [name for name in tmp_path.iterdir() if name.name.startswith(f"{BANS}.")]  # no drafts
+
+
+def test_a_write_that_fails_leaves_the_file_as_it_was(tmp_path: Path) -> None:
+    folder = Folder(str(tmp_path))
+    with folder.change() as held:
+        held.enter("s0", 5)
+    with pytest.raises(RuntimeError), folder.change() as held:
+        held.enter("s1", 6)
+        raise RuntimeError
+    assert json.loads((tmp_path / BANS).read_text())["out"] == {"s0": 5}
+
+
+HOLDS = """
+import sys, time
+from dykeshift.handover.folder import Folder
+folder = Folder(sys.argv[1])
+folder.serve(int(sys.argv[2]))
+print("serving", flush=True)
+sys.stdin.read()
+"""
+
+
+def test_who_serves_is_seen_with_its_age_and_one_that_is_killed_is_missed_at_once(tmp_path: Path) -> None:
+    folder = Folder(str(tmp_path))
+    folder.serve(100)
+    assert folder.others() == (0, 0)
+    others = []
+    for since in (50, 200):
+        other = subprocess.Popen([sys.executable, "-c", HOLDS, str(tmp_path), str(since)], text=True,
+                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert other.stdout is not None and other.stdout.readline() == "serving\n"
+        others.append(other)
+    assert folder.others() == (2, 1)
+    for n, other in enumerate(others):
+        other.kill()
+        other.communicate()
+        assert folder.others() == ((1, 1), (0, 0))[n]
+    assert len([name for name in tmp_path.iterdir() if "serving" in name.name]) == 1  # the dead are gone
+    folder.leave()
+    assert Folder(str(tmp_path)).others() == (0, 0)
--- /dev/null
+++ b/tests/handover/test_upgrade.py
@@ -0,0 +1,216 @@
+"""Two real processes on one inherited listener: each request answered once, bans kept, no closed door."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from dykeshift.handover.folder import BANS
+from tests.node.stubs import (
+    Caller,
+    Message,
+    Registry,
+    Stub,
+    answer,
+    configuration,
+    instance,
+    listing,
+    read_message,
+    request,
+    run,
+    says,
+    silent,
+    until,
+)
+
+READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
+ROOT = Path(__file__).resolve().parents[2]
+
+
+class Site:
+    """A listener that the platform holds, and the processes that it starts beside one another."""
+
+    def __init__(self, folder: Path, listener: socket.socket, registry: Registry, known: Any) -> None:
+        self.folder, self.listener, self.registry, self.known = folder, listener, registry, known
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    async def start(self, **env: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+        """Once it says yes."""
+        with socket.socket() as one:
+            one.bind(("127.0.0.1", 0))
+            console: tuple[str, int] = one.getsockname()
+        path = self.folder / f"config{len(self.processes)}.json"
+        given = {**configuration(self.registry.address, self.known), "console": "%s:%d" % console,
+                 "listen": "%s:%d" % self.listener.getsockname()}
+        path.write_text(json.dumps(given))
+        self.registry.put(self.known)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "dykeshift.node", cwd=ROOT, pass_fds=[self.listener.fileno()],
+            env={**os.environ, "NODE_CONFIG": str(path), "TMPDIR": str(self.folder),
+                 "NODE_INHERITED_FD": str(self.listener.fileno()), **env})
+        self.processes.append(process)
+        while process.returncode is None:
+            try:
+                if "200" in (await self.call(console, "GET", "/status")).start:
+                    return process, console
+            except OSError:
+                await asyncio.sleep(0.01)
+        raise AssertionError(f"it ended with {process.returncode}")
+
+    @staticmethod
+    async def call(console: tuple[str, int], method: str, path: str, name: str = "") -> Message:
+        reader, writer = await asyncio.open_connection(*console)
+        body = json.dumps({"name": name}) if name else ""
+        head = f"{method} {path} HTTP/1.1\r\nHost: b\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(f"{head}{body}".encode())
+        got = await read_message(reader)
+        writer.close()
+        return got
+
+    async def open(self) -> Caller:
+        return Caller(*await asyncio.open_connection(*self.listener.getsockname()))
+
+
+@asynccontextmanager
+async def site(folder: Path, *stubs: Stub) -> AsyncIterator[Site]:
+    registry = await Registry().start()
+    known = listing(1, True, *(instance(f"s{n}", stub.address) for n, stub in enumerate(stubs)))
+    with socket.create_server(("127.0.0.1", 0), backlog=128) as listener:
+        made = Site(folder, listener, registry, known)
+        try:
+            yield made
+        finally:
+            for process in made.processes:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+
+def test_every_request_is_answered_while_one_process_follows_the_other(tmp_path: Path) -> None:
+    async def main() -> None:
+        stubs = [await Stub(says(answer(b"done"))).start() for _ in range(4)]
+        async with site(tmp_path, *stubs) as made:
+            old, _ = await made.start()
+            stop = asyncio.Event()
+
+            async def client(number: int) -> tuple[int, int]:
+                asked, caller = 0, await made.open()
+                while not stop.is_set():
+                    asked += 1
+                    got = await caller.ask(request("check", rid=f"c{number}-{asked}"))
+                    assert got.start.split()[1] in ("200", "503")
+                    if got.headers.get("connection") == "close":
+                        caller.writer.close()
+                        caller = await made.open()
+                caller.writer.close()
+                return number, asked
+
+            clients = [asyncio.create_task(client(n)) for n in range(6)]
+            for _ in range(2):  # a second upgrade right after
+                new, _ = await made.start()
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+                old = new
+            stop.set()
+            asked = dict(await asyncio.gather(*clients))
+            assert all(count > 0 for count in asked.values())
+            ids = [m.headers["x-request-id"] for stub in stubs for m in stub.seen]
+            assert {rid.partition("-")[0] for rid in ids} == {f"c{n}" for n in range(6)}
+
+    run(main())
+
+
+def test_a_taken_request_is_answered_by_the_old_process_after_sigterm(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with site(tmp_path, stub) as made:
+            old, _ = await made.start()
+            busy = await made.open()
+            for _ in range(2):  # whoever has asked twice is kept for long
+                assert "200" in (await busy.ask(READY)).start
+            await made.start()
+            busy.writer.write(request(rid="busy"))
+            await until(lambda: len(stub.seen) == 1)
+            old.send_signal(signal.SIGTERM)
+            stub.writers[0].write(answer(b"at last"))
+            got = await read_message(busy.reader)
+            assert got.body == b"at last" and got.headers["connection"] == "close"
+            assert await old.wait() == 0
+
+    run(main())
+
+
+def test_bans_are_written_before_the_yes_and_hold_in_both_processes_and_after(tmp_path: Path) -> None:
+    async def main() -> None:
+        banned, other = [await Stub(says(answer(body))).start() for body in (b"banned", b"other")]
+
+        async def asked(made: Site, count: int) -> set[bytes]:
+            callers = [await made.open() for _ in range(20)]
+            return {(await c.ask(request("check", rid=f"{count}-{n}"))).body for n, c in enumerate(callers)}
+
+        async with site(tmp_path, banned, other) as made:
+            old, console = await made.start()
+            assert "200" in (await made.call(console, "PUT", "/maintenance/enter", "s0")).start
+            assert set(json.loads((tmp_path / BANS).read_text())["out"]) == {"s0"}
+            new, second = await made.start()
+            assert await asked(made, 1) == {b"other"} and not banned.seen
+            # It ends at the new one, and the old one hears it; then the other way about.
+            assert "200" in (await made.call(second, "PUT", "/maintenance/exit", "s0")).start
+            assert "200" in (await made.call(second, "PUT", "/maintenance/enter", "s1")).start
+            while b'"hosts_down":1' not in (await made.call(console, "GET", "/status/metrics")).body:
+                await asyncio.sleep(0.01)
+            old.kill()
+            await old.wait()
+            assert await made.call(second, "PUT", "/maintenance/enter", "s9") is not None
+            new.kill()
+            await new.wait()
+            (tmp_path / BANS).write_text('{"v":3,"out":{"s1":1},"back":{}}')  # another version's
+            _, third = await made.start()
+            assert b'"hosts_down":1' in (await made.call(third, "GET", "/status/metrics")).body
+            assert b"other" not in await asked(made, 2)
+
+    run(main())
+
+
+def test_a_younger_process_that_dies_leaves_the_old_one_whole(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer(b"done"))).start()
+        async with site(tmp_path, stub) as made:
+            await made.start()
+            kept = await made.open()
+            for _ in range(2):
+                assert "connection" not in (await kept.ask(READY)).headers
+            new, _ = await made.start()
+            while "connection" not in (await kept.ask(READY)).headers:
+                pass  # until the old one has seen the new one
+            new.kill()
+            await new.wait()
+            again = await made.open()
+            while "connection" in (await again.ask(READY)).headers:
+                again = await made.open()
+            assert (await again.ask(request("check", rid="last"))).body == b"done"
+
+    run(main())
+
+
+def test_without_a_folder_it_serves_and_what_is_no_listener_is_one_line(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer(b"done"))).start()
+        async with site(tmp_path, stub) as made:
+            _, console = await made.start(TMPDIR="")
+            assert "200" in (await made.call(console, "PUT", "/maintenance/enter", "s0")).start
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "dykeshift.node", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(tmp_path / "config0.json"), "NODE_INHERITED_FD": "77"})
+        _, text = await process.communicate()
+        assert process.returncode == 2 and text.count(b"\n") == 1 and b"NODE_INHERITED_FD" in text
+
+    run(main())
--- /dev/null
+++ b/tests/node/test_drain.py
@@ -0,0 +1,101 @@
+"""The drain's states against a plain model, and drains of a whole balancer on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dykeshift.engine import drain as module
+from dykeshift.engine.drain import Drain, State
+from tests.node.stubs import Stub, answer, node, read_message, request, run, says, silent, until
+
+READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
+EVENTS = st.lists(st.tuples(st.sampled_from(["standby", "active", "terminate", "look", "busy"]),
+                            st.floats(0, 2)), max_size=40)
+
+
+@given(EVENTS, st.booleans())
+def test_a_drain_does_as_a_plain_model_says(events: list[tuple[str, float]], shared: bool) -> None:
+    drain, now = Drain(shared), 0.0
+    draining: float | None = None  # since when
+    ending: float | None = None
+    over = False
+    for event, wait in events:
+        now += wait
+        if event == "standby":
+            drain.standby(now)
+            draining = now if draining is None else draining
+        elif event == "active":
+            assert drain.active() == (ending is None)
+            draining = None
+        elif event == "terminate":
+            drain.terminate(now, 1.5)
+            ending = now if ending is None else ending
+        else:
+            orders = drain.look(now, event == "busy")
+            since = ending if ending is not None else draining
+            age = -1.0 if since is None else now - since
+            over = over or ending is not None and age >= module.LINGER and (
+                event == "look" or age >= module.LINGER + 1.5)
+            assert orders.close_kept == (age >= module.KEPT) and orders.close_silent == (age >= module.SILENT)
+            assert orders.stop_accepting == (ending is not None and (shared or age >= module.LINGER))
+        assert drain.taking == (draining is None and ending is None)
+        assert (drain.state is State.OVER) == over and drain.ending == (ending is not None)
+
+
+def test_a_younger_process_gets_the_clients_but_ready_stays_yes() -> None:
+    drain = Drain(shared=True)
+    drain.yielding = True
+    assert drain.taking and not drain.keeping
+
+
+def test_standby_says_no_serves_what_comes_and_lets_go_of_all_until_it_is_active_again() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub, console="127.0.0.1:0") as balancer:
+            address = balancer.services[-1].server.sockets[0].getsockname()
+
+            async def call(what: str) -> str:
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(f"PUT /{what} HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\n".encode())
+                got = await read_message(reader)
+                assert await reader.read() == b""
+                writer.close()
+                return got.start.split()[1]
+
+            kept, mute, busy = await balancer.open(), await balancer.open(), await balancer.open()
+            assert "200" in (await kept.ask(READY)).start
+            busy.writer.write(request(rid="busy"))
+            await until(lambda: len(stub.seen) == 1)
+            assert await call("standby") == await call("standby") == "200"
+            late = await balancer.open()
+            got = await late.ask(READY)
+            assert "503" in got.start and got.headers["connection"] == "close"
+            assert await kept.reader.read() == b"" and await mute.reader.read() == b""
+            stub.writers[0].write(answer(b"at last"))
+            got = await read_message(busy.reader)
+            assert got.body == b"at last" and got.headers["connection"] == "close"
+            await until(lambda: not balancer.front.clients)
+            assert await call("active") == "200"
+            stub.handler = says(answer(b"again"))
+            again = await balancer.open()
+            assert "200" in (await again.ask(READY)).start
+            assert (await again.ask(request("check", rid="r2"))).body == b"again"
+
+    run(main())
+
+
+def test_active_takes_a_drain_back_before_any_connection_is_closed() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer(b"done"))).start()
+        async with node(stub) as balancer:
+            kept = await balancer.open()
+            assert "200" in (await kept.ask(READY)).start
+            balancer.front.drain.standby(asyncio.get_running_loop().time())
+            balancer.front.drain.active()
+            got = await kept.ask(request("check"))
+            assert got.body == b"done" and "connection" not in got.headers
+
+    run(main())
--- /dev/null
+++ b/tests/node/test_settings.py
@@ -0,0 +1,151 @@
+"""New settings at SIGHUP: taken whole or not at all, and whoever is under way keeps what it came with."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dykeshift.engine import config
+from dykeshift.interface import Idempotency, ListKind, Outcome
+from dykeshift.settings import SettingsError, parse_settings, succeed
+from tests.harness import MS, World, entry
+from tests.node.stubs import (
+    Node,
+    Stub,
+    answer,
+    configuration,
+    node,
+    read_message,
+    request,
+    run,
+    says,
+    service,
+    settings,
+    silent,
+    until,
+)
+
+
+def named(*services: dict[str, Any], **bounds: Any) -> dict[str, Any]:
+    given = settings(services=list(services))
+    given["bounds"] = {**given["bounds"], **bounds}
+    return given
+
+
+CHECK, SEND = service("check", "pure"), service("send", "side_effect")
+
+
+@pytest.mark.parametrize("value", [0, -1, True, False, "5", None, [], {}, float("nan"), float("inf"), 0.4])
+@pytest.mark.parametrize("key", ["deadlineNs", "maxAttempts", "goalTimeNs"])
+def test_what_is_no_positive_number_is_named_in_one_line(key: str, value: Any) -> None:
+    raw = named(CHECK, maxAttempts=value) if key == "maxAttempts" else named({**CHECK, key: value})
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(raw)
+    assert key in str(caught.value) and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("text", [
+    "", "{", "[]", "null", '{"settings":', '{"listen":"127.0.0.1:1"}', "[" * 200_000,
+    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named()}),
+    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named(CHECK, CHECK)}),
+    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "deadlineNs": float("nan")})}),
+    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "worth": 1e400})}),
+])
+def test_a_file_that_cannot_be_used_is_one_error(text: str, tmp_path: Any) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    with pytest.raises(config.ConfigError) as caught:
+        config.load(str(path))
+    assert "\n" not in str(caught.value)
+
+
+NAMES = st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["pure", "token", "side_effect"]),
+                           st.integers(1, 3)), min_size=1, max_size=3, unique_by=lambda c: c[0])
+
+
+@given(st.lists(NAMES, min_size=1, max_size=6))
+def test_a_place_means_one_class_for_good(files: list[list[tuple[str, str, int]]]) -> None:
+    def read(file: list[tuple[str, str, int]]) -> Any:
+        return parse_settings(named(*(service(n, kind, deadlineNs=d) for n, kind, d in file)))
+
+    held = read(files[0])
+    for file in files[1:]:
+        new = read(file)
+        merged = succeed(held, new)
+        assert merged.classes[:len(held.classes)] == held.classes
+        current = [c for n, c in enumerate(merged.classes) if n not in merged.retired]
+        assert sorted(c.name for c in current) == sorted(c.name for c in new.classes)
+        assert set(current) == set(new.classes)
+        held = merged
+
+
+def test_the_module_learns_on_and_requests_under_way_keep_class_and_attempts() -> None:
+    world = World()
+    world.announce(ListKind.FULL, *(entry(n) for n in range(6)))
+    old = world.settings
+    rid = world.submit(0)  # safe, three attempts
+    balancer = world.balancer
+    balancer.usual[0] = 77 * MS
+    stricter = parse_settings(named({**service("read", "side_effect"), "goalTimeNs": 200 * MS}, maxAttempts=1))
+    merged = succeed(old, stricter)
+    world.play(balancer.on_settings(world.now, merged))
+    place = len(old.classes)
+    assert balancer.usual[place] == 77 * MS and all(len(s.lanes) == place + 1 for s in balancer.servers.values())
+    world.settings = merged
+    for n in range(2):  # it goes on as a safe one that may be tried thrice
+        world.end(rid, n, Outcome.ERROR) if n < len(world.requests[rid].ends) else None
+    assert len(world.requests[rid].servers) == 3 and not world.requests[rid].final
+    new = world.submit(place)
+    world.end(new, 0, Outcome.ERROR)  # of the new kind: once, and it may have run
+    assert world.requests[new].final == "Fail" and len(world.requests[new].servers) == 1
+
+
+def put(balancer: Node, given: dict[str, Any]) -> None:
+    """What SIGHUP does with such a file."""
+    raw = {**configuration(balancer.registry.address), "settings": given}
+    try:
+        balancer.given = config.parse(raw)
+    except SettingsError as exc:
+        error = config.ConfigError(str(exc))
+
+        def fail() -> Any:
+            raise error
+
+        load, balancer.reload.load = balancer.reload.load, fail
+        balancer.reload()
+        balancer.reload.load = load
+        return
+    balancer.reload()
+
+
+def test_classes_appear_vanish_and_change_their_effect_in_service() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub) as balancer:
+            ledger = balancer.front.driver.ledger
+            under_way = await balancer.open()
+            under_way.writer.write(request("check", rid="old"))
+            await until(lambda: len(stub.seen) == 1)
+            put(balancer, named({**CHECK, "idempotency": "side_effect"}, service("fresh", "pure")))
+            assert (ledger.reloads, ledger.reloads_failed) == (1, 0)
+            [job] = balancer.front.driver.jobs.values()
+            assert balancer.front.driver.balancer.open["old"].klass.idempotency is Idempotency.SAFE
+            stub.handler = says(answer(b"done"))
+            assert "400" in (await balancer.ask(request("send", rid="gone"))).start  # vanished
+            assert "400" in (await balancer.ask(request("check", rid="get"))).start  # no GET any more
+            got = await balancer.ask(request("check", rid="post", method="POST"))
+            assert got.body == b"done"
+            assert (await balancer.ask(request("fresh", rid="f", method="GET"))).body == b"done"
+            put(balancer, named({**CHECK, "deadlineNs": True}))
+            assert (ledger.reloads, ledger.reloads_failed) == (1, 1)
+            assert (await balancer.ask(request("fresh", rid="f2", method="GET"))).body == b"done"
+            stub.writers[0].write(answer(b"late"))
+            assert (await read_message(under_way.reader)).body == b"late" and job.closed
+            assert {name: tier.success for name, tier in ledger.tiers.items()} == {
+                "check": 2, "set": 0, "send": 0, "fresh": 2}
+
+    run(main())
--- /dev/null
+++ b/tests/test_bans.py
@@ -0,0 +1,105 @@
+"""Upstreams out by hand, as the decision module keeps them out and takes them back."""
+
+from __future__ import annotations
+
+from dykeshift.interface import ListKind, Outcome, ServerState
+from tests.harness import MS, S, World, entry
+
+
+def world(*numbers: int) -> World:
+    made = World()
+    made.announce(ListKind.FULL, *(entry(n) for n in numbers))
+    return made
+
+
+def sent_to(made: World, requests: int = 60) -> set[int]:
+    """Where requests of all classes go, each answered at once."""
+    seen = set[int]()
+    for n in range(requests):
+        rid = made.submit(n % 3)
+        seen |= set(made.requests[rid].servers)
+        made.end_all(rid)
+        made.advance(30 * MS)
+    return seen
+
+
+def test_a_ban_holds_through_every_kind_of_list_and_through_leaving_and_return() -> None:
+    made = world(0, 1, 2)
+    made.play(made.balancer.on_ban(made.now, 1))
+    assert sent_to(made) == {0, 2}
+    for kind, entries in (
+            (ListKind.FULL, [entry(0), entry(1), entry(2)]),
+            (ListKind.DELTA, [entry(1, ServerState.GONE)]), (ListKind.DELTA, [entry(1)]),
+            (ListKind.DELTA, [entry(1, started=made.now)])):  # it restarted meanwhile
+        made.announce(kind, *entries)
+        assert sent_to(made) == {0, 2}
+    made.play(made.balancer.on_ban(made.now, 1))  # once more: it is one ban
+    made.play(made.balancer.on_ban_end(made.now, 1))
+    assert 1 in sent_to(made, 600)
+
+
+def test_a_ban_on_one_that_is_not_listed_now_holds_when_it_comes() -> None:
+    made = world(0, 2)
+    made.play(made.balancer.on_ban(made.now, 1))
+    made.announce(ListKind.DELTA, entry(1))
+    assert sent_to(made) == {0, 2}
+
+
+def test_what_comes_back_counts_as_cold_since_then_until_the_list_tells_its_start() -> None:
+    made = world(0, 1, 2)
+    balancer = made.balancer
+    made.advance(10 * S)
+    made.play(balancer.on_ban(made.now, 1))
+    began = made.now
+    made.advance(5 * S)
+    made.play(balancer.on_ban_end(made.now, 1))
+    ended = made.now
+    assert balancer.servers[1].entry.started == ended
+    made.announce(ListKind.FULL, entry(0), entry(1), entry(2))  # the list has not noticed any start
+    assert balancer.servers[1].entry.started == ended and balancer._cold(made.now, balancer.servers[1])
+    made.announce(ListKind.DELTA, entry(1, started=began + S))  # it has now
+    assert balancer.servers[1].entry.started == began + S
+    made.advance(30 * S)
+    assert not balancer._cold(made.now, balancer.servers[1]) and not balancer.returned
+
+
+def test_a_start_that_the_list_told_during_the_ban_is_kept() -> None:
+    made = world(0, 1)
+    made.play(made.balancer.on_ban(made.now, 1))
+    made.advance(2 * S)
+    told = made.now - S
+    made.announce(ListKind.DELTA, entry(1, started=told))
+    made.play(made.balancer.on_ban_end(made.now, 1))
+    assert made.balancer.servers[1].entry.started == told
+
+
+def test_with_all_out_requests_are_refused_at_once() -> None:
+    made = world(0, 1)
+    for n in (0, 1):
+        made.play(made.balancer.on_ban(made.now, n))
+    rid = made.submit(2)
+    assert made.requests[rid].final == "Refuse"  # time has not moved
+    made.play(made.balancer.on_ban_end(made.now, 0))
+    assert sent_to(made) == {0}
+
+
+def test_an_attempt_that_runs_at_a_banned_server_ends_under_its_rules() -> None:
+    made = world(0)
+    rid = made.submit(2)
+    [server] = made.requests[rid].servers
+    made.play(made.balancer.on_ban(made.now, server))
+    made.play(made.balancer.on_ban_end(made.now + 1, server))  # a new process as far as anybody knows
+    made.end(rid, 0, Outcome.OK)
+    assert made.balancer.servers[server].in_flight == 0 and not made.balancer.open
+
+
+def test_avoided_are_the_banned_the_leaving_and_the_resting_of_the_list() -> None:
+    made = world(0, 1, 2, 3)
+    assert made.balancer.avoided(made.now) == 0
+    made.play(made.balancer.on_ban(made.now, 1))
+    made.announce(ListKind.DELTA, entry(2, ServerState.DRAINING), entry(3, ServerState.GONE))
+    assert made.balancer.avoided(made.now) == 2
+    made.balancer.servers[0].rest_until = made.now + 1
+    assert made.balancer.avoided(made.now) == 3
+    made.announce(ListKind.DELTA, entry(1, ServerState.GONE))  # banned, and not of the list
+    assert made.balancer.avoided(made.now) == 2
