--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -90,15 +90,17 @@
     rid = world.submit(0)  # safe, three attempts
     balancer = world.balancer
     balancer.usual[0] = 77 * MS
-    stricter = parse_settings(named({**service("read", "side_effect"), "goalTimeNs": 200 * MS}, maxAttempts=1))
+    stricter = parse_settings(named(service("read", "side_effect", goalTimeNs=200 * MS), maxAttempts=1))
     merged = succeed(old, stricter)
     world.play(balancer.on_settings(world.now, merged))
     place = len(old.classes)
-    assert balancer.usual[place] == 77 * MS and all(len(s.lanes) == place + 1 for s in balancer.servers.values())
+    assert balancer.usual[place] == 77 * MS
+    assert all(len(server.lanes) == place + 1 for server in balancer.servers.values())
+    world.end(rid, 0, Outcome.ERROR)  # it goes on as a safe one that may be tried thrice
+    while None in world.requests[rid].ends:
+        world.end(rid, world.requests[rid].ends.index(None), Outcome.ERROR)
+    assert len(world.requests[rid].servers) == 3 and world.requests[rid].final == "Refuse"
     world.settings = merged
-    for n in range(2):  # it goes on as a safe one that may be tried thrice
-        world.end(rid, n, Outcome.ERROR) if n < len(world.requests[rid].ends) else None
-    assert len(world.requests[rid].servers) == 3 and not world.requests[rid].final
     new = world.submit(place)
     world.end(new, 0, Outcome.ERROR)  # of the new kind: once, and it may have run
     assert world.requests[new].final == "Fail" and len(world.requests[new].servers) == 1
