--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -22,6 +22,7 @@
     "demo": "a whole installation on this machine's loopback, with a live view and faults to order",
     "init": "write a commented example configuration",
     "check": "say what is wrong with a configuration",
+    "console": "ask and steer a running balancer: figures, upstreams out by hand, standby",
     "experiment": "play policies and settings over a grid of days, compare them, report with plots",
     "load": "put a balancer under load and measure its service",
     "mllp": "send, answer and make HL7 messages over MLLP; look into a journal",
--- a/dykeshift/cli/check.py
+++ b/dykeshift/cli/check.py
@@ -11,8 +11,8 @@
 
 from dykeshift.cli import Usage
 
-TOP = {"name", "listen", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all", "known",
-       "settings"}
+TOP = {"name", "listen", "console", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all",
+       "known", "settings"}
 
 
 @click.command()
--- a/dykeshift/cli/init.py
+++ b/dykeshift/cli/init.py
@@ -26,6 +26,8 @@
         "name": "n0",
         "listen": "127.0.0.1:8081",
         "discovery": "127.0.0.1:8500",
+        "// console": "where operators call, without a password: a private address; leave it out for none",
+        "console": "127.0.0.1:8090",
         "// seed": "of the random choices; use another at each balancer and each start",
         "seed": "example-1",
         "limits": {"//": "what this balancer may use; connections are bounded by it",
--- a/dykeshift/demo/installation.py
+++ b/dykeshift/demo/installation.py
@@ -60,9 +60,11 @@
     def __init__(self, name: str, number: int, home: Installation) -> None:
         self.name, self.number, self.home = name, number, home
         # Reserved for the demo's time, so that a restart finds its address free; SO_REUSEADDR suffices.
-        with socket.socket() as probe:
+        with socket.socket() as probe, socket.socket() as console:
             probe.bind(("127.0.0.1", 0))
+            console.bind(("127.0.0.1", 0))
             self.address: tuple[str, int] = probe.getsockname()
+            self.console: tuple[str, int] = console.getsockname()
         self.process: asyncio.subprocess.Process | None = None
         self.lives = 0
         self.stopping = False
@@ -72,6 +74,7 @@
         path = self.home.folder / f"{self.name}.json"
         config = {
             "name": self.name, "listen": f"127.0.0.1:{self.address[1]}",
+            "console": f"127.0.0.1:{self.console[1]}",
             "discovery": f"127.0.0.1:{self.home.discovery[1]}", "seed": f"{self.name}-{self.lives}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.home.registry.whole(),
--- a/dykeshift/demo/view.py
+++ b/dykeshift/demo/view.py
@@ -33,7 +33,8 @@
     facts.add_row("answers", "   ".join(f"{name} {n}" for name, n in sorted(tally.answers.items())))
     broken = Text(f"{len(tally.broken_rules)} BROKEN", "bold red") if tally.broken_rules else Text("all kept")
     facts.add_row("rules", broken)
-    states = (f"{b.name} {'runs' if b.running else 'down'}" for b in home.balancers)
+    states = (f"{b.name} {'runs' if b.running else 'down'}, console {b.console[0]}:{b.console[1]}"
+              for b in home.balancers)
     facts.add_row("balancers", "   ".join(states))
     keys = "   ".join(f"{key} {name}" for key, name in KEYS.items()) + "   q quit"
     return Group(Text(head, "bold"), facts, _senders(home), *map(Text, tally.notes), Text(keys, "dim"))
