Twelve seeded defects of what operators use are found; starts are never in the future

One of them had shown that a wall clock that was behind as the process started made servers start in the future, cold for so much longer: a start is now not later than it was first told.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -44,8 +44,10 @@
     def __init__(self, clock: Clock, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self.zones = {name: n for n, name in enumerate(zones)}
         self.kinds = {name: n for n, name in enumerate(kinds)}
+        self.clock = clock
         # One offset for the whole run: starts are compared with one another.
         self.offset = clock.monotonic_ns() - clock.time_ns()
+        self.starts: dict[int, tuple[int, int]] = {}  # of those listed: as told, and on this clock
 
     def read(self, raw: Any) -> tuple[int, bool, list[Listed]]:
         """Generation, whether the list is whole, entries; ValueError if any part is unsound."""
@@ -53,7 +55,11 @@
             generation, whole, rows = raw["generation"], raw["reset"], raw["instances"]
             if type(generation) is not int or type(whole) is not bool or type(rows) is not list:
                 raise ValueError("generation, reset or instances is of the wrong kind")
-            return generation, whole, [self._row(row) for row in rows]
+            listed = [self._row(row) for row in rows]
+            if whole:
+                there = {one.entry.id for one in listed}
+                self.starts = {number: start for number, start in self.starts.items() if number in there}
+            return generation, whole, listed
         except (KeyError, TypeError, AttributeError, OverflowError) as exc:
             raise ValueError(f"{type(exc).__name__}: {exc}") from None
 
@@ -64,20 +70,38 @@
         weight = float(row.get("weight", 1.0))
         if not math.isfinite(weight) or weight < 0:
             raise ValueError(f"weight is {weight}")
-        began = int(row.get("startedAtMs", 0)) * 1_000_000
+        number = number_of(str(row["instanceId"]))
+        started = self._start(number, int(row.get("startedAtMs", 0)) * 1_000_000)
+        if state is ServerState.GONE:
+            self.starts.pop(number, None)
         entry = ServerEntry(
-            id=number_of(str(row["instanceId"])),
+            id=number,
             zone=self.zones.get(str(row.get("zone")), -1),
             cell=int(row.get("cell", 0)),
             kind=self.kinds.get(str(row.get("machineType")), -1),
             state=state,
             weight=weight,
-            started=max(1, began + self.offset) if began > 0 else 0,
+            started=started,
         )
         gone = state is ServerState.GONE
         return Listed(entry, NOWHERE if gone else read_address(row["hostPort"]))
 
 
+    def _start(self, number: int, began: int) -> int:
+        """When it started, on this clock; 0: long ago.
+
+        Not later than it was first told: where the wall clock was minutes behind as this process started, a
+        server would count as cold for so much longer.
+        """
+        if began <= 0:
+            return 0
+        told, started = self.starts.get(number, (0, 0))
+        if told != began:
+            started = max(1, min(began + self.offset, self.clock.monotonic_ns()))
+            self.starts[number] = began, started
+        return started
+
+
 class Call:
     """One call, from its request to the one thing that becomes of it."""
 
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -132,7 +132,7 @@
     """
     loop, drain = asyncio.get_running_loop(), front.drain
     told = False
-    while not drain.taking and drain.state is not State.OVER:
+    while not drain.taking:
         if drain.ending and not told:
             told = True
             for service in services:
@@ -141,11 +141,11 @@
         if orders.stop_accepting:
             server.close()
         front.close_idle(orders)
-        if drain.state is not State.OVER:
-            await asyncio.sleep(TICK)
-    if drain.state is State.OVER:
-        for service in services:
-            service.close()
+        if drain.state is State.OVER:
+            for service in services:
+                service.close()
+            return
+        await asyncio.sleep(TICK)
 
 
 def settle(*_: object) -> None:
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -200,7 +200,7 @@
         before = node.settings  # those of its start: two such faults may overlap
         given = {**before, "services": [dict(one) for one in before["services"]]}
         if fault.size < 0.25:
-            given["services"][0]["deadlineNs"] = True
+            given["services"][0]["deadlineNs"] = True  # nothing of it may be taken
         elif fault.size < 0.5:
             given["services"].append({**given["services"][0], "name": "extra"})
             given["bounds"] = {**given["bounds"], "maxAttempts": 1}
@@ -208,6 +208,8 @@
             given["services"][2]["idempotency"] = "pure"
         else:
             del given["services"][1]
+        if fault.size >= 0.25:
+            node.changes.append((self.world.now, self.world.now + int((fault.length + 1) * SECOND)))
         self._retuned(node, node.process, given)
         self._then(fault.length, self._retuned, node, node.process, before)
 
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -149,6 +149,7 @@
         self.confirmed: bool = False  # discovery has spoken to it in this life
         self.deaths: list[tuple[int, bool]] = []  # when, and whether that excuses it
         self.stalls: list[tuple[int, int]] = []
+        self.changes: list[tuple[int, int]] = []  # from when to when its settings were other ones
 
     def start(self, known: Any) -> None:
         if self.process is not None and self.process.alive:
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -36,11 +36,12 @@
 DRAINED = "drained"  # a connection held idle long after a standby, or yes to new clients
 FIGURES = "figures"  # that can't be true by what was seen
 CONSOLE = "console"  # a call that is not answered in time, or wrongly
+REJECTED = "rejected"  # a sound request of a class that the settings in force have
 LEAK = "leak"
 DEAF = "not-served-again"
 FAULT = "fault"  # an exception that nothing caught, or an end that nobody asked for
 RULES = (LOST, TWICE_ANSWERED, WRONG_ANSWER, UNSAFE_AGAIN, KEYED_ASTRAY, REFUSED_RUN, EFFECT_TWICE, DRAIN,
-         COLD, ATTEMPTS, SENT_AFTER, HELD_BACK, BAN, DRAINED, FIGURES, CONSOLE, LEAK, DEAF, FAULT)
+         COLD, ATTEMPTS, SENT_AFTER, HELD_BACK, BAN, DRAINED, FIGURES, CONSOLE, REJECTED, LEAK, DEAF, FAULT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +142,7 @@
         self.work: dict[str, list[tuple[int, str, float]]] = {}  # by instance, while cold
         self.given_up: list[Entry] = []
         self.bans: dict[tuple[str, str], int] = {}  # balancer, instance: since when operators know it is out
+        self.returned: set[str] = set()  # put back by hand: they count as cold for long
         self.lives: Counter[str] = Counter()
         self.counts: dict[str, Counter[str]] = defaultdict(Counter)  # by balancer, of its present life
         self.served = self.refused = self.failed = 0
@@ -388,6 +390,7 @@
     def put_back(self, balancer: str, instance: str) -> None:
         """The ban's end is being called for."""
         self.bans.pop((balancer, instance), None)
+        self.returned.add(instance)
 
     def figures(self, now: int, balancer: str, told: dict[str, int], before: dict[str, int]) -> None:
         """What a balancer counted; `before`: what had been seen of it when it was asked.
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from typing import Any
@@ -263,3 +264,36 @@
             assert len(driver.ready) == 1
 
     run(main())
+
+
+def test_a_wall_clock_that_is_behind_makes_no_server_start_in_the_future() -> None:
+    """It was behind as the reader was made; each start keeps its first reading, and a later one counts."""
+    clock = Behind()
+    reader = Reader(clock, ("a",), ("m",))
+    clock.now += 5_000_000_000
+    row = instance("s0", ("127.0.0.1", 80), startedAtMs=100_000_000)
+    [one] = reader.read(listing(1, True, row))[2]
+    assert one.entry.started == clock.now
+    clock.now += 5_000_000_000
+    [again] = reader.read(listing(2, True, row))[2]
+    assert again.entry.started == one.entry.started
+    [later] = reader.read(listing(3, True, {**row, "startedAtMs": 100_000_001}))[2]
+    assert later.entry.started == clock.now > one.entry.started
+    reader.read(listing(4, False, {**row, "lifecycle": "left"}))
+    assert not reader.starts
+
+
+class Behind:
+    now = 1_000_000_000
+
+    def monotonic_ns(self) -> int:
+        return self.now
+
+    def time_ns(self) -> int:
+        return self.now + 99_000_000_000_000
+
+    def has_input(self, transport: asyncio.BaseTransport) -> bool:
+        return False
+
+    def input_age(self, transport: asyncio.BaseTransport) -> int:
+        return 0
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -34,6 +34,7 @@
 from dykeshift.sim.scenario import COLD_AT_SIZE, Scenario, draw
 from tests.sim.defect import Mutant, Patch
 from tests.sim.mllp_mutants import MLLP_MUTANTS
+from tests.sim.ops_mutants import OPERATORS_MUTANTS
 
 UNPROVED = (referee.UNSAFE_AGAIN, referee.REFUSED_RUN)
 
@@ -373,6 +374,7 @@
     Mutant("raises in one of fifty timers", "rules", (referee.FAULT,), _raise_now_and_then),
     Mutant("ignores the cold budget", "rules", (referee.COLD,), _ignore_cold_budget, COLD_AT_SIZE),
     *MLLP_MUTANTS,
+    *OPERATORS_MUTANTS,
 ]
 BY_NAME = {mutant.name: mutant for mutant in MUTANTS}
 
--- /dev/null
+++ b/tests/sim/ops_mutants.py
@@ -0,0 +1,163 @@
+"""Defects of what operators use, for days with consoles: each must be found by some seed's day."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from dykeshift import rules as module
+from dykeshift.engine import drain, ledger, server, upstream
+from dykeshift.engine.discovery import number_of
+from dykeshift.engine.terms import How
+from dykeshift.interface import ListKind
+from dykeshift.node import desk, reload
+from dykeshift.sim import referee
+from dykeshift.sim.scenario import WITH_OPERATORS
+from tests.sim.defect import Mutant, Patch
+
+
+def _ban_forgotten_on_a_list() -> list[Patch]:
+    def on_list(self: module.Balancer, now: int, update: Any) -> Any:
+        if update.kind is ListKind.FULL:
+            self.banned.clear()
+        return original(self, now, update)
+
+    def put(self: upstream.Pool, number: int, address: Any, started: int, ready: bool) -> None:
+        self.banned.clear()
+        put_before(self, number, address, started, ready)
+
+    original, put_before = module.Balancer.on_list, upstream.Pool.put
+    return [(module.Balancer, "on_list", on_list), (upstream.Pool, "put", put)]
+
+
+def _yes_before_the_ban() -> list[Patch]:
+    def enter(self: desk.Desk, name: str) -> bool:
+        self.driver.loop.call_later(0.6, original, self, name)
+        return number_of(name) in self.driver.listed_ever
+
+    original = desk.Desk.enter
+    return [(desk.Desk, "enter", enter)]
+
+
+def _ban_only_in_the_pool() -> list[Patch]:
+    """The pool turns everything away, and the module goes on sending."""
+    def on_ban(self: module.Balancer, now: int, number: int) -> Any:
+        return []
+
+    def ban(self: upstream.Pool, number: int, out: bool) -> None:
+        return None
+
+    return [(module.Balancer, "on_ban", on_ban), (upstream.Pool, "ban", ban)]
+
+
+def _ban_taken_for_leaving() -> list[Patch]:
+    """A ban ends when the list says that its upstream drains: the two are taken for one."""
+    def on_list(self: module.Balancer, now: int, update: Any) -> Any:
+        for entry in update.entries:
+            self.banned.pop(entry.id, None)
+        return original(self, now, update)
+
+    def put(self: upstream.Pool, number: int, address: Any, started: int, ready: bool) -> None:
+        self.banned.discard(number)
+        put_before(self, number, address, started, ready)
+
+    original, put_before = module.Balancer.on_list, upstream.Pool.put
+    return [(module.Balancer, "on_list", on_list), (upstream.Pool, "put", put)]
+
+
+def _drain_closes_busy() -> list[Patch]:
+    def close_idle(self: server.Front, orders: drain.Orders) -> None:
+        if orders.close_silent:
+            for client in list(self.clients):
+                client.abort()
+        original(self, orders)
+
+    original = server.Front.close_idle
+    return [(server.Front, "close_idle", close_idle)]
+
+
+def _drain_keeps_idle() -> list[Patch]:
+    def look(self: drain.Drain, now: float, busy: bool) -> drain.Orders:
+        orders = original(self, now, busy)
+        return orders if self.ending else replace(orders, close_kept=False)
+
+    original = drain.Drain.look
+    return [(drain.Drain, "look", look), (server, "ONCE", 30.0)]
+
+
+def _never_active_again() -> list[Patch]:
+    return [(drain.Drain, "active", lambda self: True)]
+
+
+def _class_looked_up_anew() -> list[Patch]:
+    """Requests under way get the terms that their class has by now."""
+    def on_settings(self: module.Balancer, now: int, settings: Any) -> Any:
+        acts = original(self, now, settings)
+        named = {c.name: c for n, c in enumerate(settings.classes) if n not in settings.retired}
+        for item in self.open.values():
+            item.klass = named.get(item.klass.name, item.klass)
+        return acts
+
+    original = module.Balancer.on_settings
+    return [(module.Balancer, "on_settings", on_settings)]
+
+
+def _half_a_file() -> list[Patch]:
+    """The old classes are let go of before the new ones have been read."""
+    def call(self: reload.Reload) -> None:
+        self.reader.know((), frozenset())
+        original(self)
+
+    original = reload.Reload.__call__
+    return [(reload.Reload, "__call__", call)]
+
+
+def _counted_when_begun() -> list[Patch]:
+    """An attempt counts when it is begun, not when its last byte is written."""
+    def start(self: upstream.Pool, *args: Any, **kwargs: Any) -> Any:
+        self.ledger.attempts += 1
+        return original(self, *args, **kwargs)
+
+    original = upstream.Pool.start
+    return [(upstream.Pool, "start", start), (upstream.Attempt, "whole", lambda self: None)]
+
+
+def _refusals_counted_as_failures() -> list[Patch]:
+    def end(self: ledger.Tier, how: Any) -> None:
+        original(self, How.FAILED if how is How.REFUSED else how)
+
+    original = ledger.Tier.end
+    return [(ledger.Tier, "end", end)]
+
+
+def _served_counted_twice() -> list[Patch]:
+    def end(self: ledger.Tier, how: Any) -> None:
+        original(self, how)
+        self.success += how is How.SERVED
+
+    original = ledger.Tier.end
+    return [(ledger.Tier, "end", end)]
+
+
+OPERATORS_MUTANTS = [
+    Mutant("forgets a ban on a new list", "rules, pool", (referee.BAN,), _ban_forgotten_on_a_list,
+           WITH_OPERATORS),
+    Mutant("says yes before the ban is in force", "desk", (referee.BAN,), _yes_before_the_ban,
+           WITH_OPERATORS),
+    Mutant("notes a ban and goes on", "rules, pool", (referee.BAN,), _ban_only_in_the_pool, WITH_OPERATORS),
+    Mutant("ends a ban when the list tells of its upstream", "rules, pool", (referee.BAN,),
+           _ban_taken_for_leaving, WITH_OPERATORS),
+    Mutant("closes connections with requests in a drain", "server", (referee.LOST,), _drain_closes_busy,
+           WITH_OPERATORS),
+    Mutant("keeps idle connections in a standby", "drain", (referee.DRAINED,), _drain_keeps_idle,
+           WITH_OPERATORS),
+    Mutant("is never active again", "drain", (referee.DEAF,), _never_active_again, WITH_OPERATORS),
+    Mutant("looks a class up anew after new settings", "rules", (referee.UNSAFE_AGAIN, referee.REFUSED_RUN),
+           _class_looked_up_anew, WITH_OPERATORS),
+    Mutant("takes half a file", "reload", (referee.REJECTED,), _half_a_file, WITH_OPERATORS),
+    Mutant("counts attempts that are only begun", "upstream", (referee.FIGURES,), _counted_when_begun,
+           WITH_OPERATORS),
+    Mutant("counts refusals as failures", "ledger", (referee.FIGURES,), _refusals_counted_as_failures,
+           WITH_OPERATORS),
+    Mutant("counts the served twice", "ledger", (referee.FIGURES,), _served_counted_twice, WITH_OPERATORS),
+]
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -37,6 +37,12 @@
     assert not failed, "\n".join(failed)
 
 
+def test_days_with_operators_break_no_rule() -> None:
+    seeds = [f"{seed}+ops" for seed in range(120)]
+    failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
+    assert not failed, "\n".join(failed)
+
+
 def test_days_with_cold_senders_before_many_balancers_break_no_rule() -> None:
     seeds = [f"{seed}+cold" for seed in range(8)]
     failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
@@ -172,6 +178,18 @@
     "lets an answer wait for the disk": "17+mllp",
     "never begins a failed journal anew": "24+mllp",
     "counts a message's time from its reading": "10+mllp",
+    "forgets a ban on a new list": "6+ops",
+    "says yes before the ban is in force": "1+ops",
+    "notes a ban and goes on": "0+ops",
+    "ends a ban when the list tells of its upstream": "6+ops",
+    "closes connections with requests in a drain": "0+ops",
+    "keeps idle connections in a standby": "74+ops",
+    "is never active again": "3+ops",
+    "looks a class up anew after new settings": "2+ops",
+    "takes half a file": "7+ops",
+    "counts attempts that are only begun": "0+ops",
+    "counts refusals as failures": "0+ops",
+    "counts the served twice": "0+ops",
 }
 
 
