--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -93,7 +93,8 @@
 
 @asynccontextmanager
 async def site(folder: Path, *stubs: Stub) -> AsyncIterator[Site]:
-    registry = await Lists().start()
+    registry = Lists()
+    await registry.start()
     known = listing(1, True, *(instance(f"s{n}", stub.address) for n, stub in enumerate(stubs)))
     registry.known = known
     with socket.create_server(("127.0.0.1", 0), backlog=128) as listener:
