--- a/dykeshift/engine/connection.py
+++ b/dykeshift/engine/connection.py
@@ -31,17 +31,13 @@
         self.streams = streams
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.reusable = True
-        self._expect()
-
-    def _expect(self) -> None:
         self.answer: Answer | None = None
         self.sink: Sink | None = None
         self.long = self.unframed = False
         self.head_at = 0.0
 
     def send(self, data: Message, exchange: Exchange) -> None:
-        self._expect()
-        self.reusable = False
+        self.answer, self.reusable, self.long, self.unframed = None, False, False, False
         super().send(data, exchange)
 
     # ---- a long answer ----
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -318,10 +318,9 @@
             self.answer(Reply(exc.status, f"{exc}\n".encode()))
             return
         self.request_id = incoming.id
-        if not incoming.early:
-            self.front.budget.keep(self, len(incoming.body) if len(incoming.body) > MAX_BODY else 0)
-        if incoming.body is self.body:
-            self.body = bytearray()  # it is the request's now
+        if incoming.body is self.body:  # a long one, and the request's now
+            self.front.budget.keep(self, len(self.body))
+            self.body = bytearray()
         try:
             self.front.driver.submit(incoming, self.came, self.final)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
@@ -426,8 +425,10 @@
         assert self.transport is not None
         self.busy, self.began, self.request_id, self.fed = False, 0, "", 0
         self.rest = self.upload = None
-        self.hold(False)
-        self.front.budget.keep(self, 0)
+        if self.held:
+            self.hold(False)
+        if self.size > MAX_BODY:
+            self.front.budget.keep(self, 0)
         self.front.served += not self.answers
         self.since, self.answers = self.front.loop.time(), self.answers + 1
         if not keep:
