--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -58,18 +58,21 @@
 @click.option("--seeds", default="0:100", metavar="A:B", show_default=True,
               help="From A up to, without, B; or one seed.")
 @click.option("--mllp", is_flag=True, help="Days with clinics, seeds A+mllp to B+mllp.")
+@click.option("--operators", is_flag=True, help="Days with operators, seeds A+ops to B+ops.")
 @click.option("--cold", is_flag=True, help="Days of many balancers and cold senders, A+cold to B+cold.")
 @click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
 @JSON
-def run(seeds: str, mllp: bool, cold: bool, jobs: int, as_json: bool) -> int:
+def run(seeds: str, mllp: bool, operators: bool, cold: bool, jobs: int, as_json: bool) -> int:
     """Play many seeds; 1 where a rule was broken."""
     from dykeshift.sim.runner import Played, play_all
 
-    from dykeshift.sim.scenario import COLD_AT_SIZE, WITH_MLLP
+    from dykeshift.sim.scenario import COLD_AT_SIZE, WITH_MLLP, WITH_OPERATORS
 
-    if mllp and cold:
-        raise Usage("lifttrail sim: --mllp and --cold are two kinds of days")
-    kind = WITH_MLLP if mllp else COLD_AT_SIZE if cold else ""
+    wanted = [kind for kind, asked in ((WITH_MLLP, mllp), (WITH_OPERATORS, operators), (COLD_AT_SIZE, cold))
+              if asked]
+    if len(wanted) > 1:
+        raise Usage("lifttrail sim: --mllp, --operators and --cold are kinds of days: one at a time")
+    kind = "".join(wanted)
     names = [seed + kind for seed in read_seeds(seeds)]
     if jobs < 1:
         raise Usage("lifttrail sim: --jobs is at least 1")
--- /dev/null
+++ b/tests/handover/test_together.py
@@ -0,0 +1,79 @@
+"""Two processes' bans in one process: restored, heard of, and ended by a word that says so alone."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from dykeshift.engine.discovery import number_of
+from dykeshift.handover.bans import Bans
+from dykeshift.handover.folder import BANS, Folder
+from dykeshift.interface import ListKind
+from dykeshift.node.together import Together
+from tests.harness import MS, World, entry
+from tests.node.stubs import Node, Stub, answer, node, run, says
+
+S0 = number_of("s0")
+
+
+def beside(balancer: Node, folder: Folder) -> Together:
+    front = balancer.front
+    return Together(front.loop, front.clock, folder, front.driver, front)
+
+
+def test_bans_of_another_process_hold_here_until_they_are_ended(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            here, other = beside(balancer, Folder(str(tmp_path))), beside(balancer, Folder(str(tmp_path)))
+            banned = balancer.front.driver.balancer.banned
+            other.enter("s0")
+            here.restore()
+            assert set(banned) == {S0} and not balancer.front.driver.pool.upstreams[S0].open_to_new
+            for spoilt in (None, "", '{"v":1,"out":{},"back":{}}', '{"v":9,"out":[]}'):
+                if spoilt is None:
+                    (tmp_path / BANS).unlink()
+                else:
+                    (tmp_path / BANS).write_text(spoilt)
+                here.restore()
+                assert set(banned) == {S0}  # gone or spoilt, a file ends no ban
+            other.enter("s0")
+            other.exit("s0")
+            here.restore()
+            assert not banned and balancer.front.driver.pool.upstreams[S0].open_to_new
+            assert balancer.front.driver.balancer.servers[S0].entry.started > 0  # it comes back cold
+            here.restore()  # the same word once more is none
+            other.enter("s0")
+            here.restore()
+            assert set(banned) == {S0}
+
+    run(main())
+
+
+def test_a_ban_lost_at_an_upgrade_is_seen(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Folder, "read", lambda self: Bans())
+    with pytest.raises(AssertionError):
+        test_bans_of_another_process_hold_here_until_they_are_ended(tmp_path)
+
+
+def to_cold(worlds: list[World]) -> int:
+    """Requests in turn to each world's balancer for 12 s, with one cold server of ten; how many it gets."""
+    sent = 0
+    for made in worlds:
+        made.announce(ListKind.FULL, *(entry(n) for n in range(9)), entry(9, started=made.now))
+    for n in range(2400):
+        made = worlds[n % len(worlds)]
+        rid = made.submit(n % 3)
+        for one in worlds:
+            one.advance(5 * MS)
+        sent += made.requests[rid].servers.count(9)
+        made.end_all(rid)
+    return sent
+
+
+def test_two_processes_together_send_a_cold_server_what_one_sends() -> None:
+    """Credit grows with the requests that a process gets: half each, half of it each."""
+    one = [to_cold([World(seed=seed)]) for seed in range(4)]
+    two = [to_cold([World(seed=seed), World(seed=seed + 50)]) for seed in range(4)]
+    assert sum(two) <= 1.15 * sum(one) and sum(one) > 50
