Two versions that serve at once share the byte budget of long requests, too

They already halved their connections; the bytes kept of long requests count together as well. A test holds all three shares, and that they come back when the younger one goes.

--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -23,7 +23,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, folder: Folder, driver: Driver,
                  front: Front) -> None:
         self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
-        self.limits = front.limit, driver.pool.limit
+        self.limits = front.limit, driver.pool.limit, front.budget.limit
         self.timer: asyncio.TimerHandle | None = None
 
     def restore(self) -> None:
@@ -64,7 +64,8 @@
                         extra={"event": "handover.unread", "fields": {"reason": str(exc)}})
             return
         front, pool = self.front, self.driver.pool
-        front.limit, pool.limit = (max(1, most // (1 + others)) for most in self.limits)
+        shares = (max(1, most // (1 + others)) for most in self.limits)
+        front.limit, pool.limit, front.budget.limit = shares
         front.drain.yielding = younger > 0
 
     def _take(self, held: Bans) -> None:
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -51,6 +51,27 @@
     run(main())
 
 
+def test_two_that_serve_share_connections_and_bytes_and_the_elder_lets_go(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as one, node(stub) as two:
+            elder, younger = (beside(balancer, Folder(str(tmp_path))) for balancer in (one, two))
+            whole = one.front.limit, one.front.driver.pool.limit, one.front.budget.limit
+            elder.serve()
+            younger.serve()
+            elder._look()
+            for balancer in (one, two):
+                share = balancer.front.limit, balancer.front.driver.pool.limit, balancer.front.budget.limit
+                assert share == tuple(most // 2 for most in whole)
+            assert one.front.drain.yielding and not two.front.drain.yielding
+            younger.leave()
+            elder._look()
+            assert one.front.budget.limit == whole[2] and not one.front.drain.yielding
+            elder.leave()
+
+    run(main())
+
+
 def test_a_ban_lost_at_an_upgrade_is_seen(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Folder, "read", lambda self: Bans())
     with pytest.raises(AssertionError):
