The end of a ban is heard once: a change of the file closes no connections of others

Read again: each change of the shared file made the other process ban and put back every upstream whose ban had ended in the last ten minutes, which closed its kept connections. A process now knows the ends that it has been told; its test fails without that.

--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -24,6 +24,7 @@
                  front: Front) -> None:
         self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
         self.limits = front.limit, driver.pool.limit, front.budget.limit
+        self.ended: dict[str, int] = {}  # ends of bans that this process knows: by name, when
         self.timer: asyncio.TimerHandle | None = None
 
     def restore(self) -> None:
@@ -50,6 +51,8 @@
     def exit(self, name: str) -> None:
         with self.folder.change() as held:
             held.exit(name, self.clock.time_ns() // MS)
+            if name in held.back:
+                self.ended[name] = held.back[name][1]
 
     # ---- the other process ----
 
@@ -78,6 +81,9 @@
         banned = self.driver.balancer.banned
         for name, (since, until) in held.back.items():
             number = number_of(name)
+            if self.ended.get(name) == until:
+                continue  # told once more, it would close the connections that have come up since
+            self.ended[name] = until
             if name not in held.out and banned.get(number, 0) <= when(until):
                 self._tell(name, self.driver.ban, when(since))
                 self._tell(name, self.driver.end_ban, when(until))
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -22,7 +22,8 @@
     return Together(front.loop, front.clock, folder, front.driver, front)
 
 
-def test_bans_of_another_process_hold_here_until_they_are_ended(tmp_path: Path) -> None:
+def test_bans_of_another_process_hold_here_until_they_are_ended(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         async with node(stub) as balancer:
@@ -43,10 +44,20 @@
             here.restore()
             assert not banned and balancer.front.driver.pool.upstreams[S0].open_to_new
             assert balancer.front.driver.balancer.servers[S0].entry.started > 0  # it comes back cold
-            here.restore()  # the same word once more is none
+            told = list[int]()
+            ban, driver = balancer.front.driver.ban, balancer.front.driver
+
+            def noted(number: int, at: int = 0) -> bool:
+                told.append(number)
+                return ban(number, at)
+
+            monkeypatch.setattr(driver, "ban", noted)
+            other.enter("s7")  # another's news: the end told before is none again
+            here.restore()
+            assert told == [number_of("s7")]
             other.enter("s0")
             here.restore()
-            assert set(banned) == {S0}
+            assert set(banned) == {S0, number_of("s7")}
 
     run(main())
 
@@ -75,7 +86,7 @@
 def test_a_ban_lost_at_an_upgrade_is_seen(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Folder, "read", lambda self: Bans())
     with pytest.raises(AssertionError):
-        test_bans_of_another_process_hold_here_until_they_are_ended(tmp_path)
+        test_bans_of_another_process_hold_here_until_they_are_ended(tmp_path, monkeypatch)
 
 
 def to_cold(worlds: list[World]) -> int:
