The place of a broken connection is free before its attempt's end is told

Seen: a test that fails on a busy machine with pool.open == 1 after the end of its attempt. Cause: Link._break and Link.close (link.py) abort the transport, and the place was given back only by connection_lost, a turn of the loop after the attempt's end. It is no leak, but at the limit what the module sends again at once for that end could not connect although nothing else was open, and counted as a failed connect against its server. The descriptor is closed by a callback that stands ahead of the new connect's first step (libuv closes it at once), so the limit holds. The old test also leaned on half a second of real time: its window now stands on a stopped clock.

--- a/dykeshift/engine/link.py
+++ b/dykeshift/engine/link.py
@@ -126,8 +126,17 @@
         """Give up whatever is on it; the exchange hears nothing any more."""
         self.exchange = None
         self._let_go()
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        """Let the connection go, once; its descriptor is free before any task that begins now runs.
+
+        Told before the exchange is: what is sent again at once finds the place of what has just broken.
+        """
         if self.transport is not None:
-            self.transport.abort()
+            transport, self.transport = self.transport, None
+            transport.abort()
+            self.on_lost(self)
 
     # ---- callbacks of the transport ----
 
@@ -156,8 +165,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
-        self.transport = None
-        self.on_lost(self)
 
     # ---- the end of an exchange ----
 
@@ -167,15 +174,14 @@
             self.used = True
             self.idle_since = self.loop.time()
             self.on_idle(self)
-        elif self.transport is not None:
-            self.transport.abort()
+        else:
+            self._hang_up()
         if exchange is not None:
             exchange.answered(answer)
 
     def _break(self) -> None:
         exchange, self.exchange = self.exchange, None
         self._let_go()
-        if self.transport is not None:
-            self.transport.abort()
+        self._hang_up()
         if exchange is not None:
             exchange.broken(not self.unwritten)
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from dykeshift.clock import SYSTEM
+from dykeshift.clock import SYSTEM, SystemClock
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.http_carrier import HttpCarrier
 from dykeshift.engine.upstream import Attempt, End, Pool, Staleness
@@ -41,6 +41,15 @@
     return pool
 
 
+class Stopped(SystemClock):
+    """Time stands still but for the loop's timers: no machine is too slow for a window."""
+
+    now = 1_000 * SECOND
+
+    def monotonic_ns(self) -> int:  # type: ignore[override]
+        return self.now
+
+
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"
 
 
@@ -282,6 +291,28 @@
     run(main())
 
 
+@pytest.mark.parametrize("handler", [resets, says(b"\0" * 64), says(answer(b"", "500 Internal Server Error",
+                                                                             Connection="close"))])
+def test_the_place_of_a_broken_connection_is_free_for_what_its_end_sends(handler: Handler) -> None:
+    """The end of an attempt was told a turn of the loop before its place was free: at the limit what was sent
+    again at once could not connect, though nothing else was open."""
+    async def main() -> None:
+        stub = await Stub(handler).start()
+        pool = make_pool(stub.address, limit=1)
+        far, ends = time.monotonic_ns() + 20 * SECOND, list[End]()
+
+        def ended(end: End) -> None:
+            ends.append(end)
+            if len(ends) < 3:
+                pool.start(1, lambda _: REQUEST, far, ended)
+
+        pool.start(1, lambda _: REQUEST, far, ended)
+        await until(lambda: len(ends) == 3)
+        assert Outcome.CONNECT_FAILED not in {end.outcome for end in ends} and len(stub.seen) == 3
+
+    run(main())
+
+
 def test_after_a_silence_connections_from_before_it_are_not_used() -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
@@ -470,9 +501,10 @@
     async def main() -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         pool = make_pool(listener.getsockname())
-        large, far = b"x" * (64 << 20), time.monotonic_ns() + 20 * SECOND
+        clock = pool.clock = Stopped()
+        large, far = b"x" * (64 << 20), clock.now + 20 * SECOND
         ends: list[End] = []
-        attempt = pool.start(1, lambda _: large, far, ends.append, time.monotonic_ns() + SECOND // 2)
+        attempt = pool.start(1, lambda _: large, far, ends.append, clock.now + 1)
         await until(lambda: attempt.connection is not None)
         assert not attempt.on_the_wire()
         await until(lambda: bool(ends))
