--- a/dykeshift/fleet/chance.py
+++ b/dykeshift/fleet/chance.py
@@ -19,7 +19,7 @@
 Floats = NDArray[np.float64]
 
 STREAMS = ("arrivals", "sizes", "classes", "balancers", "patience", "slowdown", "ways", "fates", "troubles",
-           "modules", "noise", "spread")
+           "modules", "noise", "spread", "pushy")
 TABLE = 1 << 16
 BIN = 0.01  # seconds over which the load counts as constant
 
@@ -90,6 +90,14 @@
         parts: list[float] = np.where(leaves, 0.05 + 0.5 * drawn[1], 1.0).tolist()
         return parts
 
+    def pushy(self, count: int) -> list[bool]:
+        """Who comes again at once, whatever it is advised."""
+        share = self.day.clients.pushy
+        if not share:
+            return [False] * count
+        drawn: list[bool] = (self.streams["pushy"].random(count) < share).tolist()
+        return drawn
+
     def chosen(self, count: int, part: float) -> list[int]:
         """So large a part of so many, at random; at least one."""
         order = self.streams["troubles"].permutation(count)
--- a/dykeshift/fleet/day.py
+++ b/dykeshift/fleet/day.py
@@ -96,6 +96,9 @@
         "utilization", "errors_per_s")
     report_age_ms: NotNegative = 250.0
     report_noise: Share = 0.05
+    connections: Annotated[int, Meta(ge=0)] = 0  # that each takes at once; 0: connections are left out
+    handshake_ms: NotNegative = 0.0  # work that a new one costs, before its first request
+    idle_s: Positive = 10.0  # after which an unused one is closed
 
     def capacity(self) -> float:
         """Work that all do when warm, in seconds of work a second."""
@@ -117,6 +120,7 @@
     retries: Annotated[int, Meta(ge=0, le=10)] = 0  # after a refusal, or a failure that may be repeated
     backoff_ms: NotNegative = 20.0  # where no advice says otherwise
     impatient: Share = 0.0  # part that leaves long before its time is over
+    pushy: Share = 0.0  # part that comes again at once and often, whatever it is advised
     trace: tuple[float, ...] = ()  # seconds of arrival; replaces the load's shape
 
 
@@ -126,6 +130,7 @@
     jitter: NotNegative = 0.2  # share of a way that chance adds, at most
     lost_connects: Share = 0.0
     connect_ms: Positive = 1_000.0  # after which a lost connect is given up
+    handshake_ways: Annotated[int, Meta(ge=0)] = 2  # that a new connection takes before its first request
 
 
 class Discovery(Base, frozen=True):
@@ -143,8 +148,15 @@
     advice_ms: NotNegative = 0.0  # longest time to return that clients respect
 
 
-TROUBLES = ("restart", "roll", "kill", "hang", "pause", "slow", "errors", "refuse", "lose", "flood",
-            "discovery-late", "balancer-restart", "balancer-gone")
+class Prices(Base, frozen=True):
+    """What a day costs, in parts of all the worth asked for, for each unit."""
+
+    cross_zone: NotNegative = 0.0  # attempts that cross zones, for each first try
+    connection: NotNegative = 0.0  # mean open connections, for each hundred and sender
+    handshake: NotNegative = 0.0  # new connections, for each first try
+    waste: NotNegative = 0.0  # work that served no answer, of all work
+
+
 
 
 class Trouble(Base, frozen=True):
@@ -154,16 +166,23 @@
     stays away. hang: takes all and answers nothing. pause: stands still. slow: `size` times slower. errors:
     a share `size` fails. refuse: turns away as full. lose: connects are lost. flood: `size` times the load.
     discovery-late: changes come `size` seconds later. balancer-restart: its requests are lost, it comes back
-    with its old list. balancer-gone: it stays away, its clients go to the others.
+    with its list of `stale_s` before. balancer-gone: it stays away, its clients go to the others.
+    replace: drains and ends, and another sender comes up cold under an id of its own, at its address.
+    reset, mute: a share `size` of the answers is lost, by a reset or without a word, after the work is done.
+    zone-lost: the machines of one zone vanish, and are back cold. zone-cut: one zone and the others don't
+    reach each other, nor discovery that zone. balancer-roll: takes no more, ends, is back with its old list.
+    discovery-moves: the balancer is told of another discovery (SIGHUP); the old one soon says no more.
     """
 
     kind: Literal["restart", "roll", "kill", "hang", "pause", "slow", "errors", "refuse", "lose", "flood",
-                  "discovery-late", "balancer-restart", "balancer-gone"]
+                  "discovery-late", "balancer-restart", "balancer-gone", "replace", "reset", "mute",
+                  "zone-lost", "zone-cut", "balancer-roll", "discovery-moves"]
     at: NotNegative
     seconds: NotNegative = 0.0
     part: Share = 0.1
     spread_s: NotNegative = 0.0
     size: NotNegative = 1.0
+    stale_s: NotNegative = 0.0  # age of the list that a balancer comes back with
 
 
 class Day(Base, frozen=True):
@@ -176,6 +195,7 @@
     clients: Clients = Clients()
     network: Network = Network()
     discovery: Discovery = Discovery()
+    prices: Prices = Prices()
     troubles: tuple[Trouble, ...] = ()
 
     def __post_init__(self) -> None:
--- a/dykeshift/fleet/figures.py
+++ b/dykeshift/fleet/figures.py
@@ -13,6 +13,7 @@
 HOWS = ("open", "ok", "refused", "failed", "reset", "late", "left")
 CODE = {how: n for n, how in enumerate(HOWS)}
 STEP_S = 0.25  # of the service over time
+CAUSES = ("at once", "no server", "attempts")  # of refusals: turned away, nowhere to go, after attempts
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 99.99)
 
 
@@ -51,6 +52,10 @@
     list_slowest: int
     took: int
     events: int
+    crossings: int
+    connects: int
+    open_lines: list[int]  # connections, twice a second
+    refusals: list[tuple[int, str]]  # when each refused try came, and one of CAUSES
 
 
 class ClassFigures(Struct, frozen=True):
@@ -82,6 +87,11 @@
     first_breaches: dict[str, str]
     classes: dict[str, ClassFigures]
     in_aim_by_step: list[float]  # by arrival, a step of 0.25 s each; -1 where nothing arrived
+    refused_by_step: dict[str, list[float]]  # by cause and the try's arrival: for each errand of that step
+    crossings: float  # attempts that leave their zone, for each errand
+    connects: float  # new connections, for each errand
+    connections: float  # open, mean for each sender
+    price: float  # of all that `Prices` names, in parts of the worth
     module_us: float  # of this machine's time, for each try
     model_us: float  # the rest, for each try
     list_ms: float  # the slowest update of the list
@@ -105,7 +115,12 @@
     late = np.array([c.late_share for c in day.classes])[klass]
     earned = float((worths * np.where(in_aim, 1.0, np.where(ok, late, 0.0))).sum())
     slots = day.senders.count * day.senders.slots * day.seconds * SECOND
-    tries = max(1, errands.tries)
+    tries, all_errands = max(1, errands.tries), max(1, len(errands.at))
+    wasted = 1 - run.useful / run.worked if run.worked else 0.0
+    lines = float(np.mean(run.open_lines)) / day.senders.count if run.open_lines else 0.0
+    prices = day.prices
+    price = (prices.cross_zone * run.crossings / all_errands + prices.handshake * run.connects / all_errands
+             + prices.connection * lines / 100 + prices.waste * wasted)
     return Figures(
         errands=len(at), tries=errands.tries, served=float(ok.sum()) / total,
         in_aim=float(in_aim.sum()) / total,
@@ -113,11 +128,14 @@
         refused=float((how == CODE["refused"]).sum()) / total,
         failed=float(np.isin(how, [CODE["failed"], CODE["reset"], CODE["late"]]).sum()) / total,
         refusals=errands.answers.get("refused", 0) / tries, percentiles_ms=_percentiles(taken[ok]),
-        attempts=run.attempts / tries, wasted=1 - run.useful / run.worked if run.worked else 0.0,
+        attempts=run.attempts / tries, wasted=wasted,
         busy=run.worked / slots, cold_peak=run.peak, cold_use=float(np.mean(run.use)) if run.use else 0.0,
         fell=run.fell, breaches=run.breaches, first_breaches=run.first,
         classes={c.name: _of_class(klass == n, ok, in_aim, taken) for n, c in enumerate(day.classes)},
-        in_aim_by_step=_steps(errands, day, aims, first), module_us=run.module / 1000 / tries,
+        in_aim_by_step=_steps(errands, day, aims, first),
+        refused_by_step=_refused(errands, day, run.refusals, first), crossings=run.crossings / all_errands,
+        connects=run.connects / all_errands, connections=lines, price=price,
+        module_us=run.module / 1000 / tries,
         model_us=(run.took - run.module) / 1000 / tries, list_ms=run.list_slowest / MS,
         tries_per_s=errands.tries / (run.took / SECOND))
 
@@ -144,3 +162,17 @@
     offered = np.bincount(step, minlength=count)[:count]
     served = np.bincount(step, weights=good, minlength=count)[:count]
     return [round(float(s / o), 5) if o else -1.0 for s, o in zip(served, offered, strict=True)]
+
+
+def _refused(errands: Errands, day: Day, refusals: list[tuple[int, str]],
+             first: int) -> dict[str, list[float]]:
+    count = int(np.ceil(day.seconds / STEP_S))
+    step = ((errands.at - first) / (STEP_S * SECOND)).astype(np.int64)
+    offered = np.maximum(1, np.bincount(step, minlength=count)[:count])
+    found: dict[str, list[float]] = {}
+    for cause in CAUSES:
+        at = [min(count - 1, int((came - first) / (STEP_S * SECOND)))
+              for came, why in refusals if why == cause]
+        counts = np.bincount(np.asarray(at, dtype=np.int64), minlength=count)
+        found[cause] = [round(float(part), 5) for part in counts / offered]
+    return found
--- a/dykeshift/fleet/host.py
+++ b/dykeshift/fleet/host.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 
 from dykeshift.fleet.decider import Decider
+from dykeshift.fleet.day import MS
 from dykeshift.fleet.senders import Post, Process, Try
 from dykeshift.fleet.watch import TWICE, Sent
+from dykeshift.fleet.ways import Lines
 from dykeshift.interface import (
     Action,
     AttemptEnd,
@@ -36,16 +38,16 @@
 class Job:
     """A client's try until it is answered and all its attempts have come back."""
 
-    __slots__ = ("answered", "closed", "deadline", "errand", "klass", "live", "name", "sent", "tries", "turn",
-                 "where")
+    __slots__ = ("answered", "came", "closed", "deadline", "errand", "klass", "live", "name", "sent", "tries",
+                 "turn", "where")
 
-    def __init__(self, name: str, errand: int, turn: int, klass: int, deadline: int,
+    def __init__(self, name: str, errand: int, turn: int, klass: int, came: int, deadline: int,
                  answered: Callable[[Job, str, int], None]) -> None:
         self.name = name
         self.turn = turn  # of the errand's tries
         self.errand = errand
         self.klass = klass
-        self.deadline = deadline
+        self.came, self.deadline = came, deadline
         self.answered = answered  # with how ("ok", "refused", "failed", "reset") and the advice
         self.sent: list[Sent] = []
         self.tries: list[Try] = []
@@ -63,8 +65,11 @@
         self.jobs: dict[str, Job] = {}
         self.known: dict[int, ServerEntry] = {}
         self.off: dict[int, int] = {}  # senders told to drain or be gone, since when
-        self.up = True
-        self.life = 0
+        self.up: bool = True
+        self.taking: bool = True  # the front may hand it clients
+        self.life = self.discovery = 0  # of its processes; of the discoveries, which one it listens to
+        self.born = world.now
+        self.lines = Lines(world.day.senders.idle_s)
         self.spent = 0  # nanoseconds in the policy
         self.calls = 0
         self.slowest_list = 0
@@ -79,7 +84,9 @@
             self._do(actions)
 
     def begin(self, policy: Decider, entries: tuple[ServerEntry, ...], kind: ListKind) -> None:
-        self.policy, self.up = policy, True
+        self.policy = policy
+        self.up = self.taking = True
+        self.born = self.world.now
         self.known, self.off, self.jobs = {}, {}, {}
         self.tell(policy.on_start)
         self.hear(ServerList(kind, entries))
@@ -99,10 +106,18 @@
         self.tell(self.policy.on_list, update)
         self.slowest_list = max(self.slowest_list, self.spent - before)
 
+    def move(self, discovery: int) -> None:
+        """SIGHUP: another discovery is listened to from now on."""
+        self.discovery = discovery
+        moved = getattr(self.policy, "on_discovery_moved", None)  # which policies without watches do not need
+        if moved is not None:
+            self.tell(moved)
+
     def die(self) -> None:
         """Its requests are lost with it, its attempts are called off by the resets."""
-        self.up = False
+        self.up = self.taking = False
         self.life += 1
+        self.lines.close()
         for job in list(self.jobs.values()):
             if not job.closed:
                 job.closed = True
@@ -110,6 +125,7 @@
             for n, sent in enumerate(job.sent):
                 if sent.end is None:
                     sent.end = Outcome.CANCELLED
+                    self._let_go(job, n)
                     self._withdraw(job, n)
         self.jobs.clear()
 
@@ -165,7 +181,9 @@
             self.world.watcher.breach(TWICE, self.world.now, text)
             return
         if isinstance(action, Refuse):
-            self.world.watcher.refused(self.world.now, job, self.world.settings.classes[job.klass])
+            klass = self.world.settings.classes[job.klass]
+            self.world.watcher.refused(self.world.now, job, klass, action.retry_after)
+            self.world.refused(job)
             self._answer(job, "refused", action.retry_after)
         else:
             self._answer(job, "failed", 0)
@@ -174,31 +192,72 @@
     def _send(self, action: Send) -> None:
         world, now = self.world, self.world.now
         job = self.jobs[action.request_id]
-        entry = self.known[action.server]
-        off = self.off.get(action.server, 0)
-        world.watcher.sending(now, job, world.settings.classes[job.klass], entry, off)
+        post = world.holder(action.server)
+        # Who is there now, be it the one that is meant or not.
+        entry = self.known[action.server] if post.number == action.server else post.entry()
+        world.watcher.sending(now, job, world.settings.classes[job.klass], entry, self._off(action.server))
         number = len(job.sent)
-        post = world.posts[action.server]
         made = Try(job.errand, world.sizes[job.errand], partial(self._back, job, number, self.life))
         job.sent.append(Sent(now, entry))
         job.tries.append(made)
         job.where.append(post.process)
         job.live += 1
         world.attempts += 1
-        world.at(now + world.way(self.zone, job.errand, post.number), self._arrive, job, number, post)
+        world.crossings += post.zone != self.zone
+        self._set_out(job, number, post)
         if action.timeout and now + action.timeout < job.deadline:
             world.at(now + action.timeout, self._end, job, number, Outcome.TIMEOUT)
 
+    def _off(self, server: int) -> int:
+        """Since when it has been told, or counts as told, that a sender drains or is gone; 0: it has not."""
+        told = self.world.told_off(server, self)
+        known = self.off.get(server, told)
+        return min(known, told) if told else known
+
+    def _set_out(self, job: Job, number: int, post: Post) -> None:
+        """On a kept connection, or a new one where days have connections."""
+        world, made, process = self.world, job.tries[number], post.process
+        now, way = world.now, world.way(self.zone, job.errand, post)
+        reached = world.ways.open(self.zone, post.zone, now)
+        lined = post.shape.connections > 0
+        kept = self.lines.take(process, now) if lined else reached and not post.silent
+        if kept:
+            made.line = process if lined else None
+            world.at(now + way, self._arrive, job, number, post)
+        elif not reached or post.silent and lined:
+            world.at(now + post.connect, self._end, job, number, Outcome.CONNECT_FAILED)
+        elif not lined:
+            world.at(now + way, self._arrive, job, number, post)
+        elif process.lines >= post.shape.connections:
+            world.at(now + 2 * way, self._end, job, number, Outcome.CONNECT_FAILED)
+        else:
+            made.line = process
+            process.lines += 1
+            world.connects += 1
+            made.work += int(post.shape.handshake_ms * MS)
+            world.at(now + way * (1 + world.day.network.handshake_ways), self._arrive, job, number, post)
+
     def _arrive(self, job: Job, number: int, post: Post) -> None:
         made = job.tries[number]
         job.where[number] = post.process
-        if not made.told:
+        if not made.told and self.world.ways.open(self.zone, post.zone, self.world.now):
             post.process.arrive(made)
 
+    def _let_go(self, job: Job, number: int) -> None:
+        """Of the connection that an attempt was on: kept after a whole answer, else closed."""
+        made, end = job.tries[number], job.sent[number].end
+        line, made.line = made.line, None
+        if line is None:
+            return
+        if line.up and end in (Outcome.OK, Outcome.ERROR, Outcome.FULL) and self.up:
+            self.lines.keep(line, self.world.now)
+        else:
+            line.lines -= 1
+
     def _withdraw(self, job: Job, number: int) -> None:
         world = self.world
         post = job.where[number].post
-        world.at(world.now + world.way(self.zone, job.errand, post.number), self._call_off, job, number)
+        world.at(world.now + world.way(self.zone, job.errand, post), self._call_off, job, number)
 
     def _call_off(self, job: Job, number: int) -> None:
         made = job.tries[number]
@@ -209,9 +268,10 @@
     def _back(self, job: Job, number: int, life: int, outcome: Outcome, report: LoadReport | None) -> None:
         """An answer sets out."""
         if life == self.life and job.sent[number].end is None:
-            world = self.world
-            way = world.way(self.zone, job.errand, job.sent[number].entry.id)
-            world.at(world.now + way, self._end, job, number, outcome, report)
+            world, post = self.world, job.where[number].post
+            if world.ways.open(self.zone, post.zone, world.now):
+                way = world.way(self.zone, job.errand, post)
+                world.at(world.now + way, self._end, job, number, outcome, report)
 
     def _end(self, job: Job, number: int, outcome: Outcome, report: LoadReport | None = None) -> None:
         sent = job.sent[number]
@@ -219,6 +279,7 @@
             return
         sent.end = outcome
         job.live -= 1
+        self._let_go(job, number)
         if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
             self._withdraw(job, number)
         if outcome is Outcome.OK and not job.closed:
--- a/dykeshift/fleet/senders.py
+++ b/dykeshift/fleet/senders.py
@@ -33,7 +33,8 @@
 class Try:
     """One attempt on its way, at a sender, or over."""
 
-    __slots__ = ("back", "begun", "ends", "queued", "request", "running", "told", "turn", "held", "work")
+    __slots__ = ("back", "begun", "ends", "line", "queued", "request", "running", "told", "turn", "held",
+                 "work")
 
     def __init__(self, request: int, work: int, back: Callable[[Outcome, LoadReport | None], None]) -> None:
         self.request = request  # the errand's number: what it meets at a sender hangs on it
@@ -44,6 +45,7 @@
         self.running = self.queued = False
         self.told = False  # called off, or its answer is on the way
         self.held = 0  # nanoseconds of a slot
+        self.line: Process | None = None  # whose connection it is on, where days have connections
 
 
 class Process:
@@ -64,6 +66,7 @@
         self.peak = 0.0  # highest part of the cold budget that it was sent
         self.fell = False
         self.errors = self.answers = 0
+        self.lines = 0  # connections that are open, used or kept
         self._report: LoadReport | None = None
         self._reported = -SECOND
         self._busy = 0
@@ -277,11 +280,11 @@
         self.chance = chance
         self.use: list[float] = []
         self.slow = 1.0
-        self.error_share = self.lost_share = 0.0
+        self.error_share = self.lost_share = self.reset_share = self.mute_share = 0.0
         self.refuses = False
         self.silent = False  # its machine is gone: not even a refused connect comes back
         self.state = ServerState.READY
-        self.started = 0  # clock time of the latest cold start
+        self.started = self.off_at = 0  # clock time of the latest cold start; since when it drains or is gone
         self.count = 0
         self.lives: list[Process] = []
         self.process = self._live(cold=False)
@@ -291,6 +294,10 @@
         self.lives.append(process)
         return process
 
+    @property
+    def zone(self) -> int:
+        return self.number % self.shape.zones
+
     def restart(self) -> None:
         """A new process, cold; what the old one had is reset."""
         self.process.die()
@@ -298,7 +305,7 @@
         self.process = self._live(cold=True)
 
     def entry(self) -> ServerEntry:
-        return ServerEntry(id=self.number, zone=self.number % self.shape.zones,
+        return ServerEntry(id=self.number, zone=self.zone,
                            cell=self.number % self.shape.cells, kind=0, state=self.state, weight=self.weight,
                            started=self.started)
 
@@ -315,17 +322,24 @@
         return job.work * drawn * self.slow / self.speed
 
     def fails(self, job: Try) -> bool:
-        return self.error_share > 0 and self.chance.fates[spot(job.request, self.number)] < self.error_share
+        return self._meets(job, self.error_share, 0)
 
     def lost(self, job: Try) -> bool:
-        return self.lost_share > 0 and self.chance.fates[spot(job.request + 1, self.number)] < self.lost_share
+        return self._meets(job, self.lost_share, 1)
+
+    def _meets(self, job: Try, share: float, fate: int) -> bool:
+        return share > 0 and self.chance.fates[spot(job.request + fate, self.number)] < share
 
     def noise(self, now: int) -> float:
         return self.chance.noises[spot(now // MS, self.number)]
 
     def answer(self, job: Try, outcome: Outcome, report: LoadReport | None) -> None:
         job.told = True
-        if not self.silent:
+        if self.silent or outcome is Outcome.OK and self._meets(job, self.mute_share, 2):
+            return
+        if outcome is Outcome.OK and self._meets(job, self.reset_share, 3):
+            job.back(Outcome.RESET, None)
+        else:
             job.back(outcome, report)
 
     def unreachable(self, job: Try, lost: bool) -> None:
--- a/dykeshift/fleet/watch.py
+++ b/dykeshift/fleet/watch.py
@@ -14,7 +14,8 @@
 
 LOST, TWICE, UNSAFE_AGAIN, KEYED_ASTRAY = "lost", "answered-twice", "unsafe-again", "keyed-astray"
 REFUSED_RUN, ATTEMPTS, DRAIN, COLD, COPIES = "refused-run", "attempts", "drain", "cold", "copies"
-RULES = (LOST, TWICE, UNSAFE_AGAIN, KEYED_ASTRAY, REFUSED_RUN, ATTEMPTS, DRAIN, COLD, COPIES)
+ADVICE = "no-advice"
+RULES = (LOST, TWICE, UNSAFE_AGAIN, KEYED_ASTRAY, REFUSED_RUN, ATTEMPTS, DRAIN, COLD, COPIES, ADVICE)
 GRACE = 250 * MS
 
 
@@ -65,7 +66,9 @@
               or klass.scope is Scope.ZONE and entry.zone != anchor.entry.zone):
             self.breach(KEYED_ASTRAY, now, f"{job.name} is repeated outside its scope or window")
 
-    def refused(self, now: int, job: Any, klass: RequestClass) -> None:
+    def refused(self, now: int, job: Any, klass: RequestClass, advice: int) -> None:
+        if self.settings.retry_advice_limit and not 0 < advice <= self.settings.retry_advice_limit:
+            self.breach(ADVICE, now, f"{job.name} is refused with the advice {advice}")
         everywhere = klass.idempotency is Idempotency.KEYED and klass.scope is Scope.ALL
         if klass.idempotency is not Idempotency.SAFE and not everywhere and any(
                 s.may_have_run() for s in job.sent):
--- a/dykeshift/fleet/world.py
+++ b/dykeshift/fleet/world.py
@@ -1,8 +1,9 @@
 """A day played: the event loop in virtual time, clients, ways, discovery, and troubles as they come.
 
-What the model leaves out: connections (their set-up, limits and loss), the balancers' own processor time,
-bytes, streaming, and clocks that differ. One way takes its time whatever is on it. A cancelled attempt is
-known to the sender one way later. `docs/design/fleet.md` says how far that lies from the daemon.
+What the model leaves out: the balancers' own processor time, bytes, streaming, and clocks that differ.
+Connections count where the day sets how many a sender takes. One way takes its time whatever is on it. A
+cancelled attempt is known to the sender one way later. `docs/design/fleet.md` says how far that lies from
+the daemon.
 """
 
 from __future__ import annotations
@@ -17,16 +18,18 @@
 import numpy as np
 
 from dykeshift.fleet.chance import Chance, nanoseconds, spot
-from dykeshift.fleet.day import MS, SECOND, Day, Trouble
+from dykeshift.fleet.day import MS, SECOND, Day
 from dykeshift.fleet.decider import Maker
 from dykeshift.fleet.figures import Errands, Figures, Run, measure
 from dykeshift.fleet.host import RETURN, Host, Job
 from dykeshift.fleet.senders import Post
+from dykeshift.fleet.troubles import TOLD, Troubles
 from dykeshift.fleet.watch import COLD, LOST, Watcher
+from dykeshift.fleet.ways import Ways
 from dykeshift.interface import Idempotency, ListKind, ServerEntry, ServerList, ServerState
 
-DRAINED = 3 * SECOND  # a draining sender ends after this
 FIRST = SECOND  # the day begins here: an instant of 0 means "never" to the module
+PUSHES = 5  # tries of a client that comes again at once whatever it is advised
 
 
 class World:
@@ -43,14 +46,19 @@
         self.posts = self._posts()
         self.attempts = 0
         self.useful = 0  # nanoseconds of slots whose answers were passed on
+        self.crossings = self.connects = 0  # attempts that leave their zone; new connections
+        self.refusals: list[tuple[int, str]] = []  # when each came that was refused, and why
+        self.open_lines: list[int] = []  # connections, twice a second
+        self.places: dict[int, Post] = {}  # whose addresses have changed hands, and who has them now
+        self.ways = Ways(day, chance)
         self._draw_errands()
-        self._draw_ways()
         self._draw_discovery()
         seeds = chance.streams["modules"].integers(0, 2**31, (2, day.balancers.count))
         self._seeds: list[int] = seeds[0].tolist()
         self._later_seeds: list[int] = seeds[1].tolist()
         self.hosts = [Host(self, n, make(day.settings(n), first)) for n, first in enumerate(self._seeds)]
-        self._plan_troubles()
+        self._first = tuple(post.entry() for post in self.posts)
+        Troubles(self).plan()
 
     # ---- what is drawn before it begins ----
 
@@ -77,14 +85,9 @@
         self.klass = chance.classes(total)
         self.balancer = chance.balancers(total)
         self.patience = chance.patience(total)
+        self.pushy = chance.pushy(total)
         self.errands = Errands(at, np.asarray(self.klass, dtype=np.int8))
 
-    def _draw_ways(self) -> None:
-        net, zones = self.day.network, self.day.senders.zones
-        self._ways = [[int((net.near_ms if a == b else net.far_ms) * MS) for b in range(zones)]
-                      for a in range(zones)]
-        self._jitter = net.jitter
-
     def _draw_discovery(self) -> None:
         """When each balancer hears: its own offset within the interval, and its own lateness."""
         d, rng = self.day.discovery, self.chance.streams["spread"]
@@ -92,9 +95,11 @@
         self._every = max(MS, nanoseconds(d.every_s))
         self._offset: list[int] = (drawn[0] * self._every).astype(np.int64).tolist()
         self._late: list[int] = (drawn[1] * d.late_s * SECOND).astype(np.int64).tolist()
-        self._later = 0
+        self._later = self._on_time = 0  # how late discovery tells now; since when it does so on time
         self._changes: list[tuple[int, ServerEntry]] = []  # all since the start, with their times
         self._heard = [0] * self.day.balancers.count
+        self.discovery = 0  # the one that configurations name
+        self._closed: dict[int, int] = {}  # discoveries that have said their last, since when
 
     # ---- the loop ----
 
@@ -103,13 +108,14 @@
 
     def run(self, progress: Callable[[float], None] | None = None) -> Figures:
         began = perf_counter_ns()
-        entries = tuple(post.entry() for post in self.posts)
         for host in self.hosts:
-            host.begin(host.policy, entries, ListKind.FULL)
+            host.begin(host.policy, self._first, ListKind.FULL)
         for host in self.hosts:
             host.spent = 0  # the first list belongs to no request
         if self.arrivals:
             self.at(self.arrivals[0], self._next, 0)
+        if self.day.senders.connections:
+            self.at(FIRST + SECOND // 2, self._sample)
         end = FIRST + nanoseconds(self.day.seconds)
         gc.collect()
         gc.freeze()  # the fleet lives as long as the day: walked again and again, it would count as its cost
@@ -159,7 +165,7 @@
         name = f"{errand}.{tried}" if tried else str(errand)
         leaves = self.patience[errand] < 1
         deadline = self.arrivals[errand] + terms.deadline - RETURN
-        job = Job(name, errand, tried, self.klass[errand], deadline, self._answered)
+        job = Job(name, errand, tried, self.klass[errand], self.now, deadline, self._answered)
         if leaves:
             self.at(give_up, self._leave, job, host)
         host.submit(job, self.sizes[errand] if self.day.work.hinted else 0, tried > 0)
@@ -168,7 +174,7 @@
         """The front hands a connection to a balancer that is up."""
         for step in range(len(self.hosts)):
             host = self.hosts[(at + step) % len(self.hosts)]
-            if host.up:
+            if host.taking:
                 return host
         return None
 
@@ -184,9 +190,13 @@
         self.errands.answers[how] = self.errands.answers.get(how, 0) + 1
         kind = self.settings.classes[job.klass].idempotency
         again = how == "refused" or how in ("failed", "reset") and kind is Idempotency.SAFE
-        if how == "ok" or not again or job.turn >= self.day.clients.retries:
+        pushy = self.pushy[errand]
+        if how == "ok" or not again or job.turn >= (PUSHES if pushy else self.day.clients.retries):
             self.errands.end(errand, self.now, how)
             return
+        if pushy:
+            self.at(self.now + MS, self._ask, errand, job.turn + 1, errand * 7919 + job.turn + 1)
+            return
         wait = max(advice, int(self.day.clients.backoff_ms * MS * 2 ** job.turn))
         wait = int(wait * (0.5 + self.chance.ways[spot(errand, job.turn)]))
         # A front hands the next connection to any balancer.
@@ -194,12 +204,12 @@
 
     # ---- ways and discovery ----
 
-    def way(self, zone: int, errand: int, sender: int) -> int:
-        base = self._ways[zone][sender % len(self._ways)]
-        return int(base * (1 + self._jitter * self.chance.ways[spot(errand, sender)]))
+    def way(self, zone: int, errand: int, post: Post) -> int:
+        return self.ways.takes(zone, errand, post.number, post.zone)
 
     def change(self, post: Post) -> None:
         """Discovery has something to tell; each balancer hears it at its next turn."""
+        post.off_at = 0 if post.state is ServerState.READY else post.off_at or self.now
         self._changes.append((self.now, post.entry()))
         for number in range(len(self.hosts)):
             due = self.now + self._later + self._late[number]
@@ -208,6 +218,12 @@
 
     def _hear(self, number: int, until: int) -> None:
         """All changes up to then that this balancer has not heard, in one update."""
+        cut = self.ways.cut_until(self.hosts[number].zone, self.now)
+        if cut:
+            self.at(cut, self._hear, number, until)
+            return
+        if self._silenced(number, until):
+            return
         news: dict[int, ServerEntry] = {}
         at = self._heard[number]
         while at < len(self._changes) and self._changes[at][0] <= until:
@@ -217,78 +233,73 @@
         if news and self.hosts[number].up:
             self.hosts[number].hear(ServerList(ListKind.DELTA, tuple(news.values())))
 
-    # ---- troubles ----
-
-    def _plan_troubles(self) -> None:
-        for trouble in self.day.troubles:
-            begin = FIRST + nanoseconds(trouble.at)
-            if trouble.kind == "discovery-late":
-                self.at(begin, self._delay_discovery, nanoseconds(trouble.size))
-                self.at(begin + nanoseconds(trouble.seconds), self._delay_discovery, 0)
-            elif trouble.kind != "flood":
-                of_balancers = trouble.kind.startswith("balancer")
-                total = len(self.hosts) if of_balancers else len(self.posts)
-                chosen = self.chance.chosen(total, trouble.part)
-                for n, number in enumerate(chosen):
-                    at = begin + nanoseconds(trouble.spread_s * n / len(chosen))
-                    self.at(at, self._befall_balancer if of_balancers else self._befall, trouble, number)
-
-    def _delay_discovery(self, late: int) -> None:
-        self._later = late
-
-    def _befall_balancer(self, trouble: Trouble, number: int) -> None:
-        host = self.hosts[number]
-        host.die()
-        if trouble.kind == "balancer-restart":
-            entries = tuple(host.known.values())  # its list from before, perhaps old by now
-            self.at(self.now + nanoseconds(trouble.seconds), self._balancer_back, number, entries)
+    def late(self, by: int) -> None:
+        """Changes come so many nanoseconds later from now on."""
+        if self._later and not by:
+            self._on_time = self.now
+        self._later = by
 
-    def _balancer_back(self, number: int, entries: tuple[ServerEntry, ...]) -> None:
-        policy = self.make(self.day.settings(number), self._later_seeds[number])
-        host = self.hosts[number]
-        host.begin(policy, tuple(e for e in entries if e.state is not ServerState.GONE), ListKind.CACHED)
-        due = self.now + self._later + self._late[number] + MS
-        self.at(due, self._whole_list, number)
+    def move_discovery(self, last_word: int) -> None:
+        """Configurations name another one; the old one says nothing of what changes after its last word."""
+        self._closed[self.discovery] = self.now + last_word
+        self.discovery += 1
+
+    def _silenced(self, number: int, until: int) -> bool:
+        return until >= self._closed.get(self.hosts[number].discovery, until + 1)
 
-    def _whole_list(self, number: int) -> None:
+    def whole_list(self, number: int) -> None:
+        """A balancer asks anew and gets all; from a discovery that is closed it gets nothing."""
+        host = self.hosts[number]
+        if not host.up or self._silenced(number, self.now):
+            return
         self._heard[number] = len(self._changes)
         entries = tuple(p.entry() for p in self.posts if p.state is not ServerState.GONE)
-        self.hosts[number].hear(ServerList(ListKind.FULL, entries))
-
-    def _befall(self, trouble: Trouble, number: int) -> None:
-        post, length = self.posts[number], nanoseconds(trouble.seconds)
-        kind = trouble.kind
-        if kind == "restart":
-            post.restart()
-            self.change(post)
-        elif kind == "roll":
-            post.state = ServerState.DRAINING
-            self.change(post)
-            self.at(self.now + DRAINED, self._restart, post)
-        elif kind == "kill":
-            post.silent = True
-            post.process.die()
-            post.state = ServerState.GONE
-            self.change(post)
-        elif kind in ("hang", "pause"):
-            post.process.pause(self.now + length)
-        else:
-            self._ail(post, kind, trouble.size)
-            self.at(self.now + length, self._ail, post, kind, None)
-
-    def _restart(self, post: Post) -> None:
-        post.restart()
-        self.change(post)
-
-    def _ail(self, post: Post, kind: str, size: float | None) -> None:
-        if kind == "slow":
-            post.slow = size or 1.0
-        elif kind == "errors":
-            post.error_share = size or 0.0
-        elif kind == "lose":
-            post.lost_share = self.day.network.lost_connects if size is None else size
-        elif kind == "refuse":
-            post.refuses = size is not None
+        host.hear(ServerList(ListKind.FULL, entries))
+
+    def back(self, number: int, stale: int) -> None:
+        """A balancer starts again with the list that it had so long ago, and asks for the whole one."""
+        host, since = self.hosts[number], self.now - stale
+        host.discovery = self.discovery
+        held = {entry.id: entry for entry in self._first}
+        for at, entry in self._changes:
+            if at > since:
+                break
+            held[entry.id] = entry
+        policy = self.make(self.day.settings(number), self._later_seeds[number])
+        entries = tuple(e for e in held.values() if e.state is not ServerState.GONE)
+        host.begin(policy, entries, ListKind.CACHED)
+        due = max(self.now, self.ways.cut_until(host.zone, self.now)) + self._later + self._late[number] + MS
+        self.at(due, self.whole_list, number)
+
+    # ---- who is where, and what is told ----
+
+    def holder(self, number: int) -> Post:
+        """Who answers at the address of this sender: itself, or who has it since."""
+        return self.places.get(number) or self.posts[number]
+
+    def told_off(self, number: int, host: Host) -> int:
+        """Since when a balancer counts as told that a sender drains or is gone, heard or not; 0: it doesn't.
+
+        Not while discovery itself is late, nor before the balancer has run for as long.
+        """
+        post = self.posts[number]
+        if post.state is ServerState.READY or not post.off_at or self._later:
+            return 0
+        due = max(post.off_at, host.born, self._on_time) + TOLD
+        cut = self.ways.cut_until(host.zone, self.now)
+        return due if due <= self.now and not cut else 0
+
+    def refused(self, job: Job) -> None:
+        """By cause: turned away as it came, no server for as long as made sense, or after attempts."""
+        cause = "attempts" if job.sent else "at once" if self.now == job.came else "no server"
+        self.refusals.append((job.came, cause))
+
+    def _sample(self) -> None:
+        """Twice a second: what is open, and what has not been used for too long."""
+        for host in self.hosts:
+            host.lines.sweep(self.now)
+        self.open_lines.append(sum(post.process.lines for post in self.posts if post.process.up))
+        self.at(self.now + SECOND // 2, self._sample)
 
     # ---- figures ----
 
@@ -304,7 +315,8 @@
             breaches=dict(self.watcher.breaches), first=dict(self.watcher.first),
             module=sum(h.spent for h in self.hosts), calls=sum(h.calls for h in self.hosts),
             list_slowest=max(h.slowest_list for h in self.hosts), took=took, events=self.events,
-            useful=self.useful)
+            useful=self.useful, crossings=self.crossings, connects=self.connects,
+            open_lines=self.open_lines, refusals=self.refusals)
         return measure(self.day, self.errands, run, FIRST)
 
 
--- a/dykeshift/lab/report.py
+++ b/dykeshift/lab/report.py
@@ -9,6 +9,7 @@
 import matplotlib
 from matplotlib.figure import Figure
 
+from dykeshift.fleet.figures import STEP_S
 from dykeshift.lab.plan import Plan
 from dykeshift.lab.runs import Row
 from dykeshift.lab.stats import Estimate
@@ -33,6 +34,7 @@
              f"seeds {escape(', '.join(map(str, plan.seed_list())))}. Bars are 95% intervals over seeds.</p>",
              f"<pre>{escape(command)}</pre>"]
     for name in plan.show:
+        parts += over_time(plan, rows, name)
         mine = [line for line in lines if line.figure == name and line.value.seeds]
         if mine:
             parts += [f"<h2>{escape(name)}</h2>", _plot(plan, name, mine),
@@ -50,6 +52,47 @@
             for name in plan.show if any(line.figure == name for line in lines)}
 
 
+def over_time(plan: Plan, rows: list[Row], name: str) -> list[str]:
+    """A plot for each place of the grid where the figure has a value for each step (or such, by cause)."""
+    parts = list[str]()
+    for place in dict.fromkeys(tuple(row["labels"].items()) for row in rows):
+        lines = dict[str, list[list[float]]]()
+        for row in rows:
+            found = row["figures"].get(name)
+            if tuple(row["labels"].items()) != place or not isinstance(found, list | dict):
+                continue
+            for cause, steps in (found if isinstance(found, dict) else {"": found}).items():
+                if isinstance(steps, list):
+                    title = ", ".join(filter(None, (row["policy"], cause)))
+                    lines.setdefault(title, []).append(steps)
+        if lines:
+            if not parts:
+                parts.append(f"<h2>{escape(name)}</h2>")
+            parts.append(_steps(", ".join(label for _, label in place), lines))
+    return parts
+
+
+def _steps(title: str, lines: dict[str, list[list[float]]]) -> str:
+    """Means over seeds; what no seed has a value for is left open."""
+    figure = Figure(figsize=(8, 3), layout="constrained")
+    axes = figure.subplots()
+    for label, seeds in lines.items():
+        columns = [[v for v in column if v >= 0] for column in zip(*seeds, strict=False)]
+        means = [sum(c) / len(c) if c else math.nan for c in columns]
+        axes.plot([n * STEP_S for n in range(len(means))], means, label=label, linewidth=1)
+    axes.set(title=title, xlabel="seconds")
+    axes.grid(alpha=0.3)
+    if len(lines) > 1:
+        figure.legend(fontsize=7, loc="outside right upper")
+    return _svg(figure)
+
+
+def _svg(figure: Figure) -> str:
+    text = io.StringIO()
+    figure.savefig(text, format="svg", metadata={"Date": None})
+    return text.getvalue()[text.getvalue().index("<svg"):]
+
+
 def _series(plan: Plan, lines: list[Line]) -> tuple[list[str], dict[str, dict[str, Estimate]]]:
     """Along the last axis of the plan; a series for each policy and each point of the other axes."""
     if not plan.axis:
@@ -81,9 +124,7 @@
     axes.grid(alpha=0.3)
     if len(series) > 1:
         figure.legend(fontsize=7, loc="outside right upper")
-    text = io.StringIO()
-    figure.savefig(text, format="svg", metadata={"Date": None})
-    return text.getvalue()[text.getvalue().index("<svg"):]
+    return _svg(figure)
 
 
 def _table(plan: Plan, lines: list[Line]) -> str:
