Rooms go by the balancers that draw from a server, not by all of a large tier

One balancer of the log: '1010830 10 91 9': pool 10, ready 91, nine resting. Lines: rules.py, on_list (ROOM / balancers) and _judge (GROW / balancers): two hundred share in the reckoning while ten draw, and a rest lasts latency x (1 / room - 1), so that one slow answer kept a server away for 6 to 20 s. Ruled out: admission (18 requests), cold budget and rests by class (none). Change: both go by _sharing, as the cold budget's margin does. Where the pool is the whole fleet nothing changes. Test: test_rooms_go_by_those_who_draw_from_a_server fails without it.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -20,7 +20,7 @@
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
 ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
 GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
-GROW, CUT = 2.0, 0.8  # room grows by this over the instances, who all grow at once; shrinks on failures
+GROW, CUT = 2.0, 0.8  # room grows by this over those who draw, who all grow at once; shrinks on failures
 ADMIT_UP, ADMIT_DOWN = 0.1, 0.05  # for a quick answer, for a slow one: up while a third are quick
 MOST_ADMIT = 1.15  # quick answers in hand for a few slow ones: where each answer is rare, one is no jam
 LEAST_ADMIT = 0.1  # enough to notice that answers are quick again
@@ -32,7 +32,7 @@
 NEED = 2.0  # times the usual latency: with less than this left before the aim a request is not begun
 OVERDUE = 4.0  # times the usual latency: from then on a copy goes out though none is idle
 WAIT_SHARE = 0.4  # of the aim: no delayed copy before this, a second try still fits into the rest
-ROOM = 4.0  # what all instances together trust a server with before anything is known
+ROOM = 4.0  # what all that draw from a server together trust it with before anything is known
 LEAST_ROOM = 0.05  # below one, a share of the time: a failing server is still tried now and then
 SAFETY = 0.5  # of what it bears a server is sure to bear, also where nothing is known of its like
 CHANCE = 4.5  # standard deviations of the work in a window that the cold budget leaves free
@@ -196,7 +196,8 @@
                 if server.entry.id not in listed:
                     server.entry = replace(server.entry, state=ServerState.GONE)
         rooms = [s.room for s in self.ready[:LOOK]]  # one that comes later is trusted like those there
-        room = sum(rooms) / len(rooms) if rooms else ROOM / self.settings.balancers
+        first = ROOM / self._sharing(POOL_LEAST * DRAW, len(update.entries))
+        room = sum(rooms) / len(rooms) if rooms else first
         for entry in map(self._believed, update.entries):
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
@@ -287,9 +288,13 @@
         lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or s in pooled)
         self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
 
-    def _sharing(self) -> float:
-        """How many instances draw from one server, where all have pools of this one's size."""
-        return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.ready)))
+    def _sharing(self, pool: int, ready: int) -> float:
+        """How many instances draw from one server, where all have pools of this size.
+
+        They alone share what it carries: by all of a large tier, a room would be so small that one slow
+        answer keeps the server away for seconds.
+        """
+        return max(1.0, self.settings.balancers * min(1.0, pool / max(1, ready)))
 
     # ---- draw ----
 
@@ -579,7 +584,7 @@
             self.admit = min(MOST_ADMIT, self.admit + ADMIT_UP)
             if server.in_flight > server.room - 1 and share <= self.easy and not self._says_busy(server):
                 # A room below one is a share of the time and grows in proportion, as it is cut, at any size.
-                grow = GROW / self.settings.balancers
+                grow = GROW / self._sharing(len(self.pool), len(self.ready))
                 server.room += min(max(REGROW, grow) * server.room, grow / server.room)
         elif not stall and end.outcome is not Outcome.NOT_SENT:
             # Errors count like lateness: quick ones would else make the server look free.
@@ -622,7 +627,7 @@
         served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
         bears = self.settings.overload_multiple * self._warmth(now, server) * served
         bears *= server.entry.weight / self.mean_weight / self.whole
-        bears *= self._used(bears * self.arrivals * self._sharing())
+        bears *= self._used(bears * self.arrivals * self._sharing(len(self.pool), len(self.ready)))
         server.credit += bears * (self.arrived - server.credited)
         server.credited = self.arrived
         most = 1 + bears * self.arrivals * LAPSE
--- a/tests/fleet/before.py
+++ b/tests/fleet/before.py
@@ -17,6 +17,13 @@
         return [SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random())))]
 
 
+class Timid(Balancer):
+    """Shares what a server carries among all balancers, also those that never draw from it."""
+
+    def _sharing(self, pool: int, ready: int) -> float:
+        return self.settings.balancers
+
+
 class Wide(Balancer):
     """Draws from all servers that it meets within an overload window."""
 
--- a/tests/fleet/test_mass.py
+++ b/tests/fleet/test_mass.py
@@ -15,6 +15,7 @@
 from dykeshift.interface import Action, ListKind, ServerList, ServerState
 from dykeshift.lab import plan as plans
 from dykeshift.rules import Balancer, Open, Server
+from tests.fleet.before import Timid
 from tests.fleet.test_cold import Alone
 
 PLAN, _ = plans.read(Path(__file__).parents[2] / "benchmarks" / "experiments" / "mass.toml")
@@ -118,6 +119,12 @@
     assert world.ways.open(zone, (zone + 1) % 5, world.ways._cut[zone])
 
 
+def test_rooms_go_by_those_who_draw_from_a_server() -> None:
+    """By all balancers, a room was so small that one slow answer kept most of a pool away for seconds."""
+    timid, figures = (play(small("calm"), make, 3) for make in (Timid, Balancer))
+    assert figures.refusals < 0.5 * timid.refusals and figures.worth > timid.worth
+
+
 def test_a_full_table_of_connections_turns_away() -> None:
     worlds = [World(small("calm", senders__connections=most), Balancer, 3) for most in (1, 60)]
     full, roomy = (world.run() for world in worlds)
