Ids that were ever listed are remembered up to a bound

A call of an operator for an id that was once listed is a yes, and the set that answers it grew with every id that ever came: the one structure of the driver that no limit held. The latest 16,384 are kept (under 2 MB), and whatever is listed or banned now is known all the same. The test churns a hundred ids past a bound of twenty; without the bound it fails.

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -43,6 +43,7 @@
 RETURN = 5_000_000
 UPLOAD = 3600_000_000_000  # nanoseconds that a request which goes out early may take to become whole
 EARLY = 0.0005  # seconds by which a loop that counts in whole milliseconds may fire a timer too soon
+EVER = 16_384  # ids that were listed are remembered so: under 2 MB, however long they churn
 TIMER_RETRY = 1.0  # seconds until a timer that the module failed in is told again
 
 
@@ -76,7 +77,7 @@
         self.jobs: dict[str, Job] = {}
         self.tenants = Tenants()
         self.ready: set[int] = set()  # upstreams that the list held shows as running
-        self.listed_ever: set[int] = set()
+        self.listed_ever: dict[int, None] = {}  # ids, the latest told last; no more than EVER
         self.informed = False  # discovery has spoken in this life
 
     # ---- events ----
@@ -138,7 +139,8 @@
         if kind is not ListKind.DELTA:
             for number in set(self.pool.upstreams) - {one.entry.id for one in listed}:
                 self._remove(number)
-        self.listed_ever.update(one.entry.id for one in listed)
+        for one in listed:
+            self.note_listed(one.entry.id)
         for one in listed:
             entry = one.entry
             if entry.state is ServerState.GONE:
@@ -155,12 +157,22 @@
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
 
+    def note_listed(self, number: int) -> None:
+        self.listed_ever.pop(number, None)
+        self.listed_ever[number] = None
+        if len(self.listed_ever) > EVER:
+            del self.listed_ever[next(iter(self.listed_ever))]
+
+    def was_listed(self, number: int) -> bool:
+        """Whether a list ever showed it: all that are listed or banned now, and the latest EVER told of."""
+        return number in self.listed_ever or number in self.pool.upstreams or number in self.pool.banned
+
     def ban(self, number: int, at: int = 0) -> bool:
         """By hand: nothing new to that upstream. False, and nothing changes: it was never listed.
 
         `at`: when, where it was not now.
         """
-        if number not in self.listed_ever:
+        if not self.was_listed(number):
             return False
         self._do(self.balancer.on_ban(at or self.clock.monotonic_ns(), number))
         self.pool.ban(number, out=True)
@@ -168,7 +180,7 @@
 
     def end_ban(self, number: int, at: int = 0) -> bool:
         """False: it was never listed."""
-        if number not in self.listed_ever:
+        if not self.was_listed(number):
             return False
         self.pool.ban(number, out=False)
         self._do(self.balancer.on_ban_end(at or self.clock.monotonic_ns(), number))
--- a/dykeshift/node/desk.py
+++ b/dykeshift/node/desk.py
@@ -44,7 +44,7 @@
         return self._said(self.driver.end_ban(number_of(name)), "back", name)
 
     def _known(self, name: str) -> bool:
-        return number_of(name) in self.driver.listed_ever
+        return self.driver.was_listed(number_of(name))
 
     def _said(self, done: bool, what: str, name: str) -> bool:
         if done:
--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -92,5 +92,5 @@
                 self._tell(name, self.driver.ban, when(since))
 
     def _tell(self, name: str, what: Callable[[int, int], bool], at: int) -> None:
-        self.driver.listed_ever.add(number_of(name))  # the other process has checked it
+        self.driver.note_listed(number_of(name))  # the other process has checked it
         what(number_of(name), at)
--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -4,6 +4,10 @@
 
 import gc
 
+import pytest
+
+from dykeshift.engine import driver as engine
+from dykeshift.engine.discovery import number_of
 from tests.node.stubs import (
     Node,
     Registry,
@@ -62,3 +66,26 @@
             assert counts[3] - counts[1] < ROUND, counts
 
     run(main())
+
+
+def test_ids_that_left_are_remembered_up_to_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Operators are owed a yes for an id that was listed; those listed or banned now are never forgotten."""
+    monkeypatch.setattr(engine, "EVER", 20)
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            driver = balancer.front.driver
+            balancer.registry.put(listing(2, False, instance("banned", stub.address)))
+            await until(lambda: driver.was_listed(number_of("banned")))
+            assert driver.ban(number_of("banned"))
+            for n in range(100):
+                left = [instance(f"x{n - 1}", stub.address, "left")] if n else []
+                balancer.registry.put(listing(n + 3, False, *left, instance(f"x{n}", stub.address)))
+            await until(lambda: driver.was_listed(number_of("x99")))
+            assert len(driver.listed_ever) == 20
+            assert driver.was_listed(number_of("x90")) and not driver.was_listed(number_of("x5"))
+            assert driver.end_ban(number_of("banned"))
+            assert not driver.was_listed(number_of("never"))
+
+    run(main())
