The test of a cut zone sees what crosses its border; two doubled pieces of the model are one

The test asserted that no count of connections is negative, which cannot fail, and the ends of the cut. It now notes each answer that crosses the border: some before and after, none within; with Ways.open always true it fails. The steps of arrivals were reckoned twice in figures.py, and a branch of Host._set_out stood twice: one piece each.

--- a/dykeshift/fleet/figures.py
+++ b/dykeshift/fleet/figures.py
@@ -157,18 +157,22 @@
 def _steps(errands: Errands, day: Day, aims: NDArray[np.float64], first: int) -> list[float]:
     """The share in the aim by time of arrival, the whole day."""
     good = (errands.how == CODE["ok"]) & (errands.ended - errands.at <= aims[errands.klass])
-    step = ((errands.at - first) / (STEP_S * SECOND)).astype(np.int64)
-    count = int(np.ceil(day.seconds / STEP_S))
-    offered = np.bincount(step, minlength=count)[:count]
-    served = np.bincount(step, weights=good, minlength=count)[:count]
+    step, offered = _by_step(errands, day, first)
+    served = np.bincount(step, weights=good, minlength=len(offered))[:len(offered)]
     return [round(float(s / o), 5) if o else -1.0 for s, o in zip(served, offered, strict=True)]
 
 
-def _refused(errands: Errands, day: Day, refusals: list[tuple[int, str]],
-             first: int) -> dict[str, list[float]]:
+def _by_step(errands: Errands, day: Day, first: int) -> tuple[NDArray[np.int64], NDArray[np.int64]]:
+    """The step in which each errand came, and how many came in each step."""
     count = int(np.ceil(day.seconds / STEP_S))
     step = ((errands.at - first) / (STEP_S * SECOND)).astype(np.int64)
-    offered = np.maximum(1, np.bincount(step, minlength=count)[:count])
+    return step, np.bincount(step, minlength=count)[:count]
+
+
+def _refused(errands: Errands, day: Day, refusals: list[tuple[int, str]],
+             first: int) -> dict[str, list[float]]:
+    offered = np.maximum(1, _by_step(errands, day, first)[1])
+    count = len(offered)
     found: dict[str, list[float]] = {}
     for cause in CAUSES:
         at = [min(count - 1, int((came - first) / (STEP_S * SECOND)))
--- a/dykeshift/fleet/host.py
+++ b/dykeshift/fleet/host.py
@@ -220,9 +220,8 @@
         now, way = world.now, world.way(self.zone, job.errand, post)
         reached = world.ways.open(self.zone, post.zone, now)
         lined = post.shape.connections > 0
-        kept = self.lines.take(process, now) if lined else reached and not post.silent
-        if kept:
-            made.line = process if lined else None
+        if lined and self.lines.take(process, now):
+            made.line = process
             world.at(now + way, self._arrive, job, number, post)
         elif not reached or post.silent and lined:
             world.at(now + post.connect, self._end, job, number, Outcome.CONNECT_FAILED)
--- a/tests/fleet/test_mass.py
+++ b/tests/fleet/test_mass.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
-from dykeshift.fleet.day import Day
+from dykeshift.fleet.day import MS, SECOND, Day
 from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.host import Host
-from dykeshift.fleet.world import World, play
-from dykeshift.interface import Action, ListKind, ServerList, ServerState
+from dykeshift.fleet.host import Host, Job
+from dykeshift.fleet.world import FIRST, World, play
+from dykeshift.interface import Action, ListKind, Outcome, ServerList, ServerState
 from dykeshift.lab import plan as plans
 from dykeshift.rules import Balancer, Open, Server
 from tests.fleet.before import Timid
@@ -107,16 +107,24 @@
     assert "drain" in play(day, Balancer, 3).breaches
 
 
-def test_what_is_cut_off_is_reached_by_nobody_outside() -> None:
-    """And what was under way when the cut began is lost without a word."""
+def test_nothing_crosses_the_border_of_a_zone_that_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Answers cross it before and after the cut, and none within: `end` is an attempt's, in the host."""
+    crossed: list[int] = []
+    end = Host._end
+
+    def noted(self: Host, job: Job, number: int, outcome: Outcome, *report: Any) -> None:
+        there = job.where[number].post.zone
+        if outcome is Outcome.OK and there != self.zone and cut in (there, self.zone):
+            crossed.append(self.world.now)
+        end(self, job, number, outcome, *report)
+
+    monkeypatch.setattr(Host, "_end", noted)
     world = World(small("split", troubles=[{"kind": "zone-cut", "at": 2, "seconds": 6}]), Balancer, 3)
+    cut = next(args[1] for _, _, _, args in world._heap if args and args[0] in world.day.troubles)
     world.run()
-    zone = next(iter(world.ways._cut))
-    crossed = [post for post in world.posts if post.zone == zone for life in post.lives if life.lines < 0]
-    assert not crossed
-    inside = [host for host in world.hosts if host.zone == zone]
-    assert inside and not world.ways.open(zone, (zone + 1) % 5, world.ways._cut[zone] - 1)
-    assert world.ways.open(zone, (zone + 1) % 5, world.ways._cut[zone])
+    since, until = FIRST + 2 * SECOND, FIRST + 8 * SECOND
+    assert min(crossed) < since and max(crossed) > until
+    assert not [at for at in crossed if since + 5 * MS < at < until], "but for what had set out before"
 
 
 def test_rooms_go_by_those_who_draw_from_a_server() -> None:
