Module: what discovery has is asked for again before it counts as told, however a call ended

A probe that logged every call: all watches that had worked fell silent at 1.97 s, were given up at 4.96 (hold 1 s, 2 s of grace) and begun anew at 9.4 to 9.96: _ask_later paused four times what the watch had waited, up to half of the time for asking, whatever had ended it. Ruled out: the queue (its calls were answered at once there), lists dropped (no log line), the driver (no list arrived).

Change: the module hears how a call ended. A watch that had worked is begun anew within 1.5 s, where no connection came up within 2 s, after being turned away at once 0.6 to 2.4 s after the call, after waiting in vain 3 to 5.4 s after it began; from the fifth in vain on twice as long. A watch that was answered is given up 1 s after its wait, not 2. askEveryNs is needed where lists are asked for, no default stands in for it. A call that the module fails over is made again.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from dykeshift.clock import Clock
-from dykeshift.interface import ListKind, ServerEntry, ServerState
+from dykeshift.interface import CallEnd, ListKind, ServerEntry, ServerState
 from dykeshift.engine.config import Address, read_address
 from dykeshift.engine.bodies import Answer
 from dykeshift.engine.connection import Connection
@@ -19,12 +19,15 @@
 
 log = logging.getLogger(__name__)
 
-# How long a watch may wait at discovery: short, so that one that has fallen silent shows within three
-# seconds. Going on from the last answer is no new call, and no work for discovery.
+# How long a watch may wait at discovery: short, so that one that has fallen silent shows soon. Going on from
+# the last answer is no new call, and no work for discovery.
 HOLD_MS = 1_000
-# Seconds more until a watch that said nothing counts as failed: what the protocol gives an answer after the
-# wait. A call that is given up sooner may still stand in discovery's queue, and its repeat behind it.
+# Seconds more until a first call that said nothing counts as failed: what the protocol gives an answer after
+# the wait. A call that is given up sooner may still stand in discovery's queue, and its repeat behind it.
 GRACE = 2.0
+# The same once a watch has been answered: it stands in no queue, so only the network is between. With the
+# wait, a third of the time after which its news counts as told: two more calls have room in the rest.
+QUIET = 1.0
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
 PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
@@ -123,7 +126,7 @@
     """Watches while told to; whatever goes wrong is reported once and ends the watch."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, address: Address, reader: Reader,
-                 apply: Apply, failed: Callable[[], None], pushed: bool) -> None:
+                 apply: Apply, failed: Callable[[CallEnd], None], pushed: bool) -> None:
         self.loop = loop
         self.clock = clock
         self.pushed = pushed
@@ -174,6 +177,7 @@
     async def _watch(self) -> None:
         connection: Connection | None = None
         this, generation, address = asyncio.current_task(), self.generation, self.address
+        end = CallEnd.UNREACHED
         try:
             while self.task is this or self.left is this:
                 if connection is None or not connection.alive():
@@ -183,10 +187,14 @@
                     connection = await self._connect()
                     if self.task is not this:  # it moved meanwhile: nothing is out that could bring a word
                         break
-                answer = await self._ask(connection, generation, address)
+                    if end is not CallEnd.BROKEN:
+                        end = CallEnd.UNANSWERED
+                grace = QUIET if end is CallEnd.BROKEN else GRACE
+                answer = await self._ask(connection, generation, address, grace)
                 generation = self._accept(answer, self.task is this)
                 if generation is None:
                     break
+                end = CallEnd.BROKEN
         except (OSError, TimeoutError):
             pass
         finally:  # its own connection alone: after a move another watch has one of its own
@@ -194,11 +202,12 @@
         if self.task is not this:
             return
         self.task = None
-        self.failed()
+        self.failed(end)
         if self.pushed:  # the module does not ask where lists are pushed
             self.loop.call_later(PUSH_RETRY, self.watch)
 
-    async def _ask(self, connection: Connection, generation: int | None, address: Address) -> Answer | None:
+    async def _ask(self, connection: Connection, generation: int | None, address: Address,
+                   grace: float) -> Answer | None:
         path = "/v1/endpoints"
         hold = 0
         if generation is not None:
@@ -212,7 +221,7 @@
 
         request = f"GET {path} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
         connection.send(request.encode(), Call(done))
-        async with asyncio.timeout(hold / 1000 + GRACE):
+        async with asyncio.timeout(hold / 1000 + grace):
             return await future
 
     async def _connect(self) -> Connection:
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -16,6 +16,7 @@
 from dykeshift.interface import (
     Action,
     AttemptEnd,
+    CallEnd,
     Cancel,
     Fail,
     ListKind,
@@ -159,8 +160,9 @@
             (self.ready.add if ready else self.ready.discard)(entry.id)
         return self._tell(self.balancer.on_list, ServerList(kind, tuple(one.entry for one in listed)))
 
-    def discovery_failed(self) -> None:
-        self._tell(self.balancer.on_list, ServerList(ListKind.FAILED))
+    def discovery_failed(self, end: CallEnd) -> None:
+        if not self._tell(self.balancer.on_list, ServerList(ListKind.FAILED, end=end)):
+            self.loop.call_later(TIMER_RETRY, self.discovery_failed, end)  # or nobody would ask again
 
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
--- a/dykeshift/fleet/calls.py
+++ b/dykeshift/fleet/calls.py
@@ -1,8 +1,9 @@
 """All balancers of a fleet at one discovery that works through calls in turn, and may be overbooked.
 
 A call that stands in the queue for longer than the time-out is answered 503, and its work is done all the
-same: a queue of such calls serves nobody. One that would wait longer than `longest` is turned away. The
-balancers are decision modules, each asking when it says so; a watch that has its first list costs no more.
+same: a queue of such calls serves nobody. One that would wait longer than `longest` is turned away. While
+discovery is down a call is answered 503 after the time-out, and is no work. The balancers are decision
+modules, each asking when it says so; a watch that has its first list costs no more.
 """
 
 from __future__ import annotations
@@ -10,13 +11,22 @@
 import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
-from dykeshift.interface import Action, ListKind, ServerList, SetTimer, Watch
+from dykeshift.interface import Action, CallEnd, ListKind, ServerList, SetTimer, Watch
 from dykeshift.rules import Balancer
 
 MS = 1_000_000
 
 
+class Onset(Enum):
+    """What makes all of them ask within one moment, at time 0."""
+
+    START = auto()  # they are started
+    BROKEN = auto()  # each had a watch, and all of these end
+    MOVED = auto()  # they are told of another discovery
+
+
 @dataclass(frozen=True, slots=True)
 class Desk:
     """Discovery as all balancers find it; times in nanoseconds."""
@@ -24,6 +34,7 @@
     work: int = 100 * MS  # of one call
     timeout: int = 1_500 * MS  # of a call that waits
     longest: int = 6_000 * MS  # queue beyond which a call is turned away at once
+    back: int = 0  # it is down until then
 
 
 @dataclass(slots=True)
@@ -35,32 +46,46 @@
     wasted: int = 0  # worked on for nobody
     refused: int = 0  # turned away at once
 
+    def late(self, desk: Desk, limit: int, fleet: int) -> float:
+        """The part of the fleet without a list so long after discovery could be asked."""
+        return 1 - sum(at <= desk.back + limit for at in self.lists) / fleet
 
-def first_lists(fleet: Sequence[Balancer], desk: Desk, until: int) -> Seen:
-    """Start all at once, and play until all have a list or the time is over."""
+
+def first_lists(fleet: Sequence[Balancer], desk: Desk, until: int, onset: Onset = Onset.START) -> Seen:
+    """All begin at once, and play until each has a list or the time is over."""
     seen, free, serial = Seen(), 0, 0
     due: list[tuple[int, int, int, str]] = []
 
+    def call(now: int) -> tuple[int, str]:
+        nonlocal free
+        seen.calls += 1
+        if now < desk.back:
+            return now + desk.timeout, "failed"
+        wait = max(free, now) + desk.work - now
+        if wait > desk.longest:
+            seen.refused += 1
+            return now, "failed"
+        free = now + wait
+        seen.wasted += wait > desk.timeout
+        return now + min(wait, desk.timeout), "list" if wait <= desk.timeout else "failed"
+
     def carry_out(n: int, now: int, actions: list[Action]) -> None:
-        nonlocal free, serial
+        nonlocal serial
         for action in actions:
             serial += 1
             if isinstance(action, SetTimer) and action.token == "watch":
                 heapq.heappush(due, (action.at, serial, n, "timer"))
             elif isinstance(action, Watch):
-                seen.calls += 1
-                wait = max(free, now) + desk.work - now
-                if wait > desk.longest:
-                    seen.refused += 1
-                    heapq.heappush(due, (now, serial, n, "failed"))
-                    continue
-                free = now + wait
-                seen.wasted += wait > desk.timeout
-                what = "list" if wait <= desk.timeout else "failed"
-                heapq.heappush(due, (now + min(wait, desk.timeout), serial, n, what))
+                at, what = call(now)
+                heapq.heappush(due, (at, serial, n, what))
 
     for n, balancer in enumerate(fleet):
-        carry_out(n, 0, balancer.on_start(0))
+        begun = balancer.on_start(0)
+        if onset is Onset.BROKEN:
+            begun = balancer.on_list(0, ServerList(ListKind.FAILED, end=CallEnd.BROKEN))
+        elif onset is Onset.MOVED:
+            begun = balancer.on_discovery_moved(0)
+        carry_out(n, 0, begun)
     while due and due[0][0] < until:
         now, _, n, what = heapq.heappop(due)
         if what == "list":
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -36,6 +36,14 @@
     FAILED = auto()  # a call to discovery failed; the list held stays valid
 
 
+class CallEnd(Enum):
+    """How a call to discovery ended that brought no list."""
+
+    BROKEN = auto()  # a watch that had been answered: it fell silent, was reset, or brought something unsound
+    UNREACHED = auto()  # no connection to discovery came up
+    UNANSWERED = auto()  # a first call that was turned away, or that nothing came of in its time
+
+
 class Outcome(Enum):
     OK = auto()
     ERROR = auto()
@@ -70,7 +78,7 @@
     balancers: int  # how many share this fleet
     zone: int
     ask_discovery: bool  # changes arrive only after a Watch
-    ask_every: int  # how long one may go without asking
+    ask_every: int  # how long one may go without asking; 0 where it need not ask
     attempt_limit: int
     copies_allowed: bool  # two attempts of one request may be out at once
     cancel_allowed: bool
@@ -194,3 +202,4 @@
 class ServerList:
     kind: ListKind
     entries: tuple[ServerEntry, ...] = field(default=())
+    end: CallEnd = CallEnd.UNANSWERED  # of the call, where it failed
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from dykeshift.interface import NOT_RUN, Action, AttemptEnd, Cancel, Fail, Idempotency, ListKind, LoadReport
-from dykeshift.interface import Outcome, Refuse, Request, RequestClass, Scope, Send, ServerEntry, ServerList
-from dykeshift.interface import ServerState, SetTimer, Settings, Watch, Word
+from dykeshift.interface import NOT_RUN, Action, AttemptEnd, CallEnd, Cancel, Fail, Idempotency, ListKind
+from dykeshift.interface import LoadReport, Outcome, Refuse, Request, RequestClass, Scope, Send, ServerEntry
+from dykeshift.interface import ServerList, ServerState, SetTimer, Settings, Watch, Word
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
@@ -48,9 +48,13 @@
 PACE_SMOOTH = 0.2  # the same for one server's pace: it follows the last few answers
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
 LONGEST = 4  # doublings of the aim: the longest such rest
-WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
-WATCH_BACK = 4.0  # times what a failed watch waited: its place in discovery's queue is served for nobody
-WATCH_LONGEST = 0.5  # of the longest time without asking: no pause is longer
+TOLD = 6_000_000_000  # nanoseconds after which what discovery has counts as told, be it heard or not
+SPREAD = 0.25  # of that: within so much of it all those begin anew whose watches broke in one moment
+UNREACHED = 0.04, 0.33  # of that: least and longest pause where no connection came up: that is nobody's work
+TURNED_AWAY = 0.1, 0.4  # of that: from a call that was turned away AT_ONCE, and left no work, to the next
+UNANSWERED = 0.5, 0.9  # of that: from one that waited in vain to the next; the rest is for connect and answer
+AT_ONCE = 0.05  # of that: an end so soon is no wait
+JAM, JAMMED = 4, 2.0  # calls in vain, one after another, from which on these pauses are so much longer
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
@@ -142,7 +146,8 @@
         self.hints = [0.0] * len(settings.classes)  # running mean of the cost hints
         self.out = 0  # attempts that have not come back
         self.yielded = 0.0  # part of the latest requests that a server answered
-        self.watch_failures = self.watched = 0  # in a row; when discovery was asked last or answered last
+        self.watching, self.asked = False, 0  # a call is out that goes on by itself; when it was begun
+        self.in_vain = 0  # calls in a row that discovery did not answer
         self.longest_aim = max((c.aim for c in settings.classes), default=0)
         self.started = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
@@ -195,19 +200,22 @@
         return self.on_timer(now, "sweep")
 
     def on_discovery_moved(self, now: int) -> list[Action]:
-        """Another discovery answers from now on: asked at once, and not blamed for the old one's failures."""
-        self.watch_failures = 0
+        """Another discovery answers from now on: asked soon, whatever pause the old one's failures had left.
+
+        All balancers move at once, and the call is as a broken watch's.
+        """
+        self.in_vain = 0
         if self.settings.ask_discovery:
-            self._watch(now)
+            self._ask_later(now, CallEnd.BROKEN)
         return self._done()
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
         if update.kind is ListKind.FAILED:
             if self.settings.ask_discovery:
-                self._ask_later(now)
+                self._ask_later(now, update.end)
             return self._done()
         if update.kind is not ListKind.CACHED:
-            self.watch_failures, self.watched = 0, now
+            self.in_vain = 0
         if update.kind is not ListKind.DELTA:
             listed = {e.id for e in update.entries}
             for server in self.servers.values():
@@ -273,21 +281,31 @@
         return sum(s.entry.id in barred or s.entry.state is ServerState.DRAINING or now < s.rest_until
                    for s in self.servers.values() if s.entry.state is not ServerState.GONE)
 
-    def _ask_later(self, now: int) -> None:
-        """A pause before the next watch: well before all counts as told; spread, as all may fail at once.
+    def _ask_later(self, now: int, end: CallEnd) -> None:
+        """A pause before the next watch: what there is to tell is heard before it counts as told.
 
-        One that waited in vain leaves its call in discovery's queue. While all balancers repeat sooner than
-        that queue is worked off, every call in it is dead before its turn, and none ever gets a list.
+        Spread, as all may fail at once, and as long as that allows: a call that waited in vain leaves its
+        work in discovery's queue. While all balancers repeat sooner than that queue is worked off, every call
+        in it is dead before its turn, and none ever gets a list: then it has to take longer.
         """
-        self.watch_failures = min(self.watch_failures + 1, 4)
-        longest = self.settings.ask_every * WATCH_LONGEST
-        first = max(self.settings.ask_every * WATCH_SHARE, WATCH_BACK * (now - self.watched))
-        pause = min(first * 2 ** (self.watch_failures - 1), longest)
-        self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+        self.watching = False
+        limit = min(TOLD, self.settings.ask_every)
+        since, jam = now, 1.0
+        if end is CallEnd.BROKEN:
+            low, high = 0.0, SPREAD * (1 - 1 / self.settings.balancers)
+        elif end is CallEnd.UNREACHED:
+            low, high = UNREACHED
+        else:
+            low, high = TURNED_AWAY if now - self.asked < AT_ONCE * limit else UNANSWERED
+            since, jam = self.asked, JAMMED if self.in_vain >= JAM else 1.0
+            self.in_vain += 1
+        at = since + int(limit * jam * (low + (high - low) * self.random()))
+        self.acts.append(SetTimer("watch", max(now + 1, at)))
 
     def _watch(self, now: int) -> None:
-        self.watched = now
-        self.acts.append(Watch())
+        if not self.watching:
+            self.watching, self.asked = True, now
+            self.acts.append(Watch())
 
     def _gather(self, now: int) -> None:
         """The pool: no more servers than this instance has requests for in the longest aim.
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -85,6 +85,8 @@
 def parse_settings(raw: Any) -> Settings:
     """Settings from parsed JSON; unknown keys are skipped, a missing one is named."""
     limits, rules = need(raw, "bounds", ""), need(raw, "obligations", "")
+    ask = need(raw, "discovery", "") == "ask"
+    every = positive(need(rules, "askEveryNs", "obligations."), "obligations.askEveryNs") if ask else 0
     try:
         worst = min(0.99, float(raw.get("goal", {}).get("worstClass", 0.0)))
         classes = tuple(
@@ -105,8 +107,8 @@
             classes=classes,
             balancers=max(1, int(need(raw, "balancers", ""))),
             zone=int(raw.get("az", 0)),
-            ask_discovery=need(raw, "discovery", "") == "ask",
-            ask_every=int(rules.get("askEveryNs", 10_000_000_000)),
+            ask_discovery=ask,
+            ask_every=every,
             attempt_limit=positive(need(limits, "maxAttempts", "bounds."), "bounds.maxAttempts"),
             copies_allowed=bool(need(limits, "secondCopies", "bounds.")),
             cancel_allowed=bool(need(limits, "cancelling", "bounds.")),
--- a/tests/fleet/before.py
+++ b/tests/fleet/before.py
@@ -3,18 +3,38 @@
 from __future__ import annotations
 
 from dykeshift.interface import Action, ListKind, ServerList, SetTimer
-from dykeshift.rules import DRAW, POOL_LEAST, SAFETY, WATCH_SHARE, Balancer
+from dykeshift.rules import DRAW, POOL_LEAST, SAFETY, Balancer
 
 
-class Hasty(Balancer):
-    """Repeats a failed watch after pauses that know nothing of what the call had waited."""
+class _Pausing(Balancer):
+    """Repeats a failed watch after a pause of its own."""
+
+    failures = 0
+
+    def pause(self, now: int) -> float:
+        raise NotImplementedError
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
         if update.kind is not ListKind.FAILED:
             return super().on_list(now, update)
-        self.watch_failures = min(self.watch_failures + 1, 4)
-        pause = self.settings.ask_every * WATCH_SHARE * 2 ** (self.watch_failures - 1)
-        return [SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random())))]
+        self.watching = False
+        self.failures = min(self.failures + 1, 4)
+        return [SetTimer("watch", now + int(self.pause(now) * (0.5 + 0.5 * self.random())))]
+
+
+class Hasty(_Pausing):
+    """After pauses that know nothing of what the call had waited."""
+
+    def pause(self, now: int) -> float:
+        return self.settings.ask_every * 0.03 * float(2 ** (self.failures - 1))
+
+
+class Patient(_Pausing):
+    """After four times what the call had waited, doubled each time, up to half of the time without asking."""
+
+    def pause(self, now: int) -> float:
+        first = max(self.settings.ask_every * 0.03, 4.0 * (now - self.asked))
+        return min(first * float(2 ** (self.failures - 1)), self.settings.ask_every * 0.5)
 
 
 class Timid(Balancer):
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -10,8 +10,9 @@
 import pytest
 
 from dykeshift.clock import SYSTEM
-from dykeshift.interface import Action, ListKind, ServerList, ServerState
-from dykeshift.engine.discovery import GRACE, Reader, number_of
+from dykeshift.interface import Action, CallEnd, ListKind, ServerList, ServerState
+from dykeshift.engine.discovery import GRACE, HOLD_MS, QUIET, Reader, number_of
+from dykeshift.rules import SPREAD, TOLD, UNANSWERED
 from tests.node.stubs import (
     Node,
     Registry,
@@ -168,6 +169,70 @@
     run(main())
 
 
+def test_what_discovery_has_is_heard_before_it_counts_as_told() -> None:
+    """The whole chain: notice, pause, connect and an answer that takes all the time it may."""
+    told, hold = TOLD / 1e9, HOLD_MS / 1e3
+    assert hold + QUIET + SPREAD * told + GRACE <= told  # a watch that fell silent
+    assert hold + GRACE <= UNANSWERED[0] * told  # the next call is begun at its time, not after this one's
+    assert UNANSWERED[1] * told < told  # a call that was begun just before discovery came back
+
+
+WHOLE = answer(json.dumps(listing(2, True)).encode())
+
+
+@pytest.mark.parametrize(("replies", "end"), [
+    ([WHOLE], CallEnd.BROKEN),  # and then it falls silent
+    ([WHOLE, answer(b"", "503 Service Unavailable")], CallEnd.BROKEN),
+    ([WHOLE, answer(b"{")], CallEnd.BROKEN),
+    ([], CallEnd.UNANSWERED),
+    ([answer(b"", "503 Service Unavailable")], CallEnd.UNANSWERED),
+])
+def test_the_module_hears_how_a_call_to_discovery_ended(replies: list[bytes], end: CallEnd) -> None:
+    """calm+brink: all watches that had worked fell silent, and were asked anew 7.4 to 8 s after that."""
+
+    async def main() -> None:
+        async with node() as balancer:
+            heard = listen(balancer)
+            for reply in replies:
+                balancer.registry.replies.put_nowait(reply)
+            await until(lambda: any(update.kind is ListKind.FAILED for update in heard))
+            assert heard[-1].end is end
+
+    run(main())
+
+
+def test_the_module_hears_that_no_connection_to_discovery_came_up() -> None:
+    async def main() -> None:
+        gone = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        address = gone.sockets[0].getsockname()
+        gone.close()
+        async with node() as balancer:
+            heard = listen(balancer)
+            balancer.reload.discovery.move(address)
+            balancer.front.driver.discovery_moved()
+            await until(lambda: bool(heard))
+            assert [update.end for update in heard] == [CallEnd.UNREACHED]
+
+    run(main())
+
+
+def test_a_call_that_the_module_fails_over_is_made_again() -> None:
+    async def main() -> None:
+        async with node() as balancer:
+            module = balancer.front.driver.balancer
+            sound = module.on_list
+
+            def faulty(now: int, update: ServerList) -> list[Action]:
+                module.on_list = sound  # type: ignore[method-assign]
+                raise RuntimeError("planted")
+
+            module.on_list = faulty  # type: ignore[method-assign]
+            balancer.registry.replies.put_nowait(answer(b"", "503 Service Unavailable"))
+            await until(lambda: len(balancer.registry.paths) == 2)
+
+    run(main())
+
+
 def test_pushed_lists_are_watched_without_being_asked_to() -> None:
     async def main() -> None:
         async with node(settings=settings(discovery="push")) as balancer:
@@ -212,15 +277,13 @@
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         other = await Registry().start()
-        changed = settings()
-        changed["obligations"]["askEveryNs"] = 3_600_000_000_000  # its pauses last for minutes
-        async with node(stub, settings=changed) as balancer:
+        async with node(stub) as balancer:
             heard = listen(balancer)
             balancer.registry.replies.put_nowait(answer(b"", "503 Service Unavailable"))
             await until(lambda: bool(heard))
             balancer.move(other)
             await until(lambda: other.paths == ["/v1/endpoints"])
-            assert balancer.front.driver.balancer.watch_failures == 0
+            assert balancer.front.driver.balancer.in_vain == 0 and len(balancer.registry.paths) == 1
 
     run(main())
 
--- a/tests/node/test_tally.py
+++ b/tests/node/test_tally.py
@@ -11,7 +11,7 @@
 import pytest
 
 from benchmarks.tally import main
-from dykeshift.interface import Fail, Outcome, Refuse, Send
+from dykeshift.interface import Fail, Outcome, Refuse, Send, SetTimer
 from dykeshift.node.tally import Counted
 from tests.harness import MS, World, entry, make_settings
 from tests.node.stubs import configuration
@@ -52,7 +52,9 @@
     world.balancer = wrapper  # type: ignore[assignment]
     world.announce(ListKind.FULL, *(entry(n) for n in range(6)))
     world.play(wrapper.on_client_gone(world.now, world.submit(2)))
-    assert world.play(wrapper.on_discovery_moved(world.now))
+    (asked,) = world.play(wrapper.on_discovery_moved(world.now))
+    assert isinstance(asked, SetTimer)  # spread, as all balancers move at once
+    world.play(wrapper.on_timer(asked.at, asked.token))
     assert wrapper.counts["gone"] == 1 and wrapper.counts["watches"] == 1
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from tests.test_failures import fleet, warm_up
 from dykeshift.interface import (
     NOT_RUN,
+    CallEnd,
     Cancel,
     Fail,
     Idempotency,
@@ -18,6 +19,7 @@
     Outcome,
     Refuse,
     Scope,
+    ServerList,
     ServerState,
 )
 
@@ -191,17 +193,60 @@
     assert 0 < total / 4 <= 20, f"{total / 4} attempts a window to each cold server"
 
 
-def test_a_failed_watch_is_repeated_in_time_with_growing_spread_pauses() -> None:
-    world = World(make_settings(ask_discovery=True))
-    assert world.watches == 1
-    pauses = []
-    for n in range(1, 6):
-        world.announce(ListKind.FAILED)
+def pauses(end: CallEnd, waited: int, count: int, seed: int, **changes: object) -> list[int]:
+    """From the beginning of each of so many calls, one after another, to the next, in 10 ms."""
+    world = World(make_settings(ask_discovery=True, **changes), seed)
+    found = []
+    for n in range(1, count + 1):
+        assert world.watches == n
         since = world.now
+        world.advance(waited)
+        assert world.watches == n, "asked anew while a call is out"
+        world.play(world.balancer.on_list(world.now, ServerList(ListKind.FAILED, end=end)))
         while world.watches == n:
             world.advance(10 * MS)
-        pauses.append(world.now - since)
-    assert pauses[0] < pauses[2] and max(pauses) <= world.settings.ask_every
+        found.append(world.now - since)
+    world.settle()
+    return found
+
+
+@pytest.mark.parametrize(("end", "waited", "least", "most"), [
+    (CallEnd.BROKEN, 2 * S, 2 * S, 3520 * MS),
+    (CallEnd.UNREACHED, S, 1200 * MS, 3 * S),
+    (CallEnd.UNANSWERED, 0, 600 * MS, 2420 * MS),  # turned away at once: it left no work
+    (CallEnd.UNANSWERED, 2 * S, 3 * S, 5420 * MS),
+    (CallEnd.UNANSWERED, 3 * S, 3 * S, 5420 * MS),
+])
+def test_discovery_is_asked_again_before_what_it_has_counts_as_told(
+        end: CallEnd, waited: int, least: int, most: int) -> None:
+    """Sends to servers leaving, 0.3 to 0.4 s after six: a broken watch was begun anew after 7.4 to 8 s."""
+    found = [pause for seed in range(40) for pause in pauses(end, waited, 4, seed)]
+    assert least <= min(found) and max(found) <= most
+    assert max(found) - min(found) > (most - least) / 2, "all ask at once"
+
+
+def test_a_lone_balancer_begins_a_broken_watch_anew_at_once() -> None:
+    assert pauses(CallEnd.BROKEN, 0, 1, 1, balancers=1) == [10 * MS]
+
+
+def test_the_pauses_scale_with_the_time_that_the_settings_give_for_asking() -> None:
+    assert max(pauses(CallEnd.UNANSWERED, 0, 4, 1, ask_every=600 * MS)) <= 250 * MS
+
+
+def test_calls_in_vain_one_after_another_pause_longer_until_a_list_comes() -> None:
+    """All balancers at a discovery that is overbooked for good: none would ever get a list."""
+    found = pauses(CallEnd.UNANSWERED, 2 * S, 6, 1)
+    assert max(found[:4]) <= 5420 * MS and min(found[4:]) >= 6 * S
+
+
+def test_a_move_asks_the_new_discovery_soon_and_once() -> None:
+    world = World(make_settings(ask_discovery=True))
+    world.play(world.balancer.on_list(world.now, ServerList(ListKind.FAILED)))
+    world.play(world.balancer.on_discovery_moved(world.now))
+    world.advance(1510 * MS)
+    assert world.watches == 2
+    world.advance(6 * S)
+    assert world.watches == 2
     world.settle()
 
 
