Driver: nothing begins for a client that has left, be its close read or not

MLLP is not changed: there the end of sending is allowed, and a message is taken for good (a question).

Change: Attempt.write asks, as the first byte is about to go out, whether the client's socket has been closed or reset (poll for POLLRDHUP); client_gone keeps back what has not gone out.

--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -1,4 +1,4 @@
-"""What the program asks of the machine beside its event loop: two clocks, and whether a socket has input.
+"""What the program asks of the machine beside its event loop: two clocks, and what waits on a socket.
 
 They are handed in at construction, so that the same code runs on a virtual machine (`dykeshift.sim`).
 Timers and the loop's own time come from the loop, which is handed in likewise.
@@ -24,6 +24,9 @@
     def has_input(self, transport: asyncio.BaseTransport) -> bool:
         """Whether bytes or a close have arrived that the event loop has not come to yet."""
 
+    def hung_up(self, transport: asyncio.BaseTransport) -> bool:
+        """Whether the other side has closed or reset the connection, be that read or not."""
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         """Nanoseconds since the last bytes arrived, read or not; 0 where the machine does not tell."""
 
@@ -43,6 +46,12 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @staticmethod
+    def hung_up(transport: asyncio.BaseTransport) -> bool:
+        poll = select.poll()  # POLLHUP and POLLERR, a reset's, are told unasked
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @staticmethod
     def input_age(transport: asyncio.BaseTransport) -> int:
         if not hasattr(socket, "TCP_INFO"):
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -64,6 +64,7 @@
     first: int = 0  # when the long answer that its client is getting began
     streaming: Attempt | None = None  # what brings that answer
     guard: asyncio.TimerHandle | None = None
+    gone: Callable[[], bool] = lambda: False  # whether its client has left, be that read or not
 
 
 class Driver:
@@ -101,12 +102,16 @@
     def start(self) -> None:
         self._tell(self.balancer.on_start)
 
-    def submit(self, incoming: Asked, arrived: int, reply: Callable[[Final], None]) -> None:
-        """Take a request; `reply` is called exactly once, unless the client goes first."""
+    def submit(self, incoming: Asked, arrived: int, reply: Callable[[Final], None],
+               gone: Callable[[], bool] = lambda: False) -> None:
+        """Take a request; `reply` is called exactly once, unless the client goes first.
+
+        `gone` is asked before each attempt: whether its client has left and nobody has come to read that yet.
+        """
         deadline = arrived + (UPLOAD if incoming.early else incoming.patience - RETURN)
         tier = self.tiers[incoming.klass]
         tier.taken += 1
-        job = self.jobs[incoming.id] = Job(incoming, tier, deadline, reply)
+        job = self.jobs[incoming.id] = Job(incoming, tier, deadline, reply, gone=gone)
         self._guard(job)
         request = Request(id=incoming.id, klass=incoming.klass, deadline=deadline,
                           cost_hint=incoming.cost_hint, retry=incoming.retry,
@@ -133,6 +138,7 @@
         if job is not None and not job.closed:
             job.closed = True
             job.tier.end(None)
+            self._keep_back(job)
             self._tell(self.balancer.on_client_gone, request_id, job=job)
             if job.streaming is not None:  # there is nowhere to pass it on to, may it be called off or not
                 job.streaming.give_up(Outcome.CANCELLED)
@@ -311,13 +317,25 @@
             until = 0  # nothing more goes out for it, yet the module gets its outcome
         ended = partial(self._ended, job, number, action.server)
         words = self.pool.carrier.words(job.incoming)
-        attempt = self.pool.start(action.server, words, until, ended, action.begin_by, stamp)
+        attempt = self.pool.start(action.server, words, until, ended, action.begin_by, stamp,
+                                  partial(self._wanted, job))
         job.attempts.append(attempt)
         job.sent.append(now)
         job.out += 1
         if until < job.deadline and not job.closed:
             self.loop.call_later((until - now) / 1e9, attempt.give_up, Outcome.TIMEOUT)
 
+    def _wanted(self, job: Job) -> bool:
+        """Whether anybody waits for it as its first byte is about to go out.
+
+        Protects upstreams from work for nobody: a close may wait unread behind the timer, the answer or the
+        connect that led here, or where reading is paused.
+        """
+        if not job.closed and job.gone():
+            self.loop.call_soon(self.client_gone, job.incoming.id)  # ahead of the end: none begins instead
+            return False
+        return True
+
     def _cancel(self, action: Cancel) -> None:
         job = self.jobs.get(action.request_id)
         if job is None or action.attempt >= len(job.attempts):
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -173,6 +173,10 @@
     def has_input(self) -> bool:
         return self.transport is not None and self.front.clock.has_input(self.transport)
 
+    def gone(self) -> bool:
+        return (self.transport is None or self.transport.is_closing()
+                or self.front.clock.hung_up(self.transport))
+
     def expire(self, now: float) -> None:
         """Let go of who is slow, silent or done.
 
@@ -322,7 +326,7 @@
             self.front.budget.keep(self, len(self.body))
             self.body = bytearray()
         try:
-            self.front.driver.submit(incoming, self.came, self.final)
+            self.front.driver.submit(incoming, self.came, self.final, self.gone)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
             log.exception("request %s", incoming.id,
                           extra={"event": "request.failed", "fields": {"request": incoming.id}})
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -63,16 +63,17 @@
     """Written at most once; ends once, never within the call that starts it or gives it up."""
 
     __slots__ = ("pool", "upstream", "message", "until", "begin_by", "ended", "connection", "idle",
-                 "written", "over", "begun", "stamp")
+                 "written", "over", "begun", "stamp", "wanted")
 
     def __init__(self, pool: Pool, upstream: Upstream, message: Callable[[int], Message], until: int,
-                 ended: Callable[[End], None], begin_by: int, stamp: int) -> None:
+                 ended: Callable[[End], None], begin_by: int, stamp: int, wanted: Callable[[], bool]) -> None:
         self.pool = pool
         self.upstream = upstream
         self.message = message  # the request, told how many nanoseconds are left
         self.until = until
         self.begin_by = begin_by
         self.stamp = stamp  # of the rules that it was decided by
+        self.wanted = wanted  # whether anybody still waits for it
         self.ended = ended
         self.connection: Link | None = None
         self.idle: float | None = None  # seconds that its connection had not been used; None: a new one
@@ -84,8 +85,9 @@
         """Send it, unless that is no longer wanted or allowed; says whether the connection was used.
 
         Protects the drain rule, cancels, deadlines and the windows of keys: while a connect was waited
-        for, the request may have been answered elsewhere or run out of time, and the upstream may have
-        begun to drain. Where the fleet agrees on rules, the process may have stood still since it decided.
+        for, the request may have been answered elsewhere, been left by its client or run out of time, and
+        the upstream may have begun to drain. Where the fleet agrees on rules, the process may have stood
+        still since it decided.
         """
         if self.over:
             return False
@@ -93,7 +95,8 @@
         lapsed = gate is not None and gate.look() != self.stamp
         now = self.pool.clock.monotonic_ns()
         left = self.until - now
-        if lapsed or left <= 0 or not self.upstream.open_to_new or 0 < self.begin_by < now:
+        if (lapsed or left <= 0 or not self.upstream.open_to_new or 0 < self.begin_by < now
+                or not self.wanted()):
             # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
             self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
@@ -236,10 +239,14 @@
     # ---- attempts ----
 
     def start(self, number: int, message: Callable[[int], Message], until: int,
-              ended: Callable[[End], None], begin_by: int = 0, stamp: int = 0) -> Attempt:
-        """`stamp`: of the rules that it was decided by, where there is a gate."""
+              ended: Callable[[End], None], begin_by: int = 0, stamp: int = 0,
+              wanted: Callable[[], bool] = lambda: True) -> Attempt:
+        """`stamp`: of the rules that it was decided by, where there is a gate.
+
+        `wanted` is asked as its first byte is about to go out.
+        """
         upstream = self.upstreams.get(number) or Upstream(("", 0), 0, listed_ready=False)
-        attempt = Attempt(self, upstream, message, until, ended, begin_by, stamp)
+        attempt = Attempt(self, upstream, message, until, ended, begin_by, stamp, wanted)
         if not upstream.open_to_new:
             self.loop.call_soon(attempt.finish, End(Outcome.NOT_SENT))
             return attempt
--- a/dykeshift/rig/day.py
+++ b/dykeshift/rig/day.py
@@ -19,6 +19,7 @@
 from random import Random
 from typing import Any
 
+from dykeshift.rig.ending import Ending
 from dykeshift.rig.history import Clients, call, judge, uneven
 from dykeshift.rig.installation import Balancer, Installation
 from dykeshift.rig.judge import Breach, Judge, Line
@@ -309,18 +310,15 @@
 
     # ---- the day ----
 
-    async def play(self, folder: Path | None = None) -> Verdict:
-        """`folder`: takes the processes' logs and every datagram's header where a rule was broken.
-
-        SIGTERM ends it as a cancelled task: with its processes.
-        """
-        rig, task = self.rig, asyncio.current_task()
-        assert task is not None
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async def play(self, folder: Path | None, ending: Ending) -> Verdict:
+        """`folder`: takes the processes' logs and every datagram's header where a rule was broken."""
+        rig = self.rig
+        ending.bind()
         try:
             await self._begin()
             for number, step in enumerate(self.plan.step):
                 await self._step(number, step)
+                ending.look()
             await self.clients.stop()
             broken = self.judge.breaches
             if self.plan.agree:
@@ -488,4 +486,6 @@
 
 
 def play(plan: Plan, folder: Path | None = None) -> Verdict:
-    return asyncio.run(Day(plan).play(folder))
+    """SIGTERM ends it, with its processes."""
+    with Ending() as ending:
+        return asyncio.run(Day(plan).play(folder, ending))
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -22,6 +22,7 @@
 from dykeshift.sim.loop import Program
 from dykeshift.sim.net import Cut, Endpoint, Network, Weather
 from dykeshift.sim.operators import Duty
+from dykeshift.sim.reach import Reach
 from dykeshift.sim.referee import Breach, Referee, Terms
 from dykeshift.sim.scenario import CLASSES, HEAL, KINDS, PROBES, RECOVERY, Ask, Scenario
 from dykeshift.sim.views import Views
@@ -67,7 +68,8 @@
         self.world.tracing = tracing
         self.rng: Random = self.world.stream("day")
         self.net = Network(self.world, Weather())
-        self.referee = Referee(Terms(window=int(o.window * SECOND)), self.excuse)
+        self.referee = Referee(Terms(window=int(o.window * SECOND)), self.excuse, self.parted,
+                               lambda balancer: self.reach.since.get(balancer, self.world.now))
         self.racks = [Rack() for _ in range(o.racks)]
         self.by_name: dict[str, Sender] = {}
         self.outages: list[tuple[frozenset[str], int, int]] = []
@@ -95,6 +97,7 @@
         self._start_clients()
         self._start_operators()
         self.faults = Faults(self)
+        self.reach = Reach(self)
 
     def _view_breach(self, text: str) -> None:
         self.referee.breach(rules.VIEW, self.world.now, text)
@@ -118,6 +121,7 @@
             if sender.down and instance.lifecycle != "left":
                 return
             self.listing[instance.id] = instance
+            self.referee.shown(self.world.now, instance.id, instance.lifecycle == "active")
             for address, registry in self.registries.items():
                 self.inside(self.registry_processes[address], registry.put, instance)
 
@@ -135,6 +139,7 @@
                 return
             if lifecycle == "left":
                 del self.listing[name]
+            self.referee.shown(self.world.now, name, False)
             for address, registry in self.registries.items():
                 self.inside(self.registry_processes[address], registry.leave, name, lifecycle)
 
@@ -327,7 +332,11 @@
             return True
         if any(begin <= until and end >= since - 20 * MS for begin, end in node.stalls):
             return True
-        return any(begin <= until and end >= sent and node.host.name in hosts
+        return self.parted(balancer, sent, until)
+
+    def parted(self, balancer: str, since: int, until: int) -> bool:
+        node = next(n for n in self.nodes if n.name == balancer)
+        return any(begin <= until and end >= since and node.host.name in hosts
                    for hosts, begin, end in self.outages)
 
     def outage(self, hosts: frozenset[str], length: int) -> Cut:
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -382,6 +382,14 @@
     def _discovery_resets(self, fault: Fault) -> None:
         self._registries(fault, "forgets", True, False)
 
+    def _watches_silent(self, fault: Fault) -> None:
+        for address, registry in self.day.registries.items():
+            self.day.inside(self.day.registry_processes[address], registry.fall_silent)
+
+    def _watches_reset(self, fault: Fault) -> None:
+        for address, registry in self.day.registries.items():
+            self.day.inside(self.day.registry_processes[address], registry.stop_serving)
+
     def _discovery_stale(self, fault: Fault) -> None:
         for address, registry in self.day.registries.items():
             registry.freeze()
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -249,5 +249,8 @@
     def has_input(self, transport: Any) -> bool:
         return bool(transport.has_input())
 
+    def hung_up(self, transport: Any) -> bool:
+        return bool(transport.hung_up())
+
     def input_age(self, transport: Any) -> int:
         return max(0, self.monotonic_ns() - int(transport.endpoint.arrived))
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -37,13 +37,14 @@
 FIGURES = "figures"  # that can't be true by what was seen
 CONSOLE = "console"  # a call that is not answered in time, or wrongly
 REJECTED = "rejected"  # a sound request of a class that the settings in force have
+GONE = "client-gone"  # something begins for a client that has left
 LEAK = "leak"
 DEAF = "not-served-again"
 VIEW = "view"  # of the fleet: a bound that does not hold, or a view that does not settle again
 FAULT = "fault"  # an exception that nothing caught, or an end that nobody asked for
 RULES = (LOST, TWICE_ANSWERED, WRONG_ANSWER, UNSAFE_AGAIN, KEYED_ASTRAY, REFUSED_RUN, EFFECT_TWICE, DRAIN,
-         COLD, ATTEMPTS, SENT_AFTER, HELD_BACK, BAN, DRAINED, FIGURES, CONSOLE, REJECTED, LEAK, DEAF, VIEW,
-         FAULT)
+         COLD, ATTEMPTS, SENT_AFTER, HELD_BACK, BAN, DRAINED, FIGURES, CONSOLE, REJECTED, GONE, LEAK, DEAF,
+         VIEW, FAULT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,8 @@
     told_share: float = 2 / 3
     way: int = 12 * MS  # from a client to a balancer, at the most
     at_once: int = 40 * MS  # the way to the client and back, and a round of the loop
+    gone: int = 100 * MS  # after which nothing begins for a client that has left
+    told: int = 6_000 * MS  # after which what discovery has, and could be asked for, counts as told
 
 
 @dataclass(slots=True)
@@ -110,6 +113,7 @@
     over: bool = False
     served_by: set[str] = field(default_factory=set)
     gave_up: int | None = None
+    left: int | None = None  # when its client closed its connection
     before: int = 0  # of its tries, those for earlier sendings of a clinic that were given back
     frames: list[Frame] = field(default_factory=list)  # those that a clinic sent
 
@@ -126,13 +130,18 @@
 
 
 class Referee:
-    def __init__(self, terms: Terms, excuse: Callable[[str, int, int, int], bool]) -> None:
+    def __init__(self, terms: Terms, excuse: Callable[[str, int, int, int], bool],
+                 parted: Callable[[str, int, int], bool] = lambda *_: False,
+                 reached: Callable[[str], int] = lambda _: 0) -> None:
         """`excuse(balancer, sent, since, until)`: whether something else kept it from answering.
 
         A machine that stood still counts between `since` and `until`, a link that was down from `sent` on.
+        `parted(balancer, since, until)`: whether clients could not reach it for some of that time.
+        `reached(balancer)`: since when it could have asked discovery at any instant.
         """
         self.terms = terms
-        self.excuse = excuse
+        self.excuse, self.parted, self.reached = excuse, parted, reached
+        self.out: dict[str, int] = {}  # since when discovery shows that it drains or is gone
         self.breaches: list[Breach] = []
         self.entries: dict[str, Entry] = {}
         self.frames: dict[tuple[str, int], Frame] = {}  # by message and number
@@ -206,7 +215,7 @@
         entry = self.entries[rid]
         if entry.over:
             return
-        entry.over = True
+        entry.over, entry.left = True, now
         late = now > entry.deadline + self.terms.answer_slack
         limit = entry.deadline + self.terms.answer_slack
         if late and not self.excuse(entry.balancer, entry.sent, entry.deadline, limit):
@@ -286,9 +295,20 @@
 
     # ---- the wire between balancers and senders ----
 
+    def begun(self, now: int, balancer: str, sender: str, rid: str) -> None:
+        """The first byte of an attempt has been handed to the balancer's kernel."""
+        entry = self.entries.get(rid)
+        if entry is None or entry.left is None:
+            return
+        late = now - entry.left - self.terms.way
+        if late > self.terms.gone and not self.parted(balancer, entry.left, now):
+            self.breach(GONE, now, f"{rid} goes to {sender} {late / MS:.0f} ms after its client left")
+
     def first_byte(self, now: int, balancer: str, sender: str, rid: str, mistaken: bool = False) -> None:
         """`mistaken`: by the list from before its start it takes this one for another."""
         since = self.known.get((balancer, sender))
+        if since is None and sender in self.out:
+            since = max(self.out[sender], self.reached(balancer)) + self.terms.told
         if since is not None and now > since + self.terms.drain_grace:
             self.breach(DRAIN, now, f"{rid} goes to {sender} {(now - since) / MS:.0f} ms after {balancer} "
                                     f"was told that it drains or is gone")
@@ -356,7 +376,14 @@
         if told >= self.terms.told_share * total:
             self.breach(COLD, now, f"{sender} falls over, {told / total:.0%} of its work from those who knew")
 
-    # ---- what balancers are told ----
+    # ---- what discovery has, and what balancers are told ----
+
+    def shown(self, now: int, instance: str, active: bool) -> None:
+        """Discovery has it so from now on."""
+        if active:
+            self.out.pop(instance, None)
+        else:
+            self.out.setdefault(instance, now)
 
     def told(self, now: int, balancer: str, instance: str, active: bool, started: bool) -> None:
         key = (balancer, instance)
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -31,11 +31,13 @@
     "reload-and-term", "drain", "kill-sender", "vanish-sender", "swap-addresses", "release", "cut-room",
     "cut-discovery", "spikes", "flood", "costly",
 )
+WATCH_FAULTS = ("watches-silent", "watches-reset")  # all open ones at once: drawn on days of their own
 DISK_FAULTS = ("disk-full", "disk-slow", "disk-fails")  # drawn where balancers keep a journal
 OPERATORS = ("ban", "standby", "retune")  # what operators do: drawn on days with consoles
 WITH_OPERATORS = "+ops"  # ends the names of seeds whose days have operators
 WITH_MLLP = "+mllp"  # ends the names of seeds whose days have clinics
 WITH_VIEW = "+view"  # of those whose balancers keep a view of one another
+WATCHES = "+watches"  # and of those on which watches break just before senders drain for long
 COLD_AT_SIZE = "+cold"  # and of those with many balancers before few senders that restart under load
 
 
@@ -124,7 +126,7 @@
         if raw.get("version") != VERSION:
             raise ScenarioError(f"its version is {raw.get('version')!r}, this program reads {VERSION}")
         faults = tuple(Fault(**f) for f in raw["faults"])
-        unknown = {f.kind for f in faults} - {*FAULTS, *DISK_FAULTS, *OPERATORS}
+        unknown = {f.kind for f in faults} - {*FAULTS, *DISK_FAULTS, *OPERATORS, *WATCH_FAULTS}
         if unknown:
             raise ScenarioError(f"unknown kind of fault: {sorted(unknown)[0]}")
         asks = tuple(Ask(**a) for a in raw["asks"])
@@ -149,20 +151,22 @@
 
 def bare(seed: str) -> str:
     """The seed without what says of which kind its day is."""
-    for kind in (WITH_OPERATORS, WITH_VIEW, COLD_AT_SIZE, WITH_MLLP):
+    for kind in (WITH_OPERATORS, WITH_VIEW, COLD_AT_SIZE, WATCHES, WITH_MLLP):
         seed = seed.removesuffix(kind)
     return seed
 
 
 def draw(seed: str) -> Scenario:
     """The scenario that belongs to a seed; `+mllp`, `+ops`: the same day with clinics, with operators;
-    `+view`: with more balancers, which keep a view of one another; `+cold`: another kind."""
+    `+view`: with more balancers, which keep a view of one another; `+cold`, `+watches`: other kinds."""
     if seed.endswith(WITH_VIEW):
         return _with_view(_rng(seed, "view"), seed, draw(seed.removesuffix(WITH_VIEW)))
     if seed.endswith(WITH_OPERATORS):
         return _with_operators(_rng(seed, "operators"), seed, draw(seed.removesuffix(WITH_OPERATORS)))
     if seed.endswith(COLD_AT_SIZE):
         return _cold_at_size(_rng(seed, "cold"), seed)
+    if seed.endswith(WATCHES):
+        return _watches_break(_rng(seed, "watches"), seed)
     if seed.endswith(WITH_MLLP):
         return _with_clinics(_rng(seed, "clinics"), seed, draw(seed.removesuffix(WITH_MLLP)))
     options = _draw_options(_rng(seed, "options"))
@@ -288,6 +292,26 @@
     return Scenario(seed, options, (*asks, *_last_asks(options)), faults)
 
 
+# ---- days on which nobody is told in time who does not ask again in time ----
+
+def _watches_break(rng: Random, seed: str) -> Scenario:
+    """All watches break in one moment; a part of the senders begins to drain right after, and stays."""
+    options = Options(balancers=rng.randint(2, 5), senders=rng.randint(5, 8), push=rng.random() < 0.25,
+                      callback_us=rng.choice([0, 20]), cancel=rng.random() < 0.7)
+    at = rng.uniform(0.1, 0.4)
+    faults = [Fault(rng.choice(WATCH_FAULTS), round(at, 6), 0.0)]
+    if rng.random() < 0.3:
+        faults.append(Fault("discovery-fails", round(at + 0.05, 6), round(rng.uniform(0.2, 1.0), 6), 0, 1.0))
+    first = rng.randrange(1000)
+    faults += [Fault("drain", round(at + rng.uniform(0.0, 0.3), 6), HEAL - 0.5, first + n)
+               for n in range(max(1, options.senders // 4))]
+    rate, cost = 60.0, 0.4 * options.senders * options.slots * 1000 / 60.0
+    asks, when = list[Ask](), 0.0
+    while (when := when + rng.expovariate(rate)) < HEAL - 0.1:
+        asks.append(_ask(rng, when, (0.4, 0.3, 0.3), cost, options))
+    return Scenario(seed, options, (*asks, *_last_asks(options)), tuple(sorted(faults, key=lambda f: f.at)))
+
+
 # ---- days with operators ----
 
 def _with_operators(rng: Random, seed: str, day: Scenario) -> Scenario:
--- a/dykeshift/sim/transport.py
+++ b/dykeshift/sim/transport.py
@@ -65,6 +65,9 @@
     def has_input(self) -> bool:
         return self.endpoint.has_input()
 
+    def hung_up(self) -> bool:
+        return self.endpoint.ended or self.endpoint.error is not None
+
     # ---- writing ----
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -45,6 +45,7 @@
             at = f"{self.endpoint.peer.address[0]}:{self.endpoint.peer.address[1]}"
             mistaken = node.living.get(at, sender.name) != sender.name
             blind = node.confirmed and mistaken
+            day.referee.begun(self.began, node.name, sender.name, self.rid)
             if not blind:
                 day.referee.first_byte(self.began, node.name, sender.name, self.rid, mistaken)
             day.referee.written(now, self.rid, node.name, sender.name, sender.cell, self.number,
--- a/dykeshift/standins/registry.py
+++ b/dykeshift/standins/registry.py
@@ -114,10 +114,15 @@
         return generation, False, list(latest.values())
 
     def stop_serving(self) -> None:
-        """It moves away: open calls end."""
+        """It moves away, or goes down for a moment: open calls end."""
         for call in list(self.waiting):
             call.abort()
 
+    def fall_silent(self) -> None:
+        """The open calls stay open, and nothing comes on their connections any more."""
+        for call in list(self.waiting):
+            call.fall_silent()
+
 
 class Call(asyncio.Protocol):
     """A balancer's connection; one call at a time."""
@@ -128,6 +133,13 @@
         self.transport: Any = None
         self.version: int | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.silent = False
+
+    def fall_silent(self) -> None:
+        self.silent = True
+        self.registry.waiting.pop(self, None)
+        if self.timer is not None:
+            self.timer.cancel()
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -150,7 +162,7 @@
 
     def _ask(self, request: Message) -> None:
         registry = self.registry
-        if registry.silent:
+        if registry.silent or self.silent:
             return
         draw = registry.rng.random()
         if draw < registry.fail_share:
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -361,5 +361,8 @@
     def has_input(self, transport: asyncio.BaseTransport) -> bool:
         return False
 
+    def hung_up(self, transport: asyncio.BaseTransport) -> bool:
+        return False
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return 0
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -54,6 +54,9 @@
     def has_input(self, transport: asyncio.BaseTransport) -> bool:
         return False
 
+    def hung_up(self, transport: asyncio.BaseTransport) -> bool:
+        return False
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return self.age
 
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -13,7 +13,18 @@
 from typing import Any
 
 from dykeshift import rules as module
-from dykeshift.interface import NOT_RUN, Fail, Idempotency, ListKind, Outcome, Refuse, Scope, ServerState
+from dykeshift.interface import (
+    NOT_RUN,
+    CallEnd,
+    Fail,
+    Idempotency,
+    ListKind,
+    Outcome,
+    Refuse,
+    Scope,
+    ServerState,
+    SetTimer,
+)
 from dykeshift.node import __main__ as program
 from dykeshift.engine import (
     bodies,
@@ -31,7 +42,7 @@
 from dykeshift.node import reload
 from dykeshift.sim import referee
 from dykeshift.sim.day import play
-from dykeshift.sim.scenario import COLD_AT_SIZE, Scenario, draw
+from dykeshift.sim.scenario import COLD_AT_SIZE, WATCHES, Scenario, draw
 from tests.sim.defect import Mutant, Patch
 from tests.sim.mllp_mutants import MLLP_MUTANTS
 from tests.sim.ops_mutants import OPERATORS_MUTANTS
@@ -77,6 +88,34 @@
     return [(module.Balancer, "on_list", on_list), (upstream.Pool, "put", put)]
 
 
+def _begin_for_nobody() -> list[Patch]:
+    """What waits unread at a client's connection is not asked for before an attempt."""
+    return [(driver.Driver, "_wanted", lambda self, job: True)]
+
+
+def _keep_for_the_gone() -> list[Patch]:
+    """What waits for a connection goes out though its client has gone, where nothing may be called off."""
+    def client_gone(self: driver.Driver, request_id: str) -> None:
+        self._keep_back = lambda job: None  # type: ignore[method-assign]
+        try:
+            original(self, request_id)
+        finally:
+            del self._keep_back
+
+    original = driver.Driver.client_gone
+    return [(driver.Driver, "client_gone", client_gone)]
+
+
+def _pause_as_long_as_it_waited() -> list[Patch]:
+    """A failed watch pauses four times what it waited, whatever ended it."""
+    def ask_later(self: module.Balancer, now: int, end: CallEnd) -> None:
+        self.watching = False
+        pause = min(4 * (now - self.asked) + 300_000_000, 5_000_000_000)
+        self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+
+    return [(module.Balancer, "_ask_later", ask_later), (discovery, "QUIET", 2.0)]
+
+
 def _ignore_missing() -> list[Patch]:
     """Who is missing from a whole list stays."""
     def apply(self: driver.Driver, kind: ListKind, listed: Any) -> bool:
@@ -339,6 +378,10 @@
     Mutant("holds refusals back for 100 ms", "driver", (referee.HELD_BACK,), _hold_back),
     Mutant("says nothing where the module fails a request", "driver", (referee.HELD_BACK,), _fail_silently),
     Mutant("forgets the drain check", "rules, pool", (referee.DRAIN,), _forget_drain),
+    Mutant("begins for clients whose close is unread", "driver", (referee.GONE,), _begin_for_nobody),
+    Mutant("keeps what waits for clients that have gone", "driver", (referee.GONE,), _keep_for_the_gone),
+    Mutant("asks discovery anew after long pauses", "rules", (referee.DRAIN,), _pause_as_long_as_it_waited,
+           WATCHES),
     Mutant("keeps who is missing from a whole list", "driver", (referee.DRAIN,), _ignore_missing),
     Mutant("takes a reset for a proof", "upstream", UNPROVED, _reset_proves),
     Mutant("takes a time-out for a proof", "rules", UNPROVED, _timeout_proves),
--- a/tests/sim/test_referee.py
+++ b/tests/sim/test_referee.py
@@ -196,3 +196,27 @@
     court = Court()
     court.send("ghost")
     assert court.broken_rules() == [rules.FAULT]
+
+
+def test_nothing_begins_for_a_client_that_left() -> None:
+    for late, want in ((112, []), (113, [rules.GONE])):  # the way, and 100 ms
+        court = Court()
+        court.ask()
+        court.gone(10 * MS, "r")
+        court.begun((10 + late) * MS, "n0", "s0", "r")
+        assert court.broken_rules() == want
+
+
+def test_what_discovery_shows_counts_as_told_six_seconds_after_it_could_be_asked() -> None:
+    court = Court()
+    court.reached = {"n0": 0, "n1": 2_000 * MS}.__getitem__
+    court.shown(1_000 * MS, "s0", False)
+    for balancer, since in (("n0", 1_000), ("n1", 2_000)):
+        court.first_byte((since + 6_300) * MS, balancer, "s0", "r")
+        assert not court.broken_rules()
+        court.first_byte((since + 6_301) * MS, balancer, "s0", "r")
+        assert court.broken_rules() == [rules.DRAIN]
+        court.breaches.clear()
+    court.shown(9_000 * MS, "s0", True)
+    court.first_byte(20_000 * MS, "n0", "s0", "r")
+    assert not court.broken_rules()
