Driver: a long answer that has begun is not cut off at its request's aim

Cause: where a class earns nothing after its aim the module gives each attempt a time-out at the aim, and the driver's timer gave the attempt up also when its answer was on its way to the client already (driver._send). SITE's classes all earn later, so the timer is never set there; the other deployment's do not. The test fails without the mend.

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -323,7 +323,12 @@
         job.sent.append(now)
         job.out += 1
         if until < job.deadline and not job.closed:
-            self.loop.call_later((until - now) / 1e9, attempt.give_up, Outcome.TIMEOUT)
+            self.loop.call_later((until - now) / 1e9, self._time_out, job, attempt)
+
+    def _time_out(self, job: Job, attempt: Attempt) -> None:
+        """Of one attempt, before its request's time is over: what has begun to answer is in time."""
+        if attempt is not job.streaming:
+            attempt.give_up(Outcome.TIMEOUT)
 
     def _wanted(self, job: Job) -> bool:
         """Whether anybody waits for it as its first byte is about to go out.
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -26,6 +26,8 @@
     request,
     run,
     says,
+    service,
+    settings,
     until,
 )
 
@@ -203,6 +205,36 @@
 # ---- long requests ----
 
 
+def test_a_long_answer_that_has_begun_is_not_cut_at_its_aim() -> None:
+    """Where nothing is earned after the aim an attempt is called off then: its rest was still coming."""
+
+    async def main() -> None:
+        given = settings(services=[service("send", "side_effect", goalTimeNs=150_000_000, lateShare=0.0)])
+        over = asyncio.Event()
+
+        async def slowly(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+            whole = answer(BODY)
+            writer.write(whole[:200_000])
+            await over.wait()
+            writer.write(whole[200_000:])
+
+        async with node(await Stub(slowly).start(), settings=given) as balancer:
+            loop = asyncio.get_running_loop()
+            caller = await balancer.open()
+            caller.writer.write(request())
+            start = await caller.reader.readexactly(1000)
+            (job,) = balancer.front.driver.jobs.values()
+            aim = job.sent[0] / 1e9 + 0.15
+            loop.call_at(aim + 0.05, over.set)  # behind the timer of the aim, on the same clock
+            rest = await caller.reader.readuntil(BODY[-256:])
+            while len(start) + len(rest) < len(BODY):
+                rest += await caller.reader.readuntil(BODY[-256:])
+            assert (start + rest).partition(b"\r\n\r\n")[2] == BODY
+            assert balancer.front.driver.ledger.tiers["send"].success == 1
+
+    run(main())
+
+
 def long_request(body: bytes, chunked: bool, klass: str = "send", rid: str = "r1") -> bytes:
     if not chunked:
         return request(klass, rid=rid, body=body)
