--- a/dykeshift/rig/tally.py
+++ b/dykeshift/rig/tally.py
@@ -79,7 +79,7 @@
             self.breach(f"{rid} ({errand.kind}) is refused and has run")
         self._forget(rid)
 
-    def broken(self, errand: Errand, rid: str, to: Address, fed: bool) -> None:
+    def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
         if self._excused(rid, to):
             self.answers["cut off by a death"] += 1
         else:
--- a/dykeshift/rig/witness.py
+++ b/dykeshift/rig/witness.py
@@ -54,7 +54,7 @@
     def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None:
         self.answers[str(answer.status)] += 1
 
-    def broken(self, errand: Errand, rid: str, to: Address, fed: bool) -> None:
+    def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
         self.answers["cut off"] += 1
 
     def left(self, errand: Errand, rid: str, to: Address) -> None:
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -268,9 +268,9 @@
             self.referee.breach(rules.REJECTED, self._here(), f"{node.name} rejects {rid} ({errand.klass})")
         self.referee.answered(self._here(), rid, answer.status, answer.body.decode("latin-1"))
 
-    def broken(self, errand: Errand, rid: str, to: tuple[str, int], fed: bool) -> None:
+    def broken(self, errand: Errand, rid: str, to: tuple[str, int], begun: bool) -> None:
         self.world.note(f"{rid} broke off")
-        self.referee.broken(self._here(), rid, again=False)
+        self.referee.broken(self._here(), rid, again=False, begun=begun)
 
     def left(self, errand: Errand, rid: str, to: tuple[str, int]) -> None:
         self.world.note(f"{rid} is left by its client")
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -201,13 +201,18 @@
         if rest.strip() != entry.rid or name not in entry.served_by:
             self.breach(WRONG_ANSWER, now, f"{entry.rid} is served with {body[:60]!r}")
 
-    def broken(self, now: int, rid: str, again: bool) -> None:
-        """Its connection ended with no whole answer; `again`: the client sends it on a new one."""
+    def broken(self, now: int, rid: str, again: bool, begun: bool = False) -> None:
+        """Its connection ended with no whole answer; `again`: the client sends it on a new one.
+
+        `begun`: what came shows that its end is missing; an upstream that spoilt it has made it so.
+        """
         entry = self.entries[rid]
         if entry.over:
             return
         entry.over = not again
-        if entry.tries and not self.excuse(entry.balancer, entry.sent, entry.sent, now):
+        if begun and entry.served_by:
+            self.failed += 1
+        elif entry.tries and not self.excuse(entry.balancer, entry.sent, entry.sent, now):
             self.breach(LOST, now, f"{rid} was sent on, and its connection ended without an answer")
 
     def gone(self, now: int, rid: str) -> None:
--- a/dykeshift/standins/client.py
+++ b/dykeshift/standins/client.py
@@ -40,8 +40,8 @@
 
     def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None: ...
 
-    def broken(self, errand: Errand, rid: str, to: Address, fed: bool) -> None:
-        """Its connection ended without a whole answer."""
+    def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
+        """Its connection ended without a whole answer; `begun`: of one that is seen not to be whole."""
 
     def left(self, errand: Errand, rid: str, to: Address) -> None:
         """The client gave up or went away."""
@@ -262,7 +262,8 @@
                 timer.cancel()
             self.crowd.loop.create_task(self._connect(self.to))
             return
-        self.crowd.account.broken(self.errand, self.rid, self.to, self.fed)
+        begun = line is not None and line.messages.chunked and line.messages.head is not None
+        self.crowd.account.broken(self.errand, self.rid, self.to, begun)
         self.end("broken")
 
     def end(self, how: str, answer: Message | None = None) -> None:
--- a/tests/sim/test_referee.py
+++ b/tests/sim/test_referee.py
@@ -220,3 +220,14 @@
     court.shown(9_000 * MS, "s0", True)
     court.first_byte(20_000 * MS, "n0", "s0", "r")
     assert not court.broken_rules()
+
+
+def test_an_answer_that_its_sender_spoilt_has_failed_where_its_client_sees_that_the_end_is_missing() -> None:
+    for ran, begun, want in ((True, True, []), (True, False, [rules.LOST]), (False, True, [rules.LOST])):
+        court = Court()
+        court.ask()
+        court.send()
+        if ran:
+            court.ran(1, "r", "r", "s0", False)
+        court.broken(2, "r", again=False, begun=begun)
+        assert court.broken_rules() == want
