--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -43,6 +43,18 @@
     return heard
 
 
+def fail_once(balancer: Node) -> None:
+    """The module fails over the next list, and over no other."""
+    module = balancer.front.driver.balancer
+    sound = module.on_list
+
+    def faulty(now: int, update: ServerList) -> list[Action]:
+        module.on_list = sound  # type: ignore[method-assign]
+        raise RuntimeError("planted")
+
+    module.on_list = faulty  # type: ignore[method-assign]
+
+
 def test_a_watch_goes_on_from_each_answer() -> None:
     async def main() -> None:
         old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
@@ -129,14 +141,7 @@
         changed = settings()
         changed["obligations"]["askEveryNs"] = 100_000_000
         async with node(stub, settings=changed) as balancer:
-            module = balancer.front.driver.balancer
-            sound = module.on_list
-
-            def faulty(now: int, update: ServerList) -> list[Action]:
-                module.on_list = sound  # type: ignore[method-assign]
-                raise RuntimeError("planted")
-
-            module.on_list = faulty  # type: ignore[method-assign]
+            fail_once(balancer)
             balancer.registry.put(listing(2, False, instance("s0", stub.address, "leaving")))
             await until(lambda: len(balancer.registry.paths) == 2)
             assert balancer.registry.paths[1] == "/v1/endpoints"
@@ -219,14 +224,7 @@
 def test_a_call_that_the_module_fails_over_is_made_again() -> None:
     async def main() -> None:
         async with node() as balancer:
-            module = balancer.front.driver.balancer
-            sound = module.on_list
-
-            def faulty(now: int, update: ServerList) -> list[Action]:
-                module.on_list = sound  # type: ignore[method-assign]
-                raise RuntimeError("planted")
-
-            module.on_list = faulty  # type: ignore[method-assign]
+            fail_once(balancer)
             balancer.registry.replies.put_nowait(answer(b"", "503 Service Unavailable"))
             await until(lambda: len(balancer.registry.paths) == 2)
 
