--- a/dykeshift/node/agree.py
+++ b/dykeshift/node/agree.py
@@ -39,9 +39,14 @@
 FULL = 1 << 20  # bytes of the file: beyond them it is written anew with what still counts
 WAIT = 2.5  # seconds that an answer of the console waits for the others: operators' calls give up after three
 LATEST = 20  # changes that `GET /agree/log` shows
-LOUD = {"stranger": logging.ERROR, "lost": logging.ERROR, "forgotten": logging.WARNING,
-        "fenced": logging.WARNING,
-        "founded": logging.WARNING, "committed": logging.DEBUG}
+LOUD = {
+    "stranger": logging.ERROR,
+    "lost": logging.ERROR,
+    "forgotten": logging.WARNING,
+    "fenced": logging.WARNING,
+    "founded": logging.WARNING,
+    "committed": logging.DEBUG,
+}
 
 
 class Options(Struct, frozen=True, forbid_unknown_fields=True):
@@ -86,8 +91,11 @@
 
         def over(_: Any, error: BaseException | None) -> None:
             if error is not None:
-                log.error("the agreement goes on without its disk: %s", error,
-                          extra={"event": "agree.diskless", "fields": {"reason": str(error)}})
+                log.error(
+                    "the agreement goes on without its disk: %s",
+                    error,
+                    extra={"event": "agree.diskless", "fields": {"reason": str(error)}},
+                )
             done(error is None)
 
         self.worker.run(work, over)
@@ -111,9 +119,13 @@
         self.view.port.claims.append((is_ours, self.runner.take))
         self.view.watchers.append(self._roster)
         host.offers.calls.update({b"/agree": self.status, b"/agree/log": self.changes})
-        host.offers.orders.update({(b"PUT", b"/agree/propose"): self.propose,
-                                   (b"GET", b"/agree/read"): self.read,
-                                   (b"PUT", b"/agree/rescue"): self.rescue})
+        host.offers.orders.update(
+            {
+                (b"PUT", b"/agree/propose"): self.propose,
+                (b"GET", b"/agree/read"): self.read,
+                (b"PUT", b"/agree/rescue"): self.rescue,
+            }
+        )
         host.figures["agree"] = self.figures
         host.found["agree"] = self
         self._roster()
@@ -145,8 +157,15 @@
         for index in range(shared.commit, shared.log.base.index, -1):
             entry = shared.log.entry(index)
             if entry.sort == Sort.CHANGE:
-                found.append({"version": shared.log.version_at(index), "id": f"{entry.ident:016x}",
-                              "term": entry.term, "bytes": len(entry.body), "entry": _text(entry.body[:200])})
+                found.append(
+                    {
+                        "version": shared.log.version_at(index),
+                        "id": f"{entry.ident:016x}",
+                        "term": entry.term,
+                        "bytes": len(entry.body),
+                        "entry": _text(entry.body[:200]),
+                    }
+                )
             if len(found) == LATEST:
                 break
         return _json({"committed": shared.log.version_at(shared.commit), "changes": found})
@@ -194,8 +213,11 @@
     def figures(self) -> dict[str, Any]:
         told = self.told()
         names = ("role", "epoch", "term", "leader", "committed", "lease_s")
-        return {**{name: told[name] for name in names}, **told["sent"],
-                "dropped": sum(told["dropped"].values())}
+        return {
+            **{name: told[name] for name in names},
+            **told["sent"],
+            "dropped": sum(told["dropped"].values()),
+        }
 
     def _tell(self, event: Event) -> None:
         for listener in self.listeners:
@@ -204,9 +226,13 @@
         fields = {"epoch": shared.epoch[1], "term": self.core.voter.term, "entry": shared.commit}
         if event.version:
             fields["version"] = event.version
-        log.log(LOUD.get(event.kind, logging.INFO), "agree: %s %s", event.kind, event.text or event.version
-                or "",
-                extra={"event": "agree." + event.kind, "fields": {**fields, "text": event.text}})
+        log.log(
+            LOUD.get(event.kind, logging.INFO),
+            "agree: %s %s",
+            event.kind,
+            event.text or event.version or "",
+            extra={"event": "agree." + event.kind, "fields": {**fields, "text": event.text}},
+        )
 
     # ---- ends ----
 
@@ -260,9 +286,16 @@
     peering = host.given.peering
     if view is None or peering is None:
         raise ConfigError("[agree] wants [view]")
-    terms = Terms(options.voters, int(options.beat_s * 1e9), int(options.lease_s * 1e9),
-                  view.view.options.drift, int(options.replace_s * 1e9), options.keep, options.datagrams_s,
-                  options.bytes_s)
+    terms = Terms(
+        options.voters,
+        int(options.beat_s * 1e9),
+        int(options.lease_s * 1e9),
+        view.view.options.drift,
+        int(options.replace_s * 1e9),
+        options.keep,
+        options.datagrams_s,
+        options.bytes_s,
+    )
     number = None if view.view.me.number == NOBODY else view.view.me.number
     places = dict(enumerate(peering.peers)) if number is not None else {}
     rng = Random(f"agree/{host.given.seed}/{host.clock.time_ns()}")
@@ -284,8 +317,11 @@
     try:
         files = host.disk.open(folder)
     except BlockingIOError:
-        log.warning("another process has the folder %s: this one's agreement is in memory", folder,
-                    extra={"event": "agree.locked", "fields": {"folder": folder}})
+        log.warning(
+            "another process has the folder %s: this one's agreement is in memory",
+            folder,
+            extra={"event": "agree.locked", "fields": {"folder": folder}},
+        )
         return None, None
     except OSError as exc:
         raise ConfigError(f"[agree] cannot use the folder {folder!r}: {exc.strerror or exc}") from None
@@ -295,8 +331,11 @@
         try:
             return file, _life(found)
         except Spoilt as exc:
-            log.error("what was promised is no longer known, this balancer begins anew: %s", exc,
-                      extra={"event": "agree.spoilt", "fields": {"reason": str(exc)}})
+            log.error(
+                "what was promised is no longer known, this balancer begins anew: %s",
+                exc,
+                extra={"event": "agree.spoilt", "fields": {"reason": str(exc)}},
+            )
             file.compact([])
             return file, None
     except (Failed, Foreign) as exc:
--- a/dykeshift/node/book.py
+++ b/dykeshift/node/book.py
@@ -37,11 +37,14 @@
         self.service = service
 
     def register(self, offers: Offers) -> None:
-        offers.calls.update({b"/settings": self.status, b"/settings/rules": self.texts,
-                             b"/settings/history": self.history})
+        offers.calls.update(
+            {b"/settings": self.status, b"/settings/rules": self.texts, b"/settings/history": self.history}
+        )
         puts: dict[bytes, Callable[[Any], Change]] = {
-            b"/settings/propose": self._proposal, b"/settings/rollback": self._rollback,
-            b"/settings/halt": self._halt, b"/settings/lists": self._lists,
+            b"/settings/propose": self._proposal,
+            b"/settings/rollback": self._rollback,
+            b"/settings/halt": self._halt,
+            b"/settings/lists": self._lists,
         }
         for path, make in puts.items():
             offers.orders[b"PUT", path] = self._order(make)
@@ -57,8 +60,13 @@
         service = self.service
         service.look()
         force, acts = service.core.force, service.core.acts
-        return {"mode": acts.mode, "version": acts.version, "book": service.core.book.pages.version,
-                "since_s": round((service.now() - force.since) / 1e9, 3), "why": acts.why}
+        return {
+            "mode": acts.mode,
+            "version": acts.version,
+            "book": service.core.book.pages.version,
+            "since_s": round((service.now() - force.since) / 1e9, 3),
+            "why": acts.why,
+        }
 
     def status(self) -> bytes:
         service, pages = self.service, self.service.core.book.pages
@@ -66,18 +74,31 @@
         shared = service.agree.core.shared
         from dykeshift.node.versions import times
 
-        told = {"self": service.host.given.name, "number": service.core.number, **self.rules(),
-                "history": f"{shared.epoch[0]:08x}", "epoch": shared.epoch[1],
-                "digest": hashlib.blake2s(service.core.book.snapshot(), digest_size=8).hexdigest(),
-                "stamp": service.core.force.stamp, "by": pages.rules.by,
-                **times(service.options, options.lease / 1e9, options.drift),
-                "leader": service.core.history.leader(),
-                "pending": self._pending(pages.pending), "out": msgspec.to_builtins(pages.out),
-                "out_here": sorted(service.core.wanted),
-                "preferred": pages.preferred, "closed": pages.closed, "wary": pages.wary,
-                "doubt": pages.doubt, "leaving": len(service.leaving), "ignored": service.core.lists.ignored,
-                "outcomes": msgspec.to_builtins(pages.outcomes), "file": service.differs,
-                "strange": service.core.book.strange, "dropped": service.core.dropped}
+        told = {
+            "self": service.host.given.name,
+            "number": service.core.number,
+            **self.rules(),
+            "history": f"{shared.epoch[0]:08x}",
+            "epoch": shared.epoch[1],
+            "digest": hashlib.blake2s(service.core.book.snapshot(), digest_size=8).hexdigest(),
+            "stamp": service.core.force.stamp,
+            "by": pages.rules.by,
+            **times(service.options, options.lease / 1e9, options.drift),
+            "leader": service.core.history.leader(),
+            "pending": self._pending(pages.pending),
+            "out": msgspec.to_builtins(pages.out),
+            "out_here": sorted(service.core.wanted),
+            "preferred": pages.preferred,
+            "closed": pages.closed,
+            "wary": pages.wary,
+            "doubt": pages.doubt,
+            "leaving": len(service.leaving),
+            "ignored": service.core.lists.ignored,
+            "outcomes": msgspec.to_builtins(pages.outcomes),
+            "file": service.differs,
+            "strange": service.core.book.strange,
+            "dropped": service.core.dropped,
+        }
         return _json(told)
 
     def _pending(self, pending: Pending | None) -> dict[str, Any] | None:
@@ -89,40 +110,87 @@
             changed = differences(held, own.read(pending.rules.settings))
         except SettingsError as exc:
             changed = [str(exc)]
-        return {"version": pending.rules.version, "phase": pending.phase.value, "stage": pending.stage,
-                "stages": pending.stages, "by": pending.rules.by, "guarded": changed, "dry": pending.dry,
-                "reason": pending.reason}
+        return {
+            "version": pending.rules.version,
+            "phase": pending.phase.value,
+            "stage": pending.stage,
+            "stages": pending.stages,
+            "by": pending.rules.by,
+            "guarded": changed,
+            "dry": pending.dry,
+            "reason": pending.reason,
+        }
 
     def texts(self) -> bytes:
         pages = self.service.core.book.pages
         comes = pages.pending.rules if pages.pending is not None else None
-        return _json({"in_force": _rules(pages.rules), "comes": _rules(comes) if comes else None,
-                      "file": json.loads(self.service.core.own.shared)})
+        return _json(
+            {
+                "in_force": _rules(pages.rules),
+                "comes": _rules(comes) if comes else None,
+                "file": json.loads(self.service.core.own.shared),
+            }
+        )
 
     def history(self) -> bytes:
         pages = self.service.core.book.pages
-        return _json({"rules": [_rules(r) for r in (pages.rules, *pages.past)],
-                      "outcomes": msgspec.to_builtins(pages.outcomes)})
+        return _json(
+            {
+                "rules": [_rules(r) for r in (pages.rules, *pages.past)],
+                "outcomes": msgspec.to_builtins(pages.outcomes),
+            }
+        )
 
     def members(self, body: bytes, done: Done) -> None:
         """What each has reported to whoever leads."""
         core, now = self.service.core, self.service.now()
         leader = core.history.leader()
         if leader != core.number:
-            done(409, _json({"reason": f"number {leader} leads and is told" if leader is not None
-                             else "nobody leads", "leader": leader}))
+            done(
+                409,
+                _json(
+                    {
+                        "reason": f"number {leader} leads and is told"
+                        if leader is not None
+                        else "nobody leads",
+                        "leader": leader,
+                    }
+                ),
+            )
             return
-        rows = [{"number": number, "book": m.report.version, "mode": m.report.mode,
-                 "verdict": m.report.verdict.name.lower(), "reason": m.report.reason,
-                 "answers": m.report.answers, "bad": m.report.bad, "ago_s": round((now - m.at) / 1e9, 3)}
-                for number, m in sorted(core.guide.members.items())]
-        done(200, _json({"members": rows, "alive": sorted(core.history.facts().alive),
-                         "evidence": round(core.guide.trial.evidence, 3)}))
+        rows = [
+            {
+                "number": number,
+                "book": m.report.version,
+                "mode": m.report.mode,
+                "verdict": m.report.verdict.name.lower(),
+                "reason": m.report.reason,
+                "answers": m.report.answers,
+                "bad": m.report.bad,
+                "ago_s": round((now - m.at) / 1e9, 3),
+            }
+            for number, m in sorted(core.guide.members.items())
+        ]
+        done(
+            200,
+            _json(
+                {
+                    "members": rows,
+                    "alive": sorted(core.history.facts().alive),
+                    "evidence": round(core.guide.trial.evidence, 3),
+                }
+            ),
+        )
 
     def figures(self) -> dict[str, Any]:
         told = self.rules()
-        return {"mode": told["mode"], "version": told["version"], "book": told["book"],
-                "since_s": told["since_s"], "leaving": len(self.service.leaving)}
+        return {
+            "mode": told["mode"],
+            "version": told["version"],
+            "book": told["book"],
+            "since_s": told["since_s"],
+            "leaving": len(self.service.leaving),
+        }
 
     # ---- changing ----
 
@@ -168,11 +236,16 @@
         stages = given.get("stages", [])
         roster = len(self.service.agree.core.shared.places)
         if not isinstance(stages, list) or any(
-                not isinstance(g, list) or not g or any(type(n) is not int or not 0 <= n < roster for n in g)
-                for g in stages):
+            not isinstance(g, list) or not g or any(type(n) is not int or not 0 <= n < roster for n in g)
+            for g in stages
+        ):
             raise ValueError(f"stages are groups of numbers of balancers, 0 to {roster - 1}")
-        return Propose(msgspec.Raw(text.encode()), str(given.get("by", ""))[:200],
-                       tuple(tuple(g) for g in stages), given.get("dry") is True)
+        return Propose(
+            msgspec.Raw(text.encode()),
+            str(given.get("by", ""))[:200],
+            tuple(tuple(g) for g in stages),
+            given.get("dry") is True,
+        )
 
     def _rollback(self, given: dict[str, Any]) -> Change:
         version = given.get("version")
@@ -243,6 +316,7 @@
         service, desk, name = self.service, self.service.host.offers.desks[0], _named(body, done)
         if not name:
             return
+
         def known(version: int | None) -> None:
             here = name in service.core.wanted or number_of(name) in service.host.driver.pool.banned
             if name in service.core.book.pages.out:
@@ -253,8 +327,14 @@
             else:
                 service.core.unban(name)
                 back = desk.exit(name)
-                done(200 if back else 404, _json({"here": True, "fleet": False} if back else {
-                    "reason": "no upstream of that name was ever listed"}))
+                done(
+                    200 if back else 404,
+                    _json(
+                        {"here": True, "fleet": False}
+                        if back
+                        else {"reason": "no upstream of that name was ever listed"}
+                    ),
+                )
 
         if name in service.core.book.pages.out:
             known(None)
@@ -272,8 +352,11 @@
 
 
 def _rules(rules: Rules) -> dict[str, Any]:
-    return {"version": rules.version, "by": rules.by,
-            "settings": json.loads(rules.settings) if rules.settings else None}
+    return {
+        "version": rules.version,
+        "by": rules.by,
+        "settings": json.loads(rules.settings) if rules.settings else None,
+    }
 
 
 def _json(told: Any) -> bytes:
--- a/dykeshift/node/desk.py
+++ b/dykeshift/node/desk.py
@@ -20,8 +20,15 @@
 
 
 class Desk:
-    def __init__(self, clock: Clock, driver: Driver, drain: Drain, standby: Callable[[], None],
-                 together: Together | None, offers: Offers) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        driver: Driver,
+        drain: Drain,
+        standby: Callable[[], None],
+        together: Together | None,
+        offers: Offers,
+    ) -> None:
         """`standby` begins the drain. `together`: who is told of bans beside this process, and first.
 
         `offers`: what features answer.
@@ -33,12 +40,19 @@
 
     def figures(self) -> dict[str, Any]:
         ledger, balancer = self.driver.ledger, self.driver.balancer
-        tiers = {name: {"success": tier.success, "busy": tier.busy, "failure": tier.failure}
-                 for name, tier in ledger.tiers.items()}
-        return {"calls": tiers, "backend_calls": ledger.attempts, "inflight": ledger.inflight,
-                "hosts_listed": len(self.driver.pool.upstreams),
-                "hosts_down": balancer.avoided(self.clock.monotonic_ns()),
-                "reconfig_ok": ledger.reloads, "reconfig_failed": ledger.reloads_failed}
+        tiers = {
+            name: {"success": tier.success, "busy": tier.busy, "failure": tier.failure}
+            for name, tier in ledger.tiers.items()
+        }
+        return {
+            "calls": tiers,
+            "backend_calls": ledger.attempts,
+            "inflight": ledger.inflight,
+            "hosts_listed": len(self.driver.pool.upstreams),
+            "hosts_down": balancer.avoided(self.clock.monotonic_ns()),
+            "reconfig_ok": ledger.reloads,
+            "reconfig_failed": ledger.reloads_failed,
+        }
 
     def ask(self, path: bytes) -> bytes | None:
         call = self.offers.calls.get(path)
@@ -62,8 +76,12 @@
 
     def _said(self, done: bool, what: str, name: str) -> bool:
         if done:
-            log.info("upstream %s: %s by hand", name, what,
-                     extra={"event": "upstream." + what, "fields": {"upstream": name}})
+            log.info(
+                "upstream %s: %s by hand",
+                name,
+                what,
+                extra={"event": "upstream." + what, "fields": {"upstream": name}},
+            )
         return done
 
     def standby(self) -> None:
--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -22,9 +22,14 @@
 FILE = "deploy/lifttrail.toml"
 # Each has Options, check, carrier, objection, connections, start; and prepare, if those before it are to
 # know.
-SECTIONS = {"logs": "dykeshift.node.logs", "mllp": "dykeshift.node.mllp", "tally": "dykeshift.node.tally",
-            "view": "dykeshift.node.view", "agree": "dykeshift.node.agree",
-            "versions": "dykeshift.node.versions"}
+SECTIONS = {
+    "logs": "dykeshift.node.logs",
+    "mllp": "dykeshift.node.mllp",
+    "tally": "dykeshift.node.tally",
+    "view": "dykeshift.node.view",
+    "agree": "dykeshift.node.agree",
+    "versions": "dykeshift.node.versions",
+}
 
 
 class Service(Protocol):
@@ -88,9 +93,16 @@
         """Of those to clients, how many the features take for theirs."""
         return sum(module.connections(options, given) for module, options in self.parts)
 
-    async def start(self, loop: asyncio.AbstractEventLoop, clock: Clock, given: config.Config,
-                    driver: Driver, inherited: bool = False,
-                    offers: Offers | None = None, reload: Reload | None = None) -> list[Service]:
+    async def start(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        given: config.Config,
+        driver: Driver,
+        inherited: bool = False,
+        offers: Offers | None = None,
+        reload: Reload | None = None,
+    ) -> list[Service]:
         """`offers`: takes up what the features answer operators."""
         if not self.parts:
             return []
@@ -114,8 +126,9 @@
     parts, given = [], features.read(path, required)
     for name in given:
         if name not in SECTIONS:
-            raise config.ConfigError(f"feature file {path!r}: there is no feature [{name}]; there are "
-                                     f"{', '.join(SECTIONS)}")
+            raise config.ConfigError(
+                f"feature file {path!r}: there is no feature [{name}]; there are " f"{', '.join(SECTIONS)}"
+            )
     for name in (n for n in SECTIONS if n in given):  # in the order in which one may build on another
         section = given[name]
         module = importlib.import_module(SECTIONS[name])
--- a/dykeshift/node/logs.py
+++ b/dykeshift/node/logs.py
@@ -46,10 +46,17 @@
     if lines:
         render = structlog.dev.ConsoleRenderer(event_key="message")
     return structlog.stdlib.ProcessorFormatter(
-        foreign_pre_chain=[structlog.stdlib.add_log_level,
-                           structlog.processors.TimeStamper(fmt="iso", utc=True)],
-        processors=[_named, structlog.stdlib.ProcessorFormatter.remove_processors_meta,
-                    structlog.processors.format_exc_info, render])
+        foreign_pre_chain=[
+            structlog.stdlib.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+        ],
+        processors=[
+            _named,
+            structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+            structlog.processors.format_exc_info,
+            render,
+        ],
+    )
 
 
 def _named(logger: Any, method: str, event: Event) -> Event:
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -67,13 +67,16 @@
         read_address(address)
     if options.listen and not options.map:
         raise ValueError("listen is given and map is empty: no message could be routed")
-    for name, value, least in (("connections", options.connections, 1), ("pipelined", options.pipelined, 1),
-                               ("max_frame_kb", options.max_frame_kb, 1),
-                               ("memory.entries", options.memory.entries, 1),
-                               ("memory.megabytes", options.memory.megabytes, 1),
-                               ("memory.age_hours", options.memory.age_hours, 0.01),
-                               ("memory.clock_error_s", options.memory.clock_error_s, 0.0),
-                               ("memory.fresh_s", options.memory.fresh_s, 0.0)):
+    for name, value, least in (
+        ("connections", options.connections, 1),
+        ("pipelined", options.pipelined, 1),
+        ("max_frame_kb", options.max_frame_kb, 1),
+        ("memory.entries", options.memory.entries, 1),
+        ("memory.megabytes", options.memory.megabytes, 1),
+        ("memory.age_hours", options.memory.age_hours, 0.01),
+        ("memory.clock_error_s", options.memory.clock_error_s, 0.0),
+        ("memory.fresh_s", options.memory.fresh_s, 0.0),
+    ):
         if value < least:
             raise ValueError(f"{name} is {value}, and {least} at the least")
     if settings is not None:
@@ -85,17 +88,29 @@
     rules = []
     for route in options.map:
         if route.klass not in numbers:
-            raise ValueError(f"{route.trigger}: there is no class {route.klass!r}; there are "
-                             f"{', '.join(numbers)}")
-        rules.append(Rule(route.trigger, numbers[route.klass], route.deadline_ms * 1_000_000,
-                          route.target.encode(), route.key))
+            raise ValueError(
+                f"{route.trigger}: there is no class {route.klass!r}; there are " f"{', '.join(numbers)}"
+            )
+        rules.append(
+            Rule(
+                route.trigger,
+                numbers[route.klass],
+                route.deadline_ms * 1_000_000,
+                route.target.encode(),
+                route.key,
+            )
+        )
     return Mapping(settings.classes, rules, options.upstreams == "mllp")
 
 
 def bounds(options: Remembered) -> Bounds:
-    return Bounds(age=int(options.age_hours * 3600e9), entries=options.entries,
-                  bytes=options.megabytes << 20, clock_error=int(options.clock_error_s * 1e9),
-                  fresh=int(options.fresh_s * 1e9))
+    return Bounds(
+        age=int(options.age_hours * 3600e9),
+        entries=options.entries,
+        bytes=options.megabytes << 20,
+        clock_error=int(options.clock_error_s * 1e9),
+        fresh=int(options.fresh_s * 1e9),
+    )
 
 
 def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> MllpCarrier | None:
@@ -133,9 +148,18 @@
 async def start(options: Options, host: Host) -> MllpService:
     memory = Memory[Waiter](host.clock.time_ns(), bounds(options.memory), complete=bool(options.journal))
     journal = _journal(options.journal, host, memory) if options.journal else None
-    front = MllpFront(host.loop, host.clock, host.driver, mapping(options, host.given.settings), memory,
-                      host.given.name, journal, options.pipelined, options.max_frame_kb << 10,
-                      connections(options, host.given))
+    front = MllpFront(
+        host.loop,
+        host.clock,
+        host.driver,
+        mapping(options, host.given.settings),
+        memory,
+        host.given.name,
+        journal,
+        options.pipelined,
+        options.max_frame_kb << 10,
+        connections(options, host.given),
+    )
     servers = []
     for text in options.listen:
         try:
@@ -148,8 +172,9 @@
 def _journal(path: str, host: Host, memory: Memory[Waiter]) -> Journal:
     try:
         files = host.disk.open(path)
-        journal = Journal(host.loop, host.clock, host.disk.worker(host.loop), Segments(files, STEM, KIND),
-                          memory)
+        journal = Journal(
+            host.loop, host.clock, host.disk.worker(host.loop), Segments(files, STEM, KIND), memory
+        )
         report = journal.recover()
     except BlockingIOError:
         raise ConfigError(f"the journal {path!r} is in use by another process") from None
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -20,8 +20,9 @@
     A file that cannot be used changes nothing. All else in it holds from the next start on.
     """
 
-    def __init__(self, load: Callable[[], config.Config], discovery: Discovery, driver: Driver,
-                 reader: Reader) -> None:
+    def __init__(
+        self, load: Callable[[], config.Config], discovery: Discovery, driver: Driver, reader: Reader
+    ) -> None:
         self.load = load
         self.discovery = discovery
         self.driver = driver
@@ -29,8 +30,9 @@
         # Where the fleet agrees on its settings: whether those of a file are to be taken.
         self.judge: Callable[[config.Config], bool] | None = None
 
-    def take(self, settings: Settings, forms: dict[str, frozenset[Idempotency]] | None = None,
-             narrow: bool = False) -> None:
+    def take(
+        self, settings: Settings, forms: dict[str, frozenset[Idempotency]] | None = None, narrow: bool = False
+    ) -> None:
         """Others from now on, for the module and for the front alike."""
         taken = self.driver.take_settings(settings, narrow)
         self.reader.know(taken.classes, taken.retired, forms)
@@ -41,8 +43,11 @@
             new = self.load()
         except config.ConfigError as exc:
             ledger.reloads_failed += 1
-            log.error("the old configuration is kept: %s", exc,
-                      extra={"event": "configuration.kept", "fields": {"reason": str(exc)}})
+            log.error(
+                "the old configuration is kept: %s",
+                exc,
+                extra={"event": "configuration.kept", "fields": {"reason": str(exc)}},
+            )
             return
         if self.judge is None:
             ledger.reloads += 1
@@ -52,10 +57,12 @@
         else:
             ledger.reloads_failed += 1
         if new.discovery == self.discovery.address:
-            log.info("discovery is the same in the new configuration",
-                     extra={"event": "discovery.same"})
+            log.info("discovery is the same in the new configuration", extra={"event": "discovery.same"})
             return
-        log.info("discovery is at %s:%d now", *new.discovery,
-                 extra={"event": "discovery.moved", "fields": {"to": "%s:%d" % new.discovery}})
+        log.info(
+            "discovery is at %s:%d now",
+            *new.discovery,
+            extra={"event": "discovery.moved", "fields": {"to": "%s:%d" % new.discovery}},
+        )
         self.discovery.move(new.discovery)
         self.driver.discovery_moved()
--- a/dykeshift/node/tally.py
+++ b/dykeshift/node/tally.py
@@ -87,9 +87,14 @@
         module, driver = self.module, self.host.driver
         now = self.host.clock.monotonic_ns()
         state: dict[str, Any] = {
-            "pool": len(module.pool), "ready": len(module.ready), "cold": len(module.cold),
-            "resting": sum(now < s.rest_until for s in module.pool), "connections": driver.pool.open,
-            "admit": round(module.admit, 3), "crowd": round(module.crowd, 3)}
+            "pool": len(module.pool),
+            "ready": len(module.ready),
+            "cold": len(module.cold),
+            "resting": sum(now < s.rest_until for s in module.pool),
+            "connections": driver.pool.open,
+            "admit": round(module.admit, 3),
+            "crowd": round(module.crowd, 3),
+        }
         if self.host.figures:
             state["fleet"] = {name: figure() for name, figure in self.host.figures.items()}
         fields = {"seconds": self.every, "counts": dict(module.counts), "state": state}
--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -20,8 +20,9 @@
 
 
 class Together:
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, folder: Folder, driver: Driver,
-                 front: Front) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, folder: Folder, driver: Driver, front: Front
+    ) -> None:
         self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
         self.limits = front.limit, driver.pool.limit, front.budget.limit
         self.ended: dict[str, int] = {}  # ends of bans that this process knows: by name, when
@@ -63,8 +64,11 @@
                 self._take(self.folder.read())
             others, younger = self.folder.others()
         except OSError as exc:
-            log.warning("the folder shared with other versions can't be read: %s", exc,
-                        extra={"event": "handover.unread", "fields": {"reason": str(exc)}})
+            log.warning(
+                "the folder shared with other versions can't be read: %s",
+                exc,
+                extra={"event": "handover.unread", "fields": {"reason": str(exc)}},
+            )
             return
         front, pool = self.front, self.driver.pool
         shares = (max(1, most // (1 + others)) for most in self.limits)
--- a/dykeshift/node/versions.py
+++ b/dykeshift/node/versions.py
@@ -35,8 +35,17 @@
     from dykeshift.node.agree import Service as Agree
     from dykeshift.node.features import Host
 
-__all__ = ["Options", "PEERING", "Service", "carrier", "check", "connections", "objection", "prepare",
-           "start"]
+__all__ = [
+    "Options",
+    "PEERING",
+    "Service",
+    "carrier",
+    "check",
+    "connections",
+    "objection",
+    "prepare",
+    "start",
+]
 
 log = logging.getLogger(__name__)
 
@@ -137,10 +146,20 @@
         self._act_on_bans(acts.out)
         self._tell_word()
         level, why = (logging.WARNING if acts.doubtful else logging.INFO), f": {acts.why}" * bool(acts.why)
-        fields = {"version": acts.version, "mode": acts.mode, "why": acts.why,
-                  "book": self.core.book.pages.version}
-        log.log(level, "acts on version %d, %s%s", acts.version, acts.mode, why,
-                extra={"event": "versions.acts", "fields": fields})
+        fields = {
+            "version": acts.version,
+            "mode": acts.mode,
+            "why": acts.why,
+            "book": self.core.book.pages.version,
+        }
+        log.log(
+            level,
+            "acts on version %d, %s%s",
+            acts.version,
+            acts.mode,
+            why,
+            extra={"event": "versions.acts", "fields": fields},
+        )
 
     def _act_on_bans(self, wanted: frozenset[str]) -> None:
         driver = self.host.driver
@@ -181,8 +200,9 @@
         self.look()
         messages, change = self.core.on_tick(now)
         places, seal = self.agree.core.shared.places, self.agree.view.view.seal
-        self.agree.view.port.send([(encode(message, seal), places[number])
-                                   for message, number in messages if number in places])
+        self.agree.view.port.send(
+            [(encode(message, seal), places[number]) for message, number in messages if number in places]
+        )
         for note in self.core.notes:
             log.warning("%s", note, extra={"event": "versions.lists", "fields": {"text": note}})
         self.core.notes.clear()
@@ -202,8 +222,10 @@
     def _see(self) -> None:
         driver, discovery = self.host.driver, self.reload.discovery
         tiers = driver.ledger.tiers.values()
-        self.core.answers = (sum(t.success + t.busy + t.failure for t in tiers),
-                             sum(t.busy + t.failure for t in tiers))
+        self.core.answers = (
+            sum(t.success + t.busy + t.failure for t in tiers),
+            sum(t.busy + t.failure for t in tiers),
+        )
         upstreams = driver.pool.upstreams
         running = frozenset(n for n, u in upstreams.items() if u.listed_ready)
         if self.options.list_s:
@@ -217,12 +239,18 @@
     def sight(self) -> Sight:
         driver, balancer = self.host.driver, self.host.driver.balancer
         tiers, classes = driver.ledger.tiers, live(balancer.settings)
-        usual = {c.name: balancer.usual[n] for n, c in enumerate(balancer.settings.classes)
-                 if c.name in classes and tiers[c.name].success >= ENOUGH}
-        return Sight(frozenset(n for n, u in driver.pool.upstreams.items() if u.listed_ready),
-                     {name: tier.inflight for name, tier in tiers.items()}, usual,
-                     max((len(i.attempts) for i in balancer.open.values()), default=0),
-                     self.agree.view.view.standing.at_least)
+        usual = {
+            c.name: balancer.usual[n]
+            for n, c in enumerate(balancer.settings.classes)
+            if c.name in classes and tiers[c.name].success >= ENOUGH
+        }
+        return Sight(
+            frozenset(n for n, u in driver.pool.upstreams.items() if u.listed_ready),
+            {name: tier.inflight for name, tier in tiers.items()},
+            usual,
+            max((len(i.attempts) for i in balancer.open.values()), default=0),
+            self.agree.view.view.standing.at_least,
+        )
 
     # ---- a file that is read anew ----
 
@@ -264,15 +292,30 @@
     except SettingsError as exc:
         raise ConfigError(f"[versions] {exc}") from None
     second = 1_000_000_000
-    terms = Terms(shared.options.lease, shared.options.drift, int(options.check_s * second),
-                  int(options.stage_s * second), options.stage_least, int(options.stage_patience_s * second),
-                  int(options.report_s * second), int(5 * options.report_s * second),
-                  int(options.list_s * second))
+    terms = Terms(
+        shared.options.lease,
+        shared.options.drift,
+        int(options.check_s * second),
+        int(options.stage_s * second),
+        options.stage_least,
+        int(options.stage_patience_s * second),
+        int(options.report_s * second),
+        int(5 * options.report_s * second),
+        int(options.list_s * second),
+    )
     link = Link(agree.core, host.clock.monotonic_ns)
     service: list[Service] = []
-    core = Versions(terms, own, host.found["machine"], view.me.number, view.me.birth, link,
-                    host.clock.monotonic_ns, lambda: service[0].sight(),
-                    Random(f"versions/{host.given.seed}"))
+    core = Versions(
+        terms,
+        own,
+        host.found["machine"],
+        view.me.number,
+        view.me.birth,
+        link,
+        host.clock.monotonic_ns,
+        lambda: service[0].sight(),
+        Random(f"versions/{host.given.seed}"),
+    )
     service.append(Service(options, host, agree, core))
     service[0].begin()
     return service[0]
--- a/dykeshift/node/view.py
+++ b/dykeshift/node/view.py
@@ -60,9 +60,16 @@
 
 def digest(settings: Settings) -> int:
     """Of what a balancer acts on; the zone is its own, the order of classes is not a rule."""
-    told = dataclasses.replace(settings, zone=0, classes=tuple(sorted(
-        (c for n, c in enumerate(settings.classes) if n not in settings.retired), key=lambda c: c.name)),
-        retired=frozenset())
+    told = dataclasses.replace(
+        settings,
+        zone=0,
+        classes=tuple(
+            sorted(
+                (c for n, c in enumerate(settings.classes) if n not in settings.retired), key=lambda c: c.name
+            )
+        ),
+        retired=frozenset(),
+    )
     return int.from_bytes(hashlib.blake2s(repr(told).encode(), digest_size=4).digest(), "big")
 
 
@@ -95,8 +102,11 @@
                 json.dump({"birth": birth, "life": known}, file)
             os.rename(draft, self.path)
         except OSError as exc:
-            log.warning("the view's mark can't be kept, an upgrade will look like a restart: %s", exc,
-                        extra={"event": "view.unmarked", "fields": {"reason": str(exc)}})
+            log.warning(
+                "the view's mark can't be kept, an upgrade will look like a restart: %s",
+                exc,
+                extra={"event": "view.unmarked", "fields": {"reason": str(exc)}},
+            )
 
 
 class Service(Still):
@@ -128,8 +138,10 @@
         if self.mark.path is not None and self.host.inherited:
             birth, known = self.mark.read()
             if birth == self.view.me.birth and known > life(self.view.me.incarnation):
-                log.info("a newer process speaks for this balancer",
-                         extra={"event": "view.superseded", "fields": {"life": known}})
+                log.info(
+                    "a newer process speaks for this balancer",
+                    extra={"event": "view.superseded", "fields": {"life": known}},
+                )
                 self.superseded = True
                 self.close()
 
@@ -140,20 +152,35 @@
 
     def figures(self) -> dict[str, Any]:
         view = self.view
-        return {"settled": view.settled, "at_least": view.standing.at_least, "at_most": view.standing.at_most,
-                "holds_lease": view.standing.holds, "periods": view.periods,
-                "datagrams": view.budget.sent[0], "bytes": view.budget.sent[1],
-                "dropped": sum(view.dropped.values())}
+        return {
+            "settled": view.settled,
+            "at_least": view.standing.at_least,
+            "at_most": view.standing.at_most,
+            "holds_lease": view.standing.holds,
+            "periods": view.periods,
+            "datagrams": view.budget.sent[0],
+            "bytes": view.budget.sent[1],
+            "dropped": sum(view.dropped.values()),
+        }
 
     def _tell(self, event: Event) -> None:
         view = self.view
-        fields = {"settled": view.settled, "at_least": view.standing.at_least,
-                  "at_most": view.standing.at_most, "period": view.periods,
-                  "digest": view.digest(self.host.clock.monotonic_ns())}
+        fields = {
+            "settled": view.settled,
+            "at_least": view.standing.at_least,
+            "at_most": view.standing.at_most,
+            "period": view.periods,
+            "digest": view.digest(self.host.clock.monotonic_ns()),
+        }
         if event.name:
             fields |= {"member": event.name, "state": event.state.name.lower()}
-        log.log(LOUD.get(event.kind, logging.INFO), "view: %s %s", event.kind, event.name,
-                extra={"event": "view." + event.kind, "fields": fields})
+        log.log(
+            LOUD.get(event.kind, logging.INFO),
+            "view: %s %s",
+            event.kind,
+            event.name,
+            extra={"event": "view." + event.kind, "fields": fields},
+        )
         for watcher in self.watchers:
             watcher()
 
@@ -181,11 +208,23 @@
         number = peers.index(own)
     elif own is None and number is not None and number < len(peers):
         own = peers[number]
-    me = Entry(host.given.name, began << WORD, birth, number=NOBODY if number is None else number,
-               tier=len(peers), zone=host.given.settings.zone & 255, settings=digest(host.given.settings),
-               program=_program())
-    terms = Terms(int(options.period_s * 1e9), int(options.lease_s * 1e9), options.drift, options.datagrams_s,
-                  options.bytes_s)
+    me = Entry(
+        host.given.name,
+        began << WORD,
+        birth,
+        number=NOBODY if number is None else number,
+        tier=len(peers),
+        zone=host.given.settings.zone & 255,
+        settings=digest(host.given.settings),
+        program=_program(),
+    )
+    terms = Terms(
+        int(options.period_s * 1e9),
+        int(options.lease_s * 1e9),
+        options.drift,
+        options.datagrams_s,
+        options.bytes_s,
+    )
     view = View(terms, Seal(options.fleet, options.key.encode()), me, peers, own, peering.everybody, rng)
     service = Service(host, view, mark)
     try:
--- a/dykeshift/rig/agreement.py
+++ b/dykeshift/rig/agreement.py
@@ -88,8 +88,11 @@
         if now - self.looked >= SECOND:
             self.looked = now
             here = self.spot
-            alive = {s.number for s in self.world.spots if s.alive and not s.stopped
-                     and self.world.linked(here, s) and self.world.linked(s, here)}
+            alive = {
+                s.number
+                for s in self.world.spots
+                if s.alive and not s.stopped and self.world.linked(here, s) and self.world.linked(s, here)
+            }
             self.core.on_roster(alive, {})
 
     def _through(self, out: Out) -> Out:
@@ -131,8 +134,14 @@
 class Agreement(World):
     """A world of agreements. `disks`: numbers that have one."""
 
-    def __init__(self, seed: object, count: int, options: Options | None = None, disks: tuple[int, ...] = (),
-                 rate: float = 0.01) -> None:
+    def __init__(
+        self,
+        seed: object,
+        count: int,
+        options: Options | None = None,
+        disks: tuple[int, ...] = (),
+        rate: float = 0.01,
+    ) -> None:
         super().__init__(f"agree/{seed}", count, make=self._peer)
         self.terms = options or Options(voters=min(5, count))
         self.disks = {n: Disk() for n in disks}
@@ -164,7 +173,7 @@
         spot.kill()
         disk = self.disks.get(spot.number)
         if disk is not None and disk.lies:
-            del disk.payloads[disk.since:]
+            del disk.payloads[disk.since :]
             disk.lies = False
         for key in [k for k in self.open if k[0] == spot.number]:
             del self.open[key]  # nobody hears an answer: what became of it is not known
@@ -278,14 +287,23 @@
         def ahead(core: Agree) -> tuple[int, int]:
             return core.shared.log.last_term, core.shared.log.last
 
-        return any(core.voter.seats.quorum(
-            lambda seat, core=core: seat in seated and seated[seat].shared.epoch == core.shared.epoch
-            and ahead(seated[seat]) <= ahead(core)) for core in seated.values() if not core.shared.fenced)
+        return any(
+            core.voter.seats.quorum(
+                lambda seat, core=core: seat in seated
+                and seated[seat].shared.epoch == core.shared.epoch
+                and ahead(seated[seat]) <= ahead(core)
+            )
+            for core in seated.values()
+            if not core.shared.fenced
+        )
 
     def leader(self) -> int | None:
         led = [s for s in self.up() if s.view.core.voter.settled()]
-        return max(led, key=lambda s: (s.view.core.shared.epoch[1:],
-                                       s.view.core.voter.term)).number if led else None
+        return (
+            max(led, key=lambda s: (s.view.core.shared.epoch[1:], s.view.core.voter.term)).number
+            if led
+            else None
+        )
 
 
 class Truth:
@@ -352,8 +370,10 @@
         epoch, me, log = shared.epoch, shared.me, shared.log
         if voter.role is Role.LEADER and self.leaders.setdefault((epoch, voter.term), me) != me:
             self.world.say(spot, f"two lead in term {voter.term}")
-        if voter.vote is not None and self.votes.setdefault((epoch, me, voter.term),
-                                                            voter.vote) != voter.vote:
+        if (
+            voter.vote is not None
+            and self.votes.setdefault((epoch, me, voter.term), voter.vote) != voter.vote
+        ):
             self.world.say(spot, f"voted twice in term {voter.term}")
         state = (epoch, shared.commit)
         key = (spot.number, spot.lives)
@@ -409,8 +429,17 @@
 def level(world: Agreement, seconds: float = 60) -> None:
     """All have the same; the failure says who has not."""
     if not world.run(seconds, world.level):
-        told = [(s.name, s.view.core.voter.role.name, s.view.core.voter.term, s.view.core.shared.epoch[1],
-                 s.view.core.shared.commit, s.view.core.voter.leader) for s in world.up()]
+        told = [
+            (
+                s.name,
+                s.view.core.voter.role.name,
+                s.view.core.voter.term,
+                s.view.core.shared.epoch[1],
+                s.view.core.shared.commit,
+                s.view.core.voter.leader,
+            )
+            for s in world.up()
+        ]
         raise AssertionError(f"not level at {world.now / SECOND:.1f} s: {told}")
 
 
--- a/dykeshift/rig/baselines.py
+++ b/dykeshift/rig/baselines.py
@@ -162,5 +162,3 @@
     """Every one of them holds just the others for alive."""
     numbers = {s.number for s in spots}
     return all(s.view.alive - {s.number} == numbers - {s.number} for s in spots)
-
-
--- a/dykeshift/rig/campaign.py
+++ b/dykeshift/rig/campaign.py
@@ -12,13 +12,37 @@
 from dykeshift.rig.linear import check
 from dykeshift.rig.virtual import SECOND, Spot
 
-KINDS = ("kill", "restart", "leader", "stop", "resume", "cut", "minority", "mend", "one-way", "weather",
-         "leave",
-         "spoil", "flicker")
-
-SMALL = ("restart", "leader", "resume", "flicker", "cut", "minority", "minority", "mend", "mend", "one-way",
-         "weather",
-         "spoil", "back")
+KINDS = (
+    "kill",
+    "restart",
+    "leader",
+    "stop",
+    "resume",
+    "cut",
+    "minority",
+    "mend",
+    "one-way",
+    "weather",
+    "leave",
+    "spoil",
+    "flicker",
+)
+
+SMALL = (
+    "restart",
+    "leader",
+    "resume",
+    "flicker",
+    "cut",
+    "minority",
+    "minority",
+    "mend",
+    "mend",
+    "one-way",
+    "weather",
+    "spoil",
+    "back",
+)
 
 
 @dataclass
@@ -33,8 +57,9 @@
     states: Counter[str] = field(default_factory=Counter)
 
 
-def play(seed: int, members: tuple[int, ...] = (3, 4, 5, 7, 9, 12), leases: float = 4.0,
-         world: Any = None) -> Found:
+def play(
+    seed: int, members: tuple[int, ...] = (3, 4, 5, 7, 9, 12), leases: float = 4.0, world: Any = None
+) -> Found:
     """One day: processes with and without disks, clients all the time, three to eight troubles, then
     peace."""
     rng = Random(f"campaign/agree/{seed}")
@@ -42,8 +67,12 @@
     count = rng.choice((3, 5) if storm else members)
     having = rng.choice((0.0, 0.5, 1.0, 1.0) if storm else (0.0, 0.0, 0.5, 1.0))
     disks = tuple(n for n in range(count) if rng.random() < having)
-    options = Options(voters=rng.choice((3, 5)) if count >= 5 else 3, lease=int(leases * SECOND),
-                      replace=8 * SECOND, keep=rng.choice((4, 16, 256)))
+    options = Options(
+        voters=rng.choice((3, 5)) if count >= 5 else 3,
+        lease=int(leases * SECOND),
+        replace=8 * SECOND,
+        keep=rng.choice((4, 16, 256)),
+    )
     day = (world or Agreement)(seed, count, options, disks)
     day.start_all()
     if not day.run(30, day.led):
@@ -137,5 +166,7 @@
 
 
 def _told(day: Agreement) -> list[tuple[str, str, int, int]]:
-    return [(s.name, s.view.core.voter.role.name, s.view.core.shared.epoch[1], s.view.core.shared.commit)
-            for s in day.up()]
+    return [
+        (s.name, s.view.core.voter.role.name, s.view.core.shared.epoch[1], s.view.core.shared.commit)
+        for s in day.up()
+    ]
--- a/dykeshift/rig/day.py
+++ b/dykeshift/rig/day.py
@@ -34,8 +34,21 @@
 RULED = 3  # times the limit of settling: a check, two leases, and what was under way before
 STALL = 1  # periods that the rig's own process may be late: a probe goes through two relays within one
 UP = 30.0  # seconds for a process to answer its console at all
-VIEW = ("self", "settled", "at_least", "at_most", "digest", "periods", "holds_lease", "twin", "incarnation",
-        "dropped", "sent", "woken", "woken_at")
+VIEW = (
+    "self",
+    "settled",
+    "at_least",
+    "at_most",
+    "digest",
+    "periods",
+    "holds_lease",
+    "twin",
+    "incarnation",
+    "dropped",
+    "sent",
+    "woken",
+    "woken_at",
+)
 
 
 @dataclass(slots=True)
@@ -55,8 +68,9 @@
     def __init__(self, plan: Plan, senders: int = 1) -> None:
         self.plan = plan
         self.places = plan.balancers + plan.spare
-        super().__init__(1, senders=6 if plan.versions else senders, balancers=plan.balancers, rate=0.0,
-                         speeds=(1.0,))
+        super().__init__(
+            1, senders=6 if plan.versions else senders, balancers=plan.balancers, rate=0.0, speeds=(1.0,)
+        )
         # An address of its own: a port that is set aside for a process is nobody else's meanwhile.
         self.host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{next(RIGS) % 250 + 1}"
         self.ports: list[socket.socket] = []
@@ -100,7 +114,7 @@
 
     def configure(self, balancer: Balancer, config: dict[str, Any]) -> None:
         n, plan = balancer.number, self.plan
-        peers = self.relays.peers_of(n)[:plan.balancers]
+        peers = self.relays.peers_of(n)[: plan.balancers]
         config["settings"]["me"] = n
         if plan.shuffled:
             del config["settings"]["me"]
@@ -111,21 +125,39 @@
         config["peer_listen"] = "%s:%d" % self.relays.listen[n]
         config["peers"] = peers
         path = self.folder / f"{balancer.place}.toml"
-        terms = {"period_s": plan.period_s, "lease_s": plan.lease_s, "datagrams_s": 12 / plan.period_s,
-                 "bytes_s": 2500 / plan.period_s, "fleet": self.fleets.get(n, "rig"),
-                 "key": self.keys.get(n, "")}
+        terms = {
+            "period_s": plan.period_s,
+            "lease_s": plan.lease_s,
+            "datagrams_s": 12 / plan.period_s,
+            "bytes_s": 2500 / plan.period_s,
+            "fleet": self.fleets.get(n, "rig"),
+            "key": self.keys.get(n, ""),
+        }
         sections = {"view": terms}
         if plan.versions:
-            sections["versions"] = {"check_s": 60 * plan.period_s, "report_s": 2 * plan.period_s,
-                                    "stage_s": 10 * plan.period_s, "stage_least": 20}
+            sections["versions"] = {
+                "check_s": 60 * plan.period_s,
+                "report_s": 2 * plan.period_s,
+                "stage_s": 10 * plan.period_s,
+                "stage_least": 20,
+            }
         if plan.agree or plan.versions:
-            sections["agree"] = {"voters": plan.voters, "beat_s": plan.period_s,
-                                 "lease_s": plan.agree_lease_s,
-                                 "replace_s": 60 * plan.period_s, "datagrams_s": 20 / plan.period_s,
-                                 "bytes_s": 4000 / plan.period_s, "folder": self._disk(n)}
-        path.write_text("".join(
-            f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in section.items())
-            for name, section in sections.items()), encoding="utf-8")
+            sections["agree"] = {
+                "voters": plan.voters,
+                "beat_s": plan.period_s,
+                "lease_s": plan.agree_lease_s,
+                "replace_s": 60 * plan.period_s,
+                "datagrams_s": 20 / plan.period_s,
+                "bytes_s": 4000 / plan.period_s,
+                "folder": self._disk(n),
+            }
+        path.write_text(
+            "".join(
+                f"[{name}]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in section.items())
+                for name, section in sections.items()
+            ),
+            encoding="utf-8",
+        )
         balancer.environment["LIFTTRAIL_FEATURES"] = str(path)
 
     def _disk(self, number: int) -> str:
@@ -218,10 +250,19 @@
             self.lost_at = self._now()
         self.whole = whole
         long = self.lost_at is not None and self._now() - self.lost_at > self.plan.lease_s / 2
-        self._line({"what": "truth", "names": names, "stopped": sorted(self.stopped), "born": self.born,
-                    "seen": len(self.record), "groups": [sorted(g) for g in relays.groups],
-                    "one_way": sorted(map(list, relays.blocked)), "places": self.plan.balancers,
-                    "long": long})
+        self._line(
+            {
+                "what": "truth",
+                "names": names,
+                "stopped": sorted(self.stopped),
+                "born": self.born,
+                "seen": len(self.record),
+                "groups": [sorted(g) for g in relays.groups],
+                "one_way": sorted(map(list, relays.blocked)),
+                "places": self.plan.balancers,
+                "long": long,
+            }
+        )
         self.born = []
 
     # ---- views ----
@@ -231,8 +272,11 @@
         if self.lost_at is not None and self.whole and not self.judge.unsettled():
             self.lost_at, self.judge.truth["long"] = None, False
             self._truth()
-        if self.lost_at is not None and not self.judge.truth["long"] and (
-                self._now() - self.lost_at > self.plan.lease_s / 2):
+        if (
+            self.lost_at is not None
+            and not self.judge.truth["long"]
+            and (self._now() - self.lost_at > self.plan.lease_s / 2)
+        ):
             self._truth()
         for balancer in self.rig.balancers:
             if balancer.number in self.wanted and not balancer.running:
@@ -254,8 +298,21 @@
         if got is None or got[0] != 200 or balancer.process is not process:
             self.told.pop(balancer.number, None)
             return
-        names = ("self", "role", "history", "epoch", "term", "leader", "voters", "committed", "entry",
-                 "lease_s", "digest", "disk", "seated")
+        names = (
+            "self",
+            "role",
+            "history",
+            "epoch",
+            "term",
+            "leader",
+            "voters",
+            "committed",
+            "entry",
+            "lease_s",
+            "digest",
+            "disk",
+            "seated",
+        )
         line = {"what": "agree", "place": balancer.number, "asked": at, **{n: got[1][n] for n in names}}
         self.told[balancer.number] = line
         self._line(line)
@@ -272,9 +329,17 @@
         if not balancer.running or self.judge.truth["seen"] > seen:
             return  # a fault came in between: the next look tells
         members = {row["name"]: row["state"] for row in told["members"]}
-        self._line({"what": "view", "place": balancer.number, "seen": seen, "members": members,
-                    "yielded": told["yielded"], "alone": len(members) == 1 or not told["at_least"] > 1,
-                    **{name: told[name] for name in VIEW}})
+        self._line(
+            {
+                "what": "view",
+                "place": balancer.number,
+                "seen": seen,
+                "members": members,
+                "yielded": told["yielded"],
+                "alone": len(members) == 1 or not told["at_least"] > 1,
+                **{name: told[name] for name in VIEW},
+            }
+        )
 
     async def _await(self, what: str, condition: Any, periods: int) -> None:
         """Until it is so; at the latest when every process has counted so many periods since."""
@@ -283,8 +348,11 @@
             await self._look()
             if condition():
                 return
-            now = {b.number: self._counted(b.number) for b in self.rig.balancers
-                   if b.running and b.number not in self.stopped | self.outsiders}
+            now = {
+                b.number: self._counted(b.number)
+                for b in self.rig.balancers
+                if b.running and b.number not in self.stopped | self.outsiders
+            }
             for number, counted in now.items():
                 start[number] = min(start.get(number, counted), counted)
             if all(counted - start[number] >= periods for number, counted in now.items()):
@@ -322,11 +390,15 @@
             await self.clients.stop()
             broken = self.judge.breaches
             if self.plan.agree:
-                broken = broken + [Breach(rule, len(self.record), text)
-                                   for rule, text in judge(self.record, self.plan.agree_lease_s)]
+                broken = broken + [
+                    Breach(rule, len(self.record), text)
+                    for rule, text in judge(self.record, self.plan.agree_lease_s)
+                ]
             if self.plan.versions:
-                broken = broken + [Breach(rule, len(self.record), text)
-                                   for rule, text in judge_rules(self.record, self.plan.agree_lease_s)]
+                broken = broken + [
+                    Breach(rule, len(self.record), text)
+                    for rule, text in judge_rules(self.record, self.plan.agree_lease_s)
+                ]
             verdict = Verdict(self.plan, broken, self.record, self._now(), rig.relays.log)
             if self.plan.versions:
                 verdict.margins = margins(self.record)
@@ -355,8 +427,15 @@
 
     async def _step(self, number: int, step: Step) -> None:
         for fault in step.faults:
-            self._line({"what": "fault", "step": number, "kind": fault.kind, "who": fault.who,
-                        "groups": fault.groups})
+            self._line(
+                {
+                    "what": "fault",
+                    "step": number,
+                    "kind": fault.kind,
+                    "who": fault.who,
+                    "groups": fault.groups,
+                }
+            )
             await self._do(fault)
         if step.faults:
             self._truth()
@@ -364,8 +443,11 @@
         if step.hold:
             await self._await("hold", lambda: False, step.hold)
         if step.given_up:
-            await self._await("given up", lambda: not self.judge.not_given_up(),
-                              int(2 * self.plan.lease_s / self.plan.period_s) + self.limits.settle)
+            await self._await(
+                "given up",
+                lambda: not self.judge.not_given_up(),
+                int(2 * self.plan.lease_s / self.plan.period_s) + self.limits.settle,
+            )
         if step.rest:
             await self._await("rest", self._at_rest, self.limits.settle)
         if step.level:
@@ -464,8 +546,14 @@
         until = time.monotonic() + UP
         while await fleet(balancer.console) is None and time.monotonic() < until:
             await asyncio.sleep(LOOK)
-        self._line({"what": "upgrade", "place": balancer.number, "old_console": console[1],
-                    "new_console": balancer.console[1]})
+        self._line(
+            {
+                "what": "upgrade",
+                "place": balancer.number,
+                "old_console": console[1],
+                "new_console": balancer.console[1],
+            }
+        )
         old.send_signal(signal.SIGTERM)
         await old.wait()
 
--- a/dykeshift/rig/explore.py
+++ b/dykeshift/rig/explore.py
@@ -84,8 +84,9 @@
 
 
 def _core(number: int, birth: int, disk: bool) -> Agree:
-    core = Agree(Options(voters=3, datagrams=1e12, size=1e15), SEAL, number, PLACES, Random(number),
-                 disk=disk)
+    core = Agree(
+        Options(voters=3, datagrams=1e12, size=1e15), SEAL, number, PLACES, Random(number), disk=disk
+    )
     core.shared.birth = birth
     core.shared.budget.left = [1e12, 1e15]
     return core
@@ -130,14 +131,31 @@
     for core in state.cores:
         voter, log = core.voter, core.shared.log
         lead = voter.lead
-        progress = () if lead is None else tuple(
-            sorted((s, p.next, p.match, min(p.flight, 2)) for s, p in lead.progress.items()))
-        cores.append((core.shared.birth, core.shared.epoch, voter.role, voter.term, voter.vote,
-                      core.shared.commit,
-                      tuple(log.chains), progress,
-                      tuple(sorted(voter.votes)) if voter.role is Role.CANDIDATE else ()))
-    return (tuple(cores), tuple(sorted(state.flying)), state.changes, state.crashes,
-            tuple(sorted(state.committed.items())))
+        progress = (
+            ()
+            if lead is None
+            else tuple(sorted((s, p.next, p.match, min(p.flight, 2)) for s, p in lead.progress.items()))
+        )
+        cores.append(
+            (
+                core.shared.birth,
+                core.shared.epoch,
+                voter.role,
+                voter.term,
+                voter.vote,
+                core.shared.commit,
+                tuple(log.chains),
+                progress,
+                tuple(sorted(voter.votes)) if voter.role is Role.CANDIDATE else (),
+            )
+        )
+    return (
+        tuple(cores),
+        tuple(sorted(state.flying)),
+        state.changes,
+        state.crashes,
+        tuple(sorted(state.committed.items())),
+    )
 
 
 def _choices(state: State, bounds: Bounds) -> list[tuple[str, int]]:
@@ -196,9 +214,15 @@
         if voter.role is Role.LEADER:
             if state.leaders.setdefault(voter.term, core.shared.birth) != core.shared.birth:
                 return f"two lead in term {voter.term}"
-            if voter.lead is not None and voter.lead.first == log.last and any(
-                    log.chain_at(index) != chain for index, chain in state.committed.items()
-                    if index < voter.lead.first):
+            if (
+                voter.lead is not None
+                and voter.lead.first == log.last
+                and any(
+                    log.chain_at(index) != chain
+                    for index, chain in state.committed.items()
+                    if index < voter.lead.first
+                )
+            ):
                 return f"the leader of term {voter.term} lacks what is committed"
         for index in range(1, commit + 1):
             if state.committed.setdefault(index, log.chain_at(index) or 0) != log.chain_at(index):
--- a/dykeshift/rig/history.py
+++ b/dykeshift/rig/history.py
@@ -51,8 +51,9 @@
 class Clients:
     """They go on until they are stopped; `line` takes what they saw."""
 
-    def __init__(self, seed: str, consoles: Callable[[], list[Address]],
-                 line: Callable[[Line], None]) -> None:
+    def __init__(
+        self, seed: str, consoles: Callable[[], list[Address]], line: Callable[[Line], None]
+    ) -> None:
         self.rng, self.consoles, self.line = Random(f"clients/{seed}"), consoles, line
         self.version = self.count = 0
         self.tasks: list[asyncio.Task[None]] = []
@@ -78,10 +79,15 @@
         start = time.monotonic_ns()
         told: Line = {"what": "call", "kind": "read"}
         if self.rng.random() < 0.6:
-            told = {"what": "call", "kind": "propose", "entry": f"change {self.count}",
-                    "expect": self.version}
-            got = await call(console, "PUT", "/agree/propose",
-                             {"entry": told["entry"], "expect": told["expect"]})
+            told = {
+                "what": "call",
+                "kind": "propose",
+                "entry": f"change {self.count}",
+                "expect": self.version,
+            }
+            got = await call(
+                console, "PUT", "/agree/propose", {"entry": told["entry"], "expect": told["expect"]}
+            )
         else:
             got = await call(console, "GET", "/agree/read")
         end = time.monotonic_ns()
@@ -124,21 +130,31 @@
         other = digests.setdefault(key, (line["digest"], line["self"]))
         if other[0] != line["digest"]:
             broken.append(("prefix", f"{line['self']} and {other[1]} have another entry {line['entry']}"))
-    return broken + _leases(record, lease_s) + [
-        ("level", line["why"]) for line in record if line["what"] == "level" and line["why"]]
+    return (
+        broken
+        + _leases(record, lease_s)
+        + [("level", line["why"]) for line in record if line["what"] == "level" and line["why"]]
+    )
 
 
 def _leases(record: list[Line], lease_s: float) -> list[tuple[str, str]]:
-    told = [(line["end"], line["answer"]["version"]) for line in record
-            if line["what"] == "call" and line["kind"] == "propose" and line["status"] == 200]
+    told = [
+        (line["end"], line["answer"]["version"])
+        for line in record
+        if line["what"] == "call" and line["kind"] == "propose" and line["status"] == 200
+    ]
     for line in record:
         if line["what"] != "agree" or not line["lease_s"]:
             continue
         missing = [v for end, v in told if line["asked"] - end > lease_s * 1e9 and v > line["committed"]]
         if missing:
-            return [("lease",
-                     f"{line['self']} holds a lease at version {line['committed']}, and {max(missing)} "
-                              "was known committed for longer than it lasts")]
+            return [
+                (
+                    "lease",
+                    f"{line['self']} holds a lease at version {line['committed']}, and {max(missing)} "
+                    "was known committed for longer than it lasts",
+                )
+            ]
     return []
 
 
--- a/dykeshift/rig/installation.py
+++ b/dykeshift/rig/installation.py
@@ -45,14 +45,32 @@
         deadline = int(DEADLINES[str(service["name"])] * 1000) * ms
         service |= {"worth": 1.0, "deadlineNs": deadline, "windowNs": 4000 * ms, "lateShare": 0.2}
     return {
-        "az": zone, "balancers": balancers, "discovery": "ask", "stepNs": 2 * ms, "kinds": ["standard"],
-        "failureDomains": list(ZONES), "services": services,
+        "az": zone,
+        "balancers": balancers,
+        "discovery": "ask",
+        "stepNs": 2 * ms,
+        "kinds": ["standard"],
+        "failureDomains": list(ZONES),
+        "services": services,
         "report": {"fields": ["busy_reqs", "cpu_share"], "how": "piggyback"},
-        "bounds": {"cancelling": True, "maxAttempts": 3, "secondCopies": True, "retryAfter": True,
-                   "maxRetryAfterNs": 750 * ms, "keepaliveNs": 10_000 * ms, "connectTimeoutNs": 200 * ms},
-        "obligations": {"answerSlackNs": 8 * ms, "askEveryNs": 10_000 * ms, "coldFrom": 0.12,
-                        "coldNs": 8_000 * ms, "drainGraceNs": 250 * ms, "fallNs": 3_000 * ms,
-                        "tipMultiple": 3.0},
+        "bounds": {
+            "cancelling": True,
+            "maxAttempts": 3,
+            "secondCopies": True,
+            "retryAfter": True,
+            "maxRetryAfterNs": 750 * ms,
+            "keepaliveNs": 10_000 * ms,
+            "connectTimeoutNs": 200 * ms,
+        },
+        "obligations": {
+            "answerSlackNs": 8 * ms,
+            "askEveryNs": 10_000 * ms,
+            "coldFrom": 0.12,
+            "coldNs": 8_000 * ms,
+            "drainGraceNs": 250 * ms,
+            "fallNs": 3_000 * ms,
+            "tipMultiple": 3.0,
+        },
     }
 
 
@@ -75,9 +93,11 @@
         self.lives += 1
         path = self.home.folder / f"{self.place}.json"
         config: dict[str, Any] = {
-            "name": self.name, "listen": f"{self.home.host}:{self.address[1]}",
+            "name": self.name,
+            "listen": f"{self.home.host}:{self.address[1]}",
             "console": f"{self.home.host}:{self.console[1]}",
-            "discovery": f"127.0.0.1:{self.home.discovery[1]}", "seed": f"{self.name}-{self.lives}",
+            "discovery": f"127.0.0.1:{self.home.discovery[1]}",
+            "seed": f"{self.name}-{self.lives}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.home.registry.whole(),
             "settings": settings(self.home.balancers_wanted, self.number % len(ZONES)),
@@ -87,9 +107,13 @@
         log = (self.home.folder / f"{self.place}.log").open("ab")
         with log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.program,
+                sys.executable,
+                *self.program,
                 env={**os.environ, "NODE_CONFIG": str(path), **self.environment},
-                stdout=log, stderr=log, pass_fds=self.inherited)
+                stdout=log,
+                stderr=log,
+                pass_fds=self.inherited,
+            )
 
     @property
     def running(self) -> bool:
@@ -116,8 +140,15 @@
 
     host = "127.0.0.1"  # where balancers listen
 
-    def __init__(self, seed: int, senders: int = 12, balancers: int = 2, rate: float = 60.0,
-                 speeds: tuple[float, ...] = SPEEDS, slots: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int,
+        senders: int = 12,
+        balancers: int = 2,
+        rate: float = 60.0,
+        speeds: tuple[float, ...] = SPEEDS,
+        slots: int = 4,
+    ) -> None:
         """`rate`: the demo's own requests a second, 0 for none; `speeds`: of the senders, in turn."""
         self.speeds, self.slots = speeds, slots
         self.rng = Random(seed)
@@ -191,13 +222,24 @@
         self.made += 1
         shape = Shape(slots=self.slots, speed=self.speeds[number % len(self.speeds)], cold_time=6.0)
         cell = number % len(self.racks)
-        sender = Sender(f"s{number}", cell, self.racks[cell], self.tally, Random(self.rng.random()), shape,
-                        cold=cold)
+        sender = Sender(
+            f"s{number}", cell, self.racks[cell], self.tally, Random(self.rng.random()), shape, cold=cold
+        )
         self.senders.append(sender)
         self.spawn(sender.serve("127.0.0.1", 0))
         address = await self._address(sender)
-        self.registry_put(Instance(sender.name, address, ZONES[number % 2], sender.cell, "standard", "active",
-                                   shape.speed, int(time.time() * 1000) if cold else 0))
+        self.registry_put(
+            Instance(
+                sender.name,
+                address,
+                ZONES[number % 2],
+                sender.cell,
+                "standard",
+                "active",
+                shape.speed,
+                int(time.time() * 1000) if cold else 0,
+            )
+        )
 
     def registry_put(self, instance: Instance) -> None:
         if hasattr(self.registry, "loop"):
@@ -214,15 +256,28 @@
             await asyncio.sleep(max(0.0, due - loop.time()))
             klass = self.rng.choice(tuple(KINDS))
             self.count += 1
-            self.crowd.begin(Errand(f"d{self.count}", klass, KINDS[klass], DEADLINES[klass],
-                                    cost=int(self.rng.uniform(10, 60)), retries=2))
+            self.crowd.begin(
+                Errand(
+                    f"d{self.count}",
+                    klass,
+                    KINDS[klass],
+                    DEADLINES[klass],
+                    cost=int(self.rng.uniform(10, 60)),
+                    retries=2,
+                )
+            )
 
     # ---- faults, by the names of --fault ----
 
     async def fault(self, name: str) -> None:
-        await {"hang": self._hang, "drain": self._drain, "kill-sender": self._kill_sender,
-               "kill-balancer": self._kill_balancer, "restart-balancer": self._restart_balancer,
-               "slow": self._slow}[name]()
+        await {
+            "hang": self._hang,
+            "drain": self._drain,
+            "kill-sender": self._kill_sender,
+            "kill-balancer": self._kill_balancer,
+            "restart-balancer": self._restart_balancer,
+            "slow": self._slow,
+        }[name]()
 
     def _some_sender(self) -> Sender:
         well = [s for s in self.senders if not s.down and not s.draining and not s.mood.hang]
--- a/dykeshift/rig/judge.py
+++ b/dykeshift/rig/judge.py
@@ -24,7 +24,7 @@
 
 RULES = {
     "at-most": "at_most is never below the number of processes that hold the lease, nor, while no lease has "
-               "run out, below the number that run",
+    "run out, below the number that run",
     "at-least": "at_least is not above what ran within the lag",
     "removed": "nobody at work and in reach both ways is held for lost for longer than the lag",
     "settled": "all that reach one another come to one settled view that holds just them for alive",
@@ -70,8 +70,9 @@
 
     def _view(self, line: Line) -> None:
         life = self.lives.setdefault(line["place"], Life())
-        self.breaches += [b for b, place, woken in self.held
-                          if place == line["place"] and woken == line["woken"]]
+        self.breaches += [
+            b for b, place, woken in self.held if place == line["place"] and woken == line["woken"]
+        ]
         self.held = [one for one in self.held if one[1] != line["place"]]
         life.last = line
         life.joined = life.joined or line["settled"] and not line["alone"]
@@ -86,24 +87,28 @@
         names = self.truth["names"]
         holding = {names[p] for p in self._runs() if self.lives.get(p, Life()).last.get("holds_lease")}
         if line["at_most"] < len(holding):
-            self._breach("at-most", f"{line['self']} says at most {line['at_most']}, "
-                                    f"and {len(holding)} hold the lease")
+            self._breach(
+                "at-most",
+                f"{line['self']} says at most {line['at_most']}, " f"and {len(holding)} hold the lease",
+            )
         if not self.truth["long"]:
             joined = {names[p] for p in names if self.lives.get(p, Life()).joined} | {line["self"]}
             if line["at_most"] < len(joined):
-                self._breach("at-most", f"{line['self']} says at most {line['at_most']}, "
-                                        f"and {len(joined)} run")
+                self._breach(
+                    "at-most", f"{line['self']} says at most {line['at_most']}, " f"and {len(joined)} run"
+                )
 
     def _check_least(self, line: Line, life: Life) -> None:
         since = line["periods"] - self.limits.lag
         recent = [n for n, (at, _) in enumerate(life.marks) if at >= since]
         lately = set(self.truth["names"].values())  # and who ran before the first change within the lag
-        for _, names in life.marks[max(0, (recent[0] if recent else len(life.marks)) - 1):]:
+        for _, names in life.marks[max(0, (recent[0] if recent else len(life.marks)) - 1) :]:
             lately |= names
         allowed = len(lately)
         if line["at_least"] > allowed:
-            self._breach("at-least", f"{line['self']} says at least {line['at_least']}, "
-                                     f"and {allowed} ran lately")
+            self._breach(
+                "at-least", f"{line['self']} says at least {line['at_least']}, " f"and {allowed} ran lately"
+            )
 
     def _check_removed(self, line: Line, life: Life) -> None:
         changed = max(life.marks[-1][0] if life.marks else 0, line["woken_at"])
@@ -129,8 +134,11 @@
         parted = [frozenset(g) for g in self.truth["groups"]]
 
         def linked(a: int, b: int) -> bool:
-            return (a, b) not in blocked and (b, a) not in blocked and (
-                not parted or any(a in g and b in g for g in parted))
+            return (
+                (a, b) not in blocked
+                and (b, a) not in blocked
+                and (not parted or any(a in g and b in g for g in parted))
+            )
 
         while left:
             group = [left.pop()]
--- a/dykeshift/rig/lent.py
+++ b/dykeshift/rig/lent.py
@@ -43,8 +43,11 @@
         world = self.world
         if now - self.looked >= SECOND:
             self.looked = now
-            self.alive = {s.number for s in world.spots if s.alive and not s.stopped
-                          and world.linked(self.spot, s) and world.linked(s, self.spot)}
+            self.alive = {
+                s.number
+                for s in world.spots
+                if s.alive and not s.stopped and world.linked(self.spot, s) and world.linked(s, self.spot)
+            }
         self._look(now)
         for limit in LIMITS:
             self.shares.on_need(limit, world.needs.get((self.spot.number, limit), 0))
@@ -135,8 +138,20 @@
                 self.sums[2] += need
 
 
-KINDS = ("kill", "restart", "stop", "resume", "cut", "mend", "weather", "clear", "need", "need", "lower",
-         "replay")
+KINDS = (
+    "kill",
+    "restart",
+    "stop",
+    "resume",
+    "cut",
+    "mend",
+    "weather",
+    "clear",
+    "need",
+    "need",
+    "lower",
+    "replay",
+)
 
 
 def play(seed: int, members: tuple[int, ...] = (4, 7, 12, 20), world: type[Lent] = Lent) -> Found:
--- a/dykeshift/rig/linear.py
+++ b/dykeshift/rig/linear.py
@@ -34,8 +34,11 @@
     """What it turns the state into; None: it could not have happened then, with the answer it got."""
     version, body = state
     if operation.kind == "read":
-        return state if operation.end == FOREVER or (version, body) == (operation.version,
-                                                                        operation.body) else None
+        return (
+            state
+            if operation.end == FOREVER or (version, body) == (operation.version, operation.body)
+            else None
+        )
     if operation.end == FOREVER or operation.ok:
         if version != operation.expect or operation.end != FOREVER and operation.version != version + 1:
             return None
@@ -45,8 +48,9 @@
 
 def check(operations: list[Operation], start: State = (0, b"")) -> str:
     """Empty where an order exists; else which operation no order gets past."""
-    needed = sorted((o for o in operations if not (o.end == FOREVER and o.kind == "read")),
-                    key=lambda o: (o.start, o.end))
+    needed = sorted(
+        (o for o in operations if not (o.end == FOREVER and o.kind == "read")), key=lambda o: (o.start, o.end)
+    )
     left = {id(o): n for n, o in enumerate(needed)}
     must = sum(1 << left[id(o)] for o in needed if o.end != FOREVER)
     seen = set[tuple[int, State]]()
@@ -70,8 +74,9 @@
     return stuck
 
 
-def _idle(needed: list[Operation], left: dict[int, int], done: int, state: State) -> tuple[int,
-                                                                                           list[Operation]]:
+def _idle(
+    needed: list[Operation], left: dict[int, int], done: int, state: State
+) -> tuple[int, list[Operation]]:
     """Whatever may come next and changes nothing comes at once: nothing that follows can be the worse for
     it."""
     while True:
--- a/dykeshift/rig/operators.py
+++ b/dykeshift/rig/operators.py
@@ -62,15 +62,36 @@
                 break
             await asyncio.sleep(PAUSE)
         status, answer = got or (0, None)
-        day.note({"what": "order", "kind": fault.kind, "by": balancer.name, "server": name, "start": start,
-                  "end": time.monotonic_ns(), "status": status, "answer": answer, "size": fault.size})
+        day.note(
+            {
+                "what": "order",
+                "kind": fault.kind,
+                "by": balancer.name,
+                "server": name,
+                "start": start,
+                "end": time.monotonic_ns(),
+                "status": status,
+                "answer": answer,
+                "size": fault.size,
+            }
+        )
 
     @staticmethod
     def _final(answer: Any) -> bool:
         """A no that will not be another one in a moment."""
         reason = answer.get("reason", "")
-        return not any(text in reason for text in ("under way", "another change", "not reached", "no leader",
-                                                   "nobody leads", "in reach", "is not among"))
+        return not any(
+            text in reason
+            for text in (
+                "under way",
+                "another change",
+                "not reached",
+                "no leader",
+                "nobody leads",
+                "in reach",
+                "is not among",
+            )
+        )
 
     def _call(self, fault: Fault, name: str) -> tuple[str, dict[str, Any]]:
         if fault.kind in ("propose", "stage"):
@@ -80,9 +101,11 @@
         if fault.kind == "lists":
             return "/settings/lists", {"wary": [name], "doubt": "serve"}
         plain: dict[str, tuple[str, dict[str, Any]]] = {
-            "ban": ("/maintenance/enter", {"name": name}), "unban": ("/maintenance/exit", {"name": name}),
+            "ban": ("/maintenance/enter", {"name": name}),
+            "unban": ("/maintenance/exit", {"name": name}),
             "rollback": ("/settings/rollback", {"version": int(fault.size)}),
-            "alone": ("/settings/alone", {})}
+            "alone": ("/settings/alone", {}),
+        }
         return plain[fault.kind]
 
     # ---- what balancers say ----
@@ -95,9 +118,15 @@
             return
         told, pending = got[1], got[1]["pending"]
         names = ("self", "mode", "version", "book", "digest", "history", "epoch")
-        line = {"what": "rules", "place": balancer.number, "asked": asked, "answered": time.monotonic_ns(),
-                "pending": pending["phase"] if pending else None, "out": sorted(told["out"]),
-                **{name: told[name] for name in names}}
+        line = {
+            "what": "rules",
+            "place": balancer.number,
+            "asked": asked,
+            "answered": time.monotonic_ns(),
+            "pending": pending["phase"] if pending else None,
+            "out": sorted(told["out"]),
+            **{name: told[name] for name in names},
+        }
         self.told[balancer.number] = line
         self.day.note(line)
         if told["version"] not in self.known:
@@ -111,8 +140,13 @@
             if held is not None and held["version"] not in self.known:
                 self.known.add(held["version"])
                 services = (held["settings"] or got[1]["file"])["services"]
-                self.day.note({"what": "text", "version": held["version"],
-                               "kinds": {s["name"]: s["idempotency"] for s in services}})
+                self.day.note(
+                    {
+                        "what": "text",
+                        "version": held["version"],
+                        "kinds": {s["name"]: s["idempotency"] for s in services},
+                    }
+                )
 
     def unruled(self) -> str:
         running = [b.number for b in self.day.rig.balancers if b.running]
--- a/dykeshift/rig/plan.py
+++ b/dykeshift/rig/plan.py
@@ -10,9 +10,34 @@
 import msgspec
 from msgspec import Meta, Struct
 
-Kind = Literal["kill", "start", "stop", "continue", "term", "hup", "upgrade", "cut", "one-way", "mend",
-               "weather", "twin", "stranger", "other-key", "replay", "wall", "spoil", "rescue", "leader",
-               "propose", "stage", "ban", "unban", "rollback", "alone", "lists"]
+Kind = Literal[
+    "kill",
+    "start",
+    "stop",
+    "continue",
+    "term",
+    "hup",
+    "upgrade",
+    "cut",
+    "one-way",
+    "mend",
+    "weather",
+    "twin",
+    "stranger",
+    "other-key",
+    "replay",
+    "wall",
+    "spoil",
+    "rescue",
+    "leader",
+    "propose",
+    "stage",
+    "ban",
+    "unban",
+    "rollback",
+    "alone",
+    "lists",
+]
 KINDS: tuple[str, ...] = Kind.__args__  # type: ignore[attr-defined]
 
 
@@ -121,8 +146,22 @@
 
 
 def _trouble(rng: Random, count: int) -> list[Step]:
-    kind = rng.choice(["kill", "kill-most", "flicker", "cut", "three", "stop", "weather", "one-way", "term",
-                       "wall", "deaf", "roll"])
+    kind = rng.choice(
+        [
+            "kill",
+            "kill-most",
+            "flicker",
+            "cut",
+            "three",
+            "stop",
+            "weather",
+            "one-way",
+            "term",
+            "wall",
+            "deaf",
+            "roll",
+        ]
+    )
     mend = Step((Fault("mend"),))
     hold = rng.choice([0, 5, 20])
     if kind in ("kill", "kill-most", "term", "wall"):
@@ -144,20 +183,24 @@
         who = _some(rng, count, max(1, count // 3))
         return [Step((Fault("stop", who),), 20, rng.random() < 0.5), Step((Fault("continue", who),))]
     if kind == "weather":
-        bad = Fault("weather", loss=rng.choice([0.1, 0.3]), double=rng.choice([0, 0.3]),
-                    late=rng.choice([0, 0.2]))
-        return [Step((bad, Fault("kill", (0,))), 30, rest=False),
-                Step((Fault("weather"), Fault("start", (0,))))]
+        bad = Fault(
+            "weather", loss=rng.choice([0.1, 0.3]), double=rng.choice([0, 0.3]), late=rng.choice([0, 0.2])
+        )
+        return [
+            Step((bad, Fault("kill", (0,))), 30, rest=False),
+            Step((Fault("weather"), Fault("start", (0,)))),
+        ]
     if kind == "one-way":
         who = _some(rng, count, 2)
         return [Step((Fault("one-way", (who[0], (who[0] + 1) % count)),), 25), mend]
     if kind == "deaf":
         return [Step((Fault("one-way", _some(rng, count, 1)),), 25, rest=False), mend]
     first, second = tuple(range(count // 2)), tuple(range(count // 2, count))
-    return [Step((Fault("term", first[:2]),), rest=False),
-            Step((Fault("start", first[:2]), Fault("kill", second[:1]))), Step((Fault("start", second[:1]),))]
-
-
+    return [
+        Step((Fault("term", first[:2]),), rest=False),
+        Step((Fault("start", first[:2]), Fault("kill", second[:1]))),
+        Step((Fault("start", second[:1]),)),
+    ]
 
 
 def draw_history(seed: int, fewest: int = 5, most: int = 12) -> Plan:
@@ -169,9 +212,15 @@
     steps = [Step(rest=False, level=True)]
     for _ in range(rng.randint(2, 4)):
         steps += _history_trouble(rng, count, disks)
-    return Plan(f"agree-{seed}", count, period_s=0.2, step=tuple(steps), agree=True,
-                voters=rng.choice((3, 5)),
-                disks=disks)
+    return Plan(
+        f"agree-{seed}",
+        count,
+        period_s=0.2,
+        step=tuple(steps),
+        agree=True,
+        voters=rng.choice((3, 5)),
+        disks=disks,
+    )
 
 
 def draw_rules(seed: int, fewest: int = 5, most: int = 9) -> Plan:
@@ -184,8 +233,16 @@
         unsafe = not unsafe
         steps += _rules_trouble(rng, count, unsafe)
     disks = tuple(n for n in range(count) if rng.random() < rng.choice((0.0, 1.0)))
-    return Plan(f"rules-{seed}", count, period_s=0.1, step=tuple(steps), versions=True, agree_lease_s=3.0,
-                voters=rng.choice((3, 5)), disks=disks)
+    return Plan(
+        f"rules-{seed}",
+        count,
+        period_s=0.1,
+        step=tuple(steps),
+        versions=True,
+        agree_lease_s=3.0,
+        voters=rng.choice((3, 5)),
+        disks=disks,
+    )
 
 
 def _rules_trouble(rng: Random, count: int, unsafe: bool) -> list[Step]:
@@ -203,8 +260,10 @@
         "term": ((Fault("term", one),), (Fault("start", one),)),
         "flicker": ((Fault("kill", one), Fault("start", one)), ()),
         "stop": ((Fault("stop", one),), (Fault("continue", one),)),
-        "leader": ((Fault("leader", size=float(rng.random() < 0.5)),),
-                   (Fault("continue", everybody), Fault("start", everybody))),
+        "leader": (
+            (Fault("leader", size=float(rng.random() < 0.5)),),
+            (Fault("continue", everybody), Fault("start", everybody)),
+        ),
         "cut": ((Fault("cut", groups=(one, others)),), (Fault("mend"),)),
         "weather": ((Fault("weather", loss=0.3, double=0.1),), (Fault("weather"),)),
         "one-way": ((Fault("one-way", (one[0], others[0])),), (Fault("mend"),)),
@@ -213,41 +272,59 @@
     fault, mended = faults[kind]
     first, then = (fault, orders) if rng.random() < 0.5 else (orders, fault)
     back = tuple(Fault("unban", (rng.randrange(count),), size=o.size) for o in orders if o.kind == "ban")
-    return [Step(first, rng.choice([0, 2, 10]), False), Step(then, hold, False),
-            Step(mended, rest=False, ruled=True), Step(back, 10, False, ruled=True)]
+    return [
+        Step(first, rng.choice([0, 2, 10]), False),
+        Step(then, hold, False),
+        Step(mended, rest=False, ruled=True),
+        Step(back, 10, False, ruled=True),
+    ]
 
 
 def _history_trouble(rng: Random, count: int, disks: tuple[int, ...]) -> list[Step]:
     """A fault for a while, and what mends it; then all must have the same history."""
-    kind = rng.choice(["kill", "flicker", "cut", "stop", "leader", "leader", "weather", "one-way", "term",
-                       "spoil"])
+    kind = rng.choice(
+        ["kill", "flicker", "cut", "stop", "leader", "leader", "weather", "one-way", "term", "spoil"]
+    )
     hold, well = rng.choice([2, 10, 30]), Step(rest=False, level=True)
     one = _some(rng, count, 1)
     if kind in ("kill", "term", "flicker"):
         who = one if kind != "flicker" else _some(rng, count, 2)[:1]
-        lost = Step((Fault("term" if kind == "term" else "kill", who),), 0 if kind == "flicker" else hold,
-                    False)
+        lost = Step(
+            (Fault("term" if kind == "term" else "kill", who),), 0 if kind == "flicker" else hold, False
+        )
         return [lost, Step((Fault("start", who),), rest=False, level=True)]
     if kind == "leader":
-        return [Step((Fault("leader", size=float(rng.random() < 0.5)),), hold, False),
-                Step((Fault("continue", tuple(range(count))), Fault("start", tuple(range(count)))),
-                     rest=False,
-                     level=True)]
+        return [
+            Step((Fault("leader", size=float(rng.random() < 0.5)),), hold, False),
+            Step(
+                (Fault("continue", tuple(range(count))), Fault("start", tuple(range(count)))),
+                rest=False,
+                level=True,
+            ),
+        ]
     if kind == "spoil" and disks:
         who = (rng.choice(disks),)
         return [Step((Fault("kill", who), Fault("spoil", who), Fault("start", who)), rest=False, level=True)]
     if kind == "stop":
         who = _some(rng, count, max(1, count // 3))
-        return [Step((Fault("stop", who),), hold, False),
-                Step((Fault("continue", who),), rest=False, level=True)]
+        return [
+            Step((Fault("stop", who),), hold, False),
+            Step((Fault("continue", who),), rest=False, level=True),
+        ]
     if kind == "weather":
-        bad = Fault("weather", loss=rng.choice([0.1, 0.3]), double=rng.choice([0, 0.3]),
-                    late=rng.choice([0, 0.1]))
+        bad = Fault(
+            "weather", loss=rng.choice([0.1, 0.3]), double=rng.choice([0, 0.3]), late=rng.choice([0, 0.1])
+        )
         return [Step((bad,), 30, False), Step((Fault("weather"),), rest=False, level=True)]
     if kind == "one-way":
         who = _some(rng, count, 2)
-        return [Step((Fault("one-way", (who[0], (who[0] + 1) % count)),), hold, False),
-                Step((Fault("mend"),), rest=False, level=True)]
+        return [
+            Step((Fault("one-way", (who[0], (who[0] + 1) % count)),), hold, False),
+            Step((Fault("mend"),), rest=False, level=True),
+        ]
     parted = _parted(rng, count, 2)
-    return [Step((Fault("cut", groups=parted),), hold, False), Step((Fault("mend"),), rest=False, level=True),
-            well]
+    return [
+        Step((Fault("cut", groups=parted),), hold, False),
+        Step((Fault("mend"),), rest=False, level=True),
+        well,
+    ]
--- a/dykeshift/rig/plot.py
+++ b/dykeshift/rig/plot.py
@@ -16,8 +16,9 @@
     from matplotlib import pyplot
 
     places = sorted({line["place"] for line in verdict.record if line["what"] == "view"})
-    figure, axes = pyplot.subplots(len(places), 1, sharex=True, squeeze=False,
-                                   figsize=(11, 1.1 * len(places) + 1))
+    figure, axes = pyplot.subplots(
+        len(places), 1, sharex=True, squeeze=False, figsize=(11, 1.1 * len(places) + 1)
+    )
     truths = [line for line in verdict.record if line["what"] == "truth"]
     truth = [(line["at"], len(set(line["names"].values()))) for line in truths]
     for axis, place in zip(axes[:, 0], places, strict=True):
@@ -39,7 +40,8 @@
     at = [line["at"] for line in lines]
     low, high = [line["at_least"] for line in lines], [line["at_most"] for line in lines]
     axis.fill_between(at, low, high, step="post", color="tab:orange", alpha=0.4)
-    axis.fill_between(at, low, high, step="post", color="tab:green", alpha=0.5,
-                      where=[line["settled"] for line in lines])
+    axis.fill_between(
+        at, low, high, step="post", color="tab:green", alpha=0.5, where=[line["settled"] for line in lines]
+    )
     axis.step(at, low, where="post", color="tab:blue", lw=0.8)
     axis.step(at, high, where="post", color="tab:purple", lw=0.8)
--- a/dykeshift/rig/relays.py
+++ b/dykeshift/rig/relays.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any, cast
 
@@ -54,8 +55,8 @@
     async def open(self, host: str) -> None:
         for by in range(self.count):
             for to in range(self.count):
-                _, relay = await self.loop.create_datagram_endpoint(
-                    lambda by=by, to=to: Relay(self, by, to), local_addr=(host, 0))  # type: ignore[misc]
+                make_relay = partial(Relay, self, by, to)
+                _, relay = await self.loop.create_datagram_endpoint(make_relay, local_addr=(host, 0))
                 self.pairs[by, to] = relay
 
     def peers_of(self, number: int) -> list[str]:
--- a/dykeshift/rig/ruled.py
+++ b/dykeshift/rig/ruled.py
@@ -35,8 +35,9 @@
 SEEN = 400  # answers a second of each process that acts on anything, for stages
 
 
-def worded(change: dict[str, Any] | None = None, services: dict[str, dict[str, Any]] | None = None,
-           **bounds: Any) -> dict[str, Any]:
+def worded(
+    change: dict[str, Any] | None = None, services: dict[str, dict[str, Any]] | None = None, **bounds: Any
+) -> dict[str, Any]:
     """The settings of the rig's deployment, with others in places."""
     raw = settings(4, 0)
     raw |= change or {}
@@ -50,11 +51,20 @@
     """Some settings, as all share them."""
     kinds: dict[str, dict[str, Any]] = {
         "status-check": {"idempotency": rng.choice(("pure", "pure", "side_effect", "token"))},
-        "reminder-set": {"group": rng.choice(("cell", "zone", "all")),
-                         "windowNs": rng.choice((2, 4, 8)) * SECOND},
-        "sms-send": {"worth": rng.choice((1.0, 3.0))}}
-    return share(worded({"balancers": rng.choice((200, 300))}, kinds, maxAttempts=rng.choice((2, 3)),
-                        secondCopies=rng.random() < 0.5))
+        "reminder-set": {
+            "group": rng.choice(("cell", "zone", "all")),
+            "windowNs": rng.choice((2, 4, 8)) * SECOND,
+        },
+        "sms-send": {"worth": rng.choice((1.0, 3.0))},
+    }
+    return share(
+        worded(
+            {"balancers": rng.choice((200, 300))},
+            kinds,
+            maxAttempts=rng.choice((2, 3)),
+            secondCopies=rng.random() < 0.5,
+        )
+    )
 
 
 class RuledPeer(Peer):
@@ -84,8 +94,10 @@
         bad = self.world.bad_share(self.ruled.acts)  # type: ignore[attr-defined]
         done, wrong = self.ruled.answers
         some = SEEN // 5
-        self.ruled.answers = (done + some, wrong + sum(
-            self.world.rng.random() < bad for _ in range(some)) if bad else wrong)
+        self.ruled.answers = (
+            done + some,
+            wrong + sum(self.world.rng.random() < bad for _ in range(some)) if bad else wrong,
+        )
         messages, change = self.ruled.on_tick(now)
         seal, spots = self.core.shared.seal, self.world.spots
         out = [(encode(message, seal), spots[number].address) for message, number in messages]
@@ -117,8 +129,15 @@
 
     leases = True  # False: a baseline that goes on acting without one
 
-    def __init__(self, seed: object, count: int, options: Options | None = None, disks: tuple[int, ...] = (),
-                 terms: Terms | None = None, rate: float = 0.01) -> None:
+    def __init__(
+        self,
+        seed: object,
+        count: int,
+        options: Options | None = None,
+        disks: tuple[int, ...] = (),
+        terms: Terms | None = None,
+        rate: float = 0.01,
+    ) -> None:
         self.stubborn: dict[int, str] = {}
         self.harmful: set[int] = set()  # versions under which answers are bad
         self.acting: dict[int, Acts] = {}
@@ -128,8 +147,15 @@
         self.pairs: dict[tuple[int, int], bool] = {}
         self.looking = False
         super().__init__(f"ruled/{seed}", count, options, disks, rate)
-        self.rules = terms or Terms(self.terms.lease, self.terms.drift, check=4 * SECOND, stage=2 * SECOND,
-                                    patience=20 * SECOND, report=SECOND // 2, quiet=2 * SECOND)
+        self.rules = terms or Terms(
+            self.terms.lease,
+            self.terms.drift,
+            check=4 * SECOND,
+            stage=2 * SECOND,
+            patience=20 * SECOND,
+            report=SECOND // 2,
+            quiet=2 * SECOND,
+        )
         self.operator = Random(f"operators/{seed}")
         self.done: Counter[str] = Counter()
         self.doubts = 0  # times that a process which acted on a version came to be in doubt
@@ -142,8 +168,17 @@
 
     def versions(self, peer: RuledPeer, own: Own, book: Book, rng: Random) -> Versions:
         core, spot = peer.core, peer.spot
-        return Versions(self.rules, own, book, spot.number, core.shared.birth, Link(core, spot.clock),
-                        spot.clock, peer.sight, rng)
+        return Versions(
+            self.rules,
+            own,
+            book,
+            spot.number,
+            core.shared.birth,
+            Link(core, spot.clock),
+            spot.clock,
+            peer.sight,
+            rng,
+        )
 
     def bad_share(self, acts: Acts) -> float:
         return 0.2 if acts.version in self.harmful and acts.mode == "in force" else 0.0
@@ -222,7 +257,7 @@
         found = dict[str, str]()
         versions = sorted(bold)
         for n, one in enumerate(versions):
-            for other in versions[n + 1:]:
+            for other in versions[n + 1 :]:
                 if one and self._contradict(one, other, bold[one][1], bold[other][1]):
                     found["settings"] = f"{bold[one][0]} acts on {one}, {bold[other][0]} on {other}"
         for server, by in out.items():
@@ -260,13 +295,21 @@
         """All act on one version, nothing is under way."""
         up = self.up()
         versions = {self._look(s.view).version for s in up}
-        return len(versions) == 1 and all(
-            s.view.ruled.acts.mode == "in force" and s.view.ruled.book.pages.pending is None
-            and not s.view.ruled.wanted for s in up) and self.level()
+        return (
+            len(versions) == 1
+            and all(
+                s.view.ruled.acts.mode == "in force"
+                and s.view.ruled.book.pages.pending is None
+                and not s.view.ruled.wanted
+                for s in up
+            )
+            and self.level()
+        )
 
     def in_force(self, version: int) -> bool:
-        return all(self._look(s.view).mode == "in force" and s.view.ruled.acts.version == version
-                   for s in self.up())
+        return all(
+            self._look(s.view).mode == "in force" and s.view.ruled.acts.version == version for s in self.up()
+        )
 
     def phase(self, number: int) -> Phase | None:
         pending = self.spots[number].view.ruled.book.pages.pending
--- a/dykeshift/rig/ruled_baselines.py
+++ b/dykeshift/rig/ruled_baselines.py
@@ -73,8 +73,9 @@
         peer = spot.view
         if spot.alive and not spot.stopped and self.now >= getattr(peer, "told_at", 0):
             peer.told_at = self.now + TICK
-            others = [s for s in self.spots if s is not spot and s.alive and not s.stopped
-                      and self.linked(spot, s)]
+            others = [
+                s for s in self.spots if s is not spot and s.alive and not s.stopped and self.linked(spot, s)
+            ]
             for other in self.rng.sample(others, min(FANOUT, len(others))):
                 newer = self.files[other.number] < self.files[spot.number]
                 if newer and self.rng.random() >= self.weather.loss:
@@ -115,5 +116,10 @@
         return peer
 
 
-WAYS: dict[str, type[Ruled]] = {"versions": Ruled, "without leases": Unleased, "without the middle": Straight,
-                                "gossip": Gossip, "SIGHUP in a loop": Hup}
+WAYS: dict[str, type[Ruled]] = {
+    "versions": Ruled,
+    "without leases": Unleased,
+    "without the middle": Straight,
+    "gossip": Gossip,
+    "SIGHUP in a loop": Hup,
+}
--- a/dykeshift/rig/ruled_days.py
+++ b/dykeshift/rig/ruled_days.py
@@ -32,13 +32,18 @@
     rescued: bool = False
 
 
-def play(seed: int, members: tuple[int, ...] = (4, 5, 7, 9, 12), troubles: int = 8,
-         world: type[Ruled] = Ruled) -> Found:
+def play(
+    seed: int, members: tuple[int, ...] = (4, 5, 7, 9, 12), troubles: int = 8, world: type[Ruled] = Ruled
+) -> Found:
     """One day. `world`: another for a baseline or a seeded defect."""
     rng = Random(f"campaign/ruled/{seed}")
     count = rng.choice(members)
-    options = Options(voters=3 if count < 5 else rng.choice((3, 5)), lease=4 * SECOND, replace=12 * SECOND,
-                      keep=rng.choice((16, 256)))
+    options = Options(
+        voters=3 if count < 5 else rng.choice((3, 5)),
+        lease=4 * SECOND,
+        replace=12 * SECOND,
+        keep=rng.choice((16, 256)),
+    )
     disks = tuple(n for n in range(count) if rng.random() < rng.choice((0.0, 0.5, 1.0)))
     day = world(seed, count, options, disks)
     found = Found(seed, day.broken)
@@ -72,8 +77,9 @@
         return
     spot = rng.choice(up)
     peer = spot.view
-    kind = rng.choice(("propose", "propose", "propose", "stage", "ban", "ban", "unban", "lists", "halt",
-                       "rollback"))
+    kind = rng.choice(
+        ("propose", "propose", "propose", "stage", "ban", "ban", "unban", "lists", "halt", "rollback")
+    )
     book = peer.ruled.book
     change: Change | None = None
     if kind in ("propose", "stage"):
@@ -86,8 +92,11 @@
     elif kind == "halt" and book.pages.pending is not None:
         change = Halt(book.pages.pending.rules.version, "by hand")
     elif kind == "lists":
-        change = Lists(preferred=(rng.choice(SERVERS),), wary=(rng.choice(SERVERS),),
-                       doubt=rng.choice(("serve", "refuse")))
+        change = Lists(
+            preferred=(rng.choice(SERVERS),),
+            wary=(rng.choice(SERVERS),),
+            doubt=rng.choice(("serve", "refuse")),
+        )
     elif kind == "ban":
         peer.ruled.ban(rng.choice(SERVERS))
     elif kind == "unban" and book.pages.out:
@@ -114,5 +123,13 @@
 
 
 def _told(day: Ruled) -> list[tuple[str, str, int, int, str]]:
-    return [(s.name, s.view.ruled.acts.mode, s.view.ruled.acts.version, s.view.ruled.book.pages.version,
-             str(day.phase(s.number))) for s in day.up()]
+    return [
+        (
+            s.name,
+            s.view.ruled.acts.mode,
+            s.view.ruled.acts.version,
+            s.view.ruled.book.pages.version,
+            str(day.phase(s.number)),
+        )
+        for s in day.up()
+    ]
--- a/dykeshift/rig/virtual.py
+++ b/dykeshift/rig/virtual.py
@@ -68,8 +68,14 @@
 
 
 class World:
-    def __init__(self, seed: str | int, count: int, options: Options | None = None, make: Maker | None = None,
-                 key: bytes = b"") -> None:
+    def __init__(
+        self,
+        seed: str | int,
+        count: int,
+        options: Options | None = None,
+        make: Maker | None = None,
+        key: bytes = b"",
+    ) -> None:
         self.rng = Random(f"view/{seed}")
         self.options = options or Options()
         self.seal = Seal("world", key)
--- a/dykeshift/rig/witness.py
+++ b/dykeshift/rig/witness.py
@@ -30,7 +30,7 @@
 RULES = {
     "settings": "once any balancer acts on a version by which a class must not run twice, none repeats it",
     "ban": "a server that is out gets nothing new: at once from the balancer that was told, within C from "
-           "all that are not in doubt",
+    "all that are not in doubt",
     "book": "two that have the same version of the book have the same book",
     "ruled": "once all is whole again, all act on one version",
 }
@@ -71,8 +71,16 @@
         rid = request.headers["x-request-id"]
         self.runs[rid] += 1
         by, klass = self.by.get(rid, ("", ""))
-        self.line({"what": "ran", "t": time.monotonic_ns(), "by": by, "klass": klass, "server": sender.name,
-                   "nth": self.runs[rid]})
+        self.line(
+            {
+                "what": "ran",
+                "t": time.monotonic_ns(),
+                "by": by,
+                "klass": klass,
+                "server": sender.name,
+                "nth": self.runs[rid],
+            }
+        )
 
     def turned_away(self, sender: Sender, request: Message) -> None:
         self.answers["turned away by senders"] += 1
@@ -83,8 +91,12 @@
 def judge(record: list[Line], c_s: float) -> list[tuple[str, str]]:
     """What broke: rule and words. `c_s`: the stated time C."""
     lines = _Lines(record)
-    return _settings(lines) + _bans(lines, int(c_s * SECOND)) + _books(lines) + [
-        ("ruled", line["why"]) for line in record if line["what"] == "ruled" and line["why"]]
+    return (
+        _settings(lines)
+        + _bans(lines, int(c_s * SECOND))
+        + _books(lines)
+        + [("ruled", line["why"]) for line in record if line["what"] == "ruled" and line["why"]]
+    )
 
 
 class _Lines:
@@ -93,8 +105,11 @@
         self.rules = [line for line in record if line["what"] == "rules"]
         self.orders = [line for line in record if line["what"] == "order"]
         self.kinds = {line["version"]: line["kinds"] for line in record if line["what"] == "text"}
-        self.starved = [(int(line["t"] - line["seconds"] * SECOND), line["t"]) for line in record
-                        if line["what"] == "starved"]
+        self.starved = [
+            (int(line["t"] - line["seconds"] * SECOND), line["t"])
+            for line in record
+            if line["what"] == "starved"
+        ]
 
     def earliest(self, seen: int) -> int:
         """When what was seen then may have happened at the earliest."""
@@ -106,13 +121,22 @@
     when none may act on another."""
     found = []
     for version, kinds in sorted(lines.kinds.items()):
-        acting = [line["answered"] for line in lines.rules
-                  if line["mode"] == "in force" and line["version"] == version]
+        acting = [
+            line["answered"]
+            for line in lines.rules
+            if line["mode"] == "in force" and line["version"] == version
+        ]
         if kinds.get(CLASS) == "side_effect" and acting:
             since = min(acting)
-            until = min((max(since, o["start"]) for o in lines.orders if o["kind"] in BRING
-                         and (o["end"] > since or (o["answer"] or {}).get("version", 0) > version)),
-                        default=FOREVER)
+            until = min(
+                (
+                    max(since, o["start"])
+                    for o in lines.orders
+                    if o["kind"] in BRING
+                    and (o["end"] > since or (o["answer"] or {}).get("version", 0) > version)
+                ),
+                default=FOREVER,
+            )
             found.append((version, since, until))
     return found
 
@@ -122,8 +146,11 @@
     balancer that acts on it. Below zero: two acted on contradicting rules for so long."""
     lines, found = _Lines(record), []
     for _, since, until in _unsafe(lines):
-        again = [line["t"] for line in lines.ran if line["klass"] == CLASS and line["nth"] > 1
-                 and line["t"] < until]
+        again = [
+            line["t"]
+            for line in lines.ran
+            if line["klass"] == CLASS and line["nth"] > 1 and line["t"] < until
+        ]
         if again:
             found.append((since - max(again)) / SECOND)
     return found
@@ -132,12 +159,23 @@
 def _settings(lines: _Lines) -> list[tuple[str, str]]:
     broken = []
     for version, since, until in _unsafe(lines):
-        late = [line for line in lines.ran if line["klass"] == CLASS and line["nth"] > 1
-                and since < lines.earliest(line["t"]) and line["t"] < until]
+        late = [
+            line
+            for line in lines.ran
+            if line["klass"] == CLASS
+            and line["nth"] > 1
+            and since < lines.earliest(line["t"])
+            and line["t"] < until
+        ]
         if late:
             worst = (late[-1]["t"] - since) / SECOND
-            broken.append(("settings", f"{late[0]['by']} lets a request run again, the last {worst:.2f} s "
-                                       f"after version {version} is acted on"))
+            broken.append(
+                (
+                    "settings",
+                    f"{late[0]['by']} lets a request run again, the last {worst:.2f} s "
+                    f"after version {version} is acted on",
+                )
+            )
     return broken
 
 
@@ -147,8 +185,14 @@
         if order["kind"] != "ban" or order["status"] != 200:
             continue
         server = order["server"]
-        until = min((o["start"] for o in lines.orders if o["kind"] == "unban" and o["server"] == server
-                     and o["start"] > order["end"]), default=FOREVER)
+        until = min(
+            (
+                o["start"]
+                for o in lines.orders
+                if o["kind"] == "unban" and o["server"] == server and o["start"] > order["end"]
+            ),
+            default=FOREVER,
+        )
         obeyed = [line["answered"] for line in lines.rules if server in line["out"]]
         committed = min((at for at in obeyed if order["start"] < at < until), default=None)
         for line in lines.ran:
@@ -156,18 +200,30 @@
             if line["server"] != server or line["t"] >= until:
                 continue
             if line["by"] == order["by"] and at > order["end"] + GRACE and not _restarted(lines, line, order):
-                broken.append(("ban", f"{line['by']} was told that {server} is out and sends to it "
-                                      f"{(line['t'] - order['end']) / SECOND:.2f} s later"))
+                broken.append(
+                    (
+                        "ban",
+                        f"{line['by']} was told that {server} is out and sends to it "
+                        f"{(line['t'] - order['end']) / SECOND:.2f} s later",
+                    )
+                )
             elif committed is not None and at > committed + c and not _in_doubt(lines, line):
-                broken.append(("ban", f"{line['by']} sends to {server} "
-                                      f"{(line['t'] - committed) / SECOND:.2f} s after it was out"))
+                broken.append(
+                    (
+                        "ban",
+                        f"{line['by']} sends to {server} "
+                        f"{(line['t'] - committed) / SECOND:.2f} s after it was out",
+                    )
+                )
     return broken[:3]
 
 
 def _restarted(lines: _Lines, ran: Line, order: Line) -> bool:
     """Whether the balancer is another process since: it knows of the ban from the others only."""
-    return any(o["kind"] == "lost" and o["by"] == ran["by"] and order["start"] < o["start"] < ran["t"]
-               for o in lines.orders)
+    return any(
+        o["kind"] == "lost" and o["by"] == ran["by"] and order["start"] < o["start"] < ran["t"]
+        for o in lines.orders
+    )
 
 
 def _in_doubt(lines: _Lines, ran: Line) -> bool:
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -166,7 +166,7 @@
         under way keep of their own terms only what those of their class's name allow from now on, too.
         """
         known = [c.name for c in self.settings.classes]
-        for klass in settings.classes[len(known):]:
+        for klass in settings.classes[len(known) :]:
             like = max((n for n, name in enumerate(known) if name == klass.name), default=-1)
             self.usual.append(self.usual[like] if like >= 0 else klass.aim * FIRST_GUESS)
             self.hints.append(self.hints[like] if like >= 0 else 0.0)
@@ -174,8 +174,9 @@
                 lane = server.lanes[like] if like >= 0 else Lane()
                 server.lanes.append(Lane(failures=lane.failures, rest_until=lane.rest_until))
         self.settings = settings
-        self.longest_aim = max((c.aim for n, c in enumerate(settings.classes) if n not in settings.retired),
-                               default=0)
+        self.longest_aim = max(
+            (c.aim for n, c in enumerate(settings.classes) if n not in settings.retired), default=0
+        )
         self._appraise()
         if narrower is not None:
             terms = {c.name: c for n, c in enumerate(settings.classes) if n not in settings.retired}
@@ -238,14 +239,19 @@
         return self._done()
 
     def _new(self, entry: ServerEntry, room: float) -> Server:
-        return Server(entry, room, self.random(), self.random(), self.arrived,
-                      [Lane() for _ in self.settings.classes])
+        return Server(
+            entry, room, self.random(), self.random(), self.arrived, [Lane() for _ in self.settings.classes]
+        )
 
     def _sort_out(self, now: int) -> None:
         """Which of the servers may be sent to, as the list and the operators say."""
-        self.ready = [s for s in self.servers.values()
-                      if s.entry.state is ServerState.READY
-                      and s.entry.id not in self.banned and s.entry.id not in self.word.out]
+        self.ready = [
+            s
+            for s in self.servers.values()
+            if s.entry.state is ServerState.READY
+            and s.entry.id not in self.banned
+            and s.entry.id not in self.word.out
+        ]
         self.cold = [s for s in self.ready if self._cold(now, s)]
         self.groups, self.sorted = {}, False
         self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
@@ -278,8 +284,11 @@
     def avoided(self, now: int) -> int:
         """How many servers of the list get nothing new at this instant, by hand or by choice."""
         barred = self.word.out | self.banned.keys()
-        return sum(s.entry.id in barred or s.entry.state is ServerState.DRAINING or now < s.rest_until
-                   for s in self.servers.values() if s.entry.state is not ServerState.GONE)
+        return sum(
+            s.entry.id in barred or s.entry.state is ServerState.DRAINING or now < s.rest_until
+            for s in self.servers.values()
+            if s.entry.state is not ServerState.GONE
+        )
 
     def _ask_later(self, now: int, end: CallEnd) -> None:
         """A pause before the next watch: what there is to tell is heard before it counts as told.
@@ -320,7 +329,7 @@
         met = self.arrivals * self.longest_aim / self.settings.overload_window
         if self.sweeps < 2:  # twice what came so far: without a mean yet, the pool has to grow as they come
             met = max(met, 2 * self.arrived * min(1.0, self.longest_aim / max(1, now - self.started)))
-        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
+        self.pool = self.ready[: max(POOL_LEAST * DRAW, int(met))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
         pooled = set(self.pool) if self.cold and len(self.pool) < len(self.ready) else None
         lacking = sum(1 - self._warmth(now, s) for s in self.cold if pooled is None or s in pooled)
@@ -346,8 +355,13 @@
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
             if self._allowed(now, item, pool[i]):
-                (hung if self._hangs(now, item, pool[i]) else
-                 aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
+                (
+                    hung
+                    if self._hangs(now, item, pool[i])
+                    else aside
+                    if self._suspect(now, item, pool[i])
+                    else picked
+                ).append(pool[i])
                 if len(picked) == most:
                     break
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
@@ -358,8 +372,11 @@
         entry = anchor.server.entry
         place = {Scope.ALL: 0, Scope.ZONE: entry.zone, Scope.CELL: entry.cell}[scope]
         if (scope, place) not in self.groups:
-            self.groups[scope, place] = [s for s in self.ready if scope is Scope.ALL or place == (
-                s.entry.zone if scope is Scope.ZONE else s.entry.cell)]
+            self.groups[scope, place] = [
+                s
+                for s in self.ready
+                if scope is Scope.ALL or place == (s.entry.zone if scope is Scope.ZONE else s.entry.cell)
+            ]
         return self.groups[scope, place]
 
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
@@ -371,16 +388,26 @@
     def _suspect(self, now: int, item: Open, server: Server) -> bool:
         """A slow, stalled or hung server: left aside, so that it does not take the lone requests."""
         quiet = now - server.quiet_since  # slow lately: others first, it would be driven into a jam
-        return server.pace > GOOD_SHARE and quiet < item.klass.aim or (
-            server.in_flight > 0 and quiet > PATIENCE * self._expected(item))
+        return (
+            server.pace > GOOD_SHARE
+            and quiet < item.klass.aim
+            or (server.in_flight > 0 and quiet > PATIENCE * self._expected(item))
+        )
 
     def _allowed(self, now: int, item: Open, server: Server) -> bool:
         if any(attempt.server is server for attempt in item.attempts):
             return False
         anchor, scope = item.anchor(), item.klass.scope
-        if anchor is not None and item.klass.idempotency is Idempotency.KEYED and (
-                scope is Scope.CELL and server.entry.cell != anchor.server.entry.cell
-                or scope is Scope.ZONE and server.entry.zone != anchor.server.entry.zone):
+        if (
+            anchor is not None
+            and item.klass.idempotency is Idempotency.KEYED
+            and (
+                scope is Scope.CELL
+                and server.entry.cell != anchor.server.entry.cell
+                or scope is Scope.ZONE
+                and server.entry.zone != anchor.server.entry.zone
+            )
+        ):
             return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
         if now < server.lanes[item.request.klass].rest_until:
@@ -405,8 +432,11 @@
         if item.klass.idempotency is Idempotency.SAFE:
             return True
         # Unsure: its address may belong to a server of another scope by now, which knows no such key.
-        return (item.klass.idempotency is Idempotency.KEYED and anchor.sure
-                and now < anchor.sent + item.klass.window)
+        return (
+            item.klass.idempotency is Idempotency.KEYED
+            and anchor.sure
+            and now < anchor.sent + item.klass.window
+        )
 
     # ---- idle ----
 
@@ -462,8 +492,11 @@
         if self.word.preferred:
             idle.sort(key=lambda s: s.entry.id not in self.word.preferred)
         copies = 1  # unless idle servers are plenty: a copy would take one from the next request
-        safe = (item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
-                and not self.word.doubtful)
+        safe = (
+            item.klass.idempotency is Idempotency.SAFE
+            and self.settings.copies_allowed
+            and not self.word.doubtful
+        )
         empty = [s for s in idle if not s.in_flight]
         if safe and len(empty) * 2 > DRAW:
             idle, copies = empty, max(1, item.most - 1 - len(item.attempts))
@@ -722,8 +755,11 @@
             self.admit += max(0.0, 1 - self.admit) / self.settings.balancers
         self.returned = {n: ban for n, ban in self.returned.items() if now < ban[1] + self.settings.cold_time}
         if len(self.ready) < len(self.servers):
-            self.servers = {n: s for n, s in self.servers.items()
-                            if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
+            self.servers = {
+                n: s
+                for n, s in self.servers.items()
+                if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)
+            }
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
@@ -732,5 +768,7 @@
         costs = {n: 1.0 if self.settings.worth_by_work else self.usual[n] for n in live}
         per_work = {n: worths[n] / costs[n] * sum(costs.values()) / sum(worths.values()) for n in live}
         fair, best = self.settings.fairness * len(live), max(per_work.values(), default=1.0)
-        self.value = [min(1.0, (per_work[n] + fair) / best) if n in per_work else 1.0
-                      for n in range(len(self.settings.classes))]
+        self.value = [
+            min(1.0, (per_work[n] + fair) / best) if n in per_work else 1.0
+            for n in range(len(self.settings.classes))
+        ]
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -69,8 +69,9 @@
     keyed = one.idempotency is Idempotency.KEYED
     if keyed and len(scopes) > 1:  # a zone and a cell: neither is part of the other
         return replace(one, idempotency=Idempotency.UNSAFE)
-    return replace(one, scope=min(scopes, key=lambda s: s.value, default=Scope.ALL),
-                   window=min(one.window, other.window))
+    return replace(
+        one, scope=min(scopes, key=lambda s: s.value, default=Scope.ALL), window=min(one.window, other.window)
+    )
 
 
 def read_settings(text: str) -> Settings:
--- a/dykeshift/shares/wire.py
+++ b/dykeshift/shares/wire.py
@@ -71,7 +71,7 @@
 def decode(data: bytes, seal: Seal) -> Message:
     """Raises Bad for whatever is no message of this fleet."""
     kind, number, birth, token = unseal(data, seal, HEAD, HEAD.size)
-    body = data[HEAD.size:-SEAL]
+    body = data[HEAD.size : -SEAL]
     try:
         if kind == Kind.ASK:
             return Ask(number, birth, token, *ASK.unpack(body))
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -62,14 +62,25 @@
     def __init__(self, scenario: Scenario, tracing: Line | None = None) -> None:
         o = scenario.options
         self.scenario = scenario
-        self.world = World(scenario.seed, Flavour(
-            uvloop=o.uvloop, grid=max(1, o.grid_us * 1000), tear=o.tear,
-            buffer=o.buffer, reset_discards=o.reset_discards))
+        self.world = World(
+            scenario.seed,
+            Flavour(
+                uvloop=o.uvloop,
+                grid=max(1, o.grid_us * 1000),
+                tear=o.tear,
+                buffer=o.buffer,
+                reset_discards=o.reset_discards,
+            ),
+        )
         self.world.tracing = tracing
         self.rng: Random = self.world.stream("day")
         self.net = Network(self.world, Weather())
-        self.referee = Referee(Terms(window=int(o.window * SECOND)), self.excuse, self.parted,
-                               lambda balancer: self.reach.since.get(balancer, self.world.now))
+        self.referee = Referee(
+            Terms(window=int(o.window * SECOND)),
+            self.excuse,
+            self.parted,
+            lambda balancer: self.reach.since.get(balancer, self.world.now),
+        )
         self.racks = [Rack() for _ in range(o.racks)]
         self.by_name: dict[str, Sender] = {}
         self.outages: list[tuple[frozenset[str], int, int]] = []
@@ -159,8 +170,13 @@
         process = self.clients = Program(self.world, host, "clients")
         self.net.attach(process)
         front = self.front = Front(self.world.stream("front"), self.scenario.options.front_notice)
-        self.crowd = Crowd(front, self, self.world.stream("crowd"), on_end=self._errand_ended,
-                           unread=lambda line: line.transport.endpoint.peer.consumed <= line.mark)
+        self.crowd = Crowd(
+            front,
+            self,
+            self.world.stream("crowd"),
+            on_end=self._errand_ended,
+            unread=lambda line: line.transport.endpoint.peer.consumed <= line.mark,
+        )
         process.loop.start(front.watch([node.address for node in self.nodes]))
         self._open_clinics()
         for number, ask in enumerate(self.scenario.asks):
@@ -169,8 +185,16 @@
             if ask.clinic >= 0:
                 self.world.at(EPOCH + int(ask.at * SECOND), self._write_letter, name, ask)
                 continue
-            errand = Errand(name, klass, KINDS[klass], ask.deadline, ask.cost, ask.retries,
-                            ask.cost * 1000 if ask.hinted else 0, leaves=ask.leaves)
+            errand = Errand(
+                name,
+                klass,
+                KINDS[klass],
+                ask.deadline,
+                ask.cost,
+                ask.retries,
+                ask.cost * 1000 if ask.hinted else 0,
+                leaves=ask.leaves,
+            )
             self.world.at(EPOCH + int(ask.at * SECOND), self._begin, errand)
 
     def _begin(self, errand: Errand) -> None:
@@ -197,16 +221,28 @@
 
     def _open_clinics(self) -> None:
         nodes = self.nodes
-        self.clinics = [Clinic((nodes[n % len(nodes)].address[0], MLLP_PORT), self,
-                               self.world.stream(f"clinic/{n}"), self._letter_ended,
-                               unread=lambda line, frame: line.transport.endpoint.peer.consumed < frame.end)
-                        for n in range(self.scenario.options.clinics)]
+        self.clinics = [
+            Clinic(
+                (nodes[n % len(nodes)].address[0], MLLP_PORT),
+                self,
+                self.world.stream(f"clinic/{n}"),
+                self._letter_ended,
+                unread=lambda line, frame: line.transport.endpoint.peer.consumed < frame.end,
+            )
+            for n in range(self.scenario.options.clinics)
+        ]
 
     def _write_letter(self, name: str, ask: Ask) -> None:
         seconds, rest = divmod(self.world.unix(), SECOND)
         when = datetime.fromtimestamp(seconds, UTC).strftime("%Y%m%d%H%M%S")
-        note = hl7.Note(name, f"CLINIC{ask.clinic}", CLASSES[ask.klass], ask.mode, ask.cost,
-                        f"{when}.{rest // 100_000:04d}")
+        note = hl7.Note(
+            name,
+            f"CLINIC{ask.clinic}",
+            CLASSES[ask.klass],
+            ask.mode,
+            ask.cost,
+            f"{when}.{rest // 100_000:04d}",
+        )
         content = note.content()
         identity = identify(note.clinic.encode(), note.facility.encode(), name.encode(), content)
         self.letters[identity.key()] = name
@@ -224,11 +260,14 @@
 
     def framed(self, letter: Letter, number: int, to: tuple[str, int], ahead: list[tuple[str, int]]) -> None:
         name, node = letter.note.control_id, self.by_host[to[0]]
-        self.world.note(f"{name}/{number} ({KINDS[letter.note.klass]}, {letter.patience * 1000:.0f} ms, "
-                        f"{letter.note.mode}) to {node.name}")
+        self.world.note(
+            f"{name}/{number} ({KINDS[letter.note.klass]}, {letter.patience * 1000:.0f} ms, "
+            f"{letter.note.mode}) to {node.name}"
+        )
         now = self._here()
-        self.referee.framed(now, name, number, KINDS[letter.note.klass], node.name,
-                            now + int(letter.patience * SECOND), ahead)
+        self.referee.framed(
+            now, name, number, KINDS[letter.note.klass], node.name, now + int(letter.patience * SECOND), ahead
+        )
 
     def acknowledged(self, letter: Letter, number: int, to: tuple[str, int], code: str, last: bool) -> None:
         name = letter.note.control_id
@@ -257,21 +296,24 @@
         now = self._here()
         patience = f"{errand.kind}, {errand.deadline * 1000:.0f} ms"
         self.world.note(f"{rid} ({patience}) to {self.by_address[to].name}")
-        self.referee.asked(now, rid, errand.name, errand.kind, self.by_address[to].name,
-                           now + int(errand.deadline * SECOND))
+        self.referee.asked(
+            now, rid, errand.name, errand.kind, self.by_address[to].name, now + int(errand.deadline * SECOND)
+        )
 
     def answered(self, errand: Errand, rid: str, to: tuple[str, int], answer: Message) -> None:
         self.world.note(f"{rid} has {answer.status}")
         node = self.by_address[to]
-        if answer.status == 400 and not any(begin <= self._here() and end >= self._here() - SECOND
-                                            for begin, end in node.changes):
+        if answer.status == 400 and not any(
+            begin <= self._here() and end >= self._here() - SECOND for begin, end in node.changes
+        ):
             self.referee.breach(rules.REJECTED, self._here(), f"{node.name} rejects {rid} ({errand.klass})")
         self.referee.answered(self._here(), rid, answer.status, answer.body.decode("latin-1"))
 
     def broken(self, errand: Errand, rid: str, to: tuple[str, int], begun: bool) -> None:
         self.world.note(f"{rid} broke off")
-        spoilt = begun and any(wire.rid == rid and endpoint.error is not None
-                               for endpoint, wire in self.readers.items())
+        spoilt = begun and any(
+            wire.rid == rid and endpoint.error is not None for endpoint, wire in self.readers.items()
+        )
         self.referee.broken(self._here(), rid, again=False, spoilt=spoilt)
 
     def left(self, errand: Errand, rid: str, to: tuple[str, int]) -> None:
@@ -290,8 +332,9 @@
         self.world.note(f"{sender.name} takes {request.headers['x-request-id']}")
 
     def ran(self, sender: Sender, request: Message, repeat: bool) -> None:
-        self.referee.ran(self.world.now, request.headers["x-request-id"], request.query("errand"),
-                         sender.name, repeat)
+        self.referee.ran(
+            self.world.now, request.headers["x-request-id"], request.query("errand"), sender.name, repeat
+        )
 
     def turned_away(self, sender: Sender, request: Message) -> None:
         self.world.note(f"{sender.name} turns {request.headers['x-request-id']} away")
@@ -338,14 +381,16 @@
 
     def parted(self, balancer: str, since: int, until: int) -> bool:
         node = next(n for n in self.nodes if n.name == balancer)
-        return any(begin <= until and end >= since and node.host.name in hosts
-                   for hosts, begin, end in self.outages)
+        return any(
+            begin <= until and end >= since and node.host.name in hosts for hosts, begin, end in self.outages
+        )
 
     def outage(self, hosts: frozenset[str], length: int) -> Cut:
         """Cut these hosts off from all others for a while."""
         now = self.world.now
-        apart = frozenset(n.host.name for n in self.nodes
-                          if (n.host.name in hosts) != (self.clients.host.name in hosts))
+        apart = frozenset(
+            n.host.name for n in self.nodes if (n.host.name in hosts) != (self.clients.host.name in hosts)
+        )
         self.outages.append((apart, now, now + length + 300 * MS))
         cut = Cut(hosts)
         self.net.cut(cut)
@@ -373,11 +418,20 @@
                 process.on_exit = None
                 process.exit(-9)
         referee = self.referee
-        return Result(self.scenario.seed, referee.breaches, self.world.digest(), self.world.steps,
-                      (self.world.now - EPOCH) / SECOND,
-                      {"served": referee.served, "refused": referee.refused, "failed": referee.failed,
-                       "requests": len(referee.entries),
-                       "attempts": sum(len(e.tries) for e in referee.entries.values())})
+        return Result(
+            self.scenario.seed,
+            referee.breaches,
+            self.world.digest(),
+            self.world.steps,
+            (self.world.now - EPOCH) / SECOND,
+            {
+                "served": referee.served,
+                "refused": referee.refused,
+                "failed": referee.failed,
+                "requests": len(referee.entries),
+                "attempts": sum(len(e.tries) for e in referee.entries.values()),
+            },
+        )
 
     def _play(self, stop_at_first: bool) -> None:
         stop = (lambda: bool(self.referee.breaches)) if stop_at_first else None
@@ -412,14 +466,17 @@
         last = [n for n in self.outcome if n.startswith("p")]
         served = sum(self.outcome[n] == "done 200" for n in last)
         asked = sum(a.at >= HEAL for a in self.scenario.asks)
-        cold = sum(p.sender is None or p.sender.warmth() < 1 or p.name() in self.referee.returned
-                   for p in self.posts)
+        cold = sum(
+            p.sender is None or p.sender.warmth() < 1 or p.name() in self.referee.returned for p in self.posts
+        )
         if 2 * cold >= len(self.posts) or 2 * self.behind >= len(self.posts):
             return  # the cold budget goes before service; what was taken before goes before what comes
         if asked and served < SERVED_AGAIN * asked:
-            self.referee.breach(rules.DEAF, self.world.now,
-                                f"{served} of {asked} requests are served {RECOVERY:.0f} s after the last "
-                                "fault")
+            self.referee.breach(
+                rules.DEAF,
+                self.world.now,
+                f"{served} of {asked} requests are served {RECOVERY:.0f} s after the last " "fault",
+            )
 
     def _check_leaks(self) -> None:
         for node in self.nodes:
@@ -431,29 +488,49 @@
                 self.referee.breach(rules.FAULT, self.world.now, f"{process.name}: {fault}")
             silent = (self.world.now - node.asked) / SECOND
             if silent > ASK_EVERY:
-                self.referee.breach(rules.DEAF, self.world.now,
-                                    f"{process.name} has not asked discovery for {silent:.1f} s")
+                self.referee.breach(
+                    rules.DEAF, self.world.now, f"{process.name} has not asked discovery for {silent:.1f} s"
+                )
             found = self._count(node, process)
-            bad = [f"{found[what]} {what}" for what, most in
-                   (("jobs", 0), ("clinics", 0), ("messages in work", 0), ("requests in the module", 0),
-                    ("connections to senders", 0), ("clients", 0), ("clients counted as served", 0),
-                    ("connects", 0), ("descriptors", SOCKETS + len(node.services)),
-                    ("timers", TIMERS), ("tasks", TASKS)) if found[what] > most or found[what] < 0]
+            bad = [
+                f"{found[what]} {what}"
+                for what, most in (
+                    ("jobs", 0),
+                    ("clinics", 0),
+                    ("messages in work", 0),
+                    ("requests in the module", 0),
+                    ("connections to senders", 0),
+                    ("clients", 0),
+                    ("clients counted as served", 0),
+                    ("connects", 0),
+                    ("descriptors", SOCKETS + len(node.services)),
+                    ("timers", TIMERS),
+                    ("tasks", TASKS),
+                )
+                if found[what] > most or found[what] < 0
+            ]
             if bad:
-                self.referee.breach(rules.LEAK, self.world.now,
-                                    f"{process.name} is quiet and has {', '.join(bad)}")
+                self.referee.breach(
+                    rules.LEAK, self.world.now, f"{process.name} is quiet and has {', '.join(bad)}"
+                )
 
     @staticmethod
     def _count(node: Node, process: Program) -> dict[str, int]:
         driver = node.front.driver
         fronts = [service.front for service in node.services if hasattr(service, "front")]
-        return {"clinics": sum(len(front.lines) for front in fronts),
-                "messages in work": sum(len(front.memory.open) for front in fronts),
-                "jobs": len(driver.jobs), "requests in the module": len(driver.balancer.open),
-                "connections to senders": driver.pool.open, "clients": len(node.front.clients),
-                "clients counted as served": node.front.served, "connects": len(driver.pool.connecting),
-                "descriptors": len(process.sockets), "timers": process.loop.pending_timers(),
-                "tasks": len(process.loop.tasks)}
+        return {
+            "clinics": sum(len(front.lines) for front in fronts),
+            "messages in work": sum(len(front.memory.open) for front in fronts),
+            "jobs": len(driver.jobs),
+            "requests in the module": len(driver.balancer.open),
+            "connections to senders": driver.pool.open,
+            "clients": len(node.front.clients),
+            "clients counted as served": node.front.served,
+            "connects": len(driver.pool.connecting),
+            "descriptors": len(process.sockets),
+            "timers": process.loop.pending_timers(),
+            "tasks": len(process.loop.tasks),
+        }
 
 
 class _Ears(logging.Handler):
@@ -468,14 +545,13 @@
         self.day.world.note(f"log: {text}")
         if record.exc_info and record.exc_info[1] is not None:
             error = record.exc_info[1]
-            self.day.referee.breach(rules.FAULT, self.day.world.now,
-                                    f"{text}: {type(error).__name__}: {error}")
+            self.day.referee.breach(
+                rules.FAULT, self.day.world.now, f"{text}: {type(error).__name__}: {error}"
+            )
         elif record.levelno >= logging.ERROR and "configuration" not in text:
             self.day.referee.breach(rules.FAULT, self.day.world.now, text)
 
 
-def play(scenario: Scenario, tracing: Line | None = None,
-         stop_at_first: bool = False) -> Result:
+def play(scenario: Scenario, tracing: Line | None = None, stop_at_first: bool = False) -> Result:
     """Play a scenario. `tracing` is told each line of the time line."""
     return Day(scenario, tracing).play(stop_at_first)
-
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -128,11 +128,16 @@
         if stale < 0.4 or not rows:
             return whole
         turned = rows[1:] + rows[:1]
-        old = [dict(row, instanceId=f"old-{n}", hostPort=other["hostPort"])
-               for n, (row, other) in enumerate(zip(rows, turned, strict=True))]
+        old = [
+            dict(row, instanceId=f"old-{n}", hostPort=other["hostPort"])
+            for n, (row, other) in enumerate(zip(rows, turned, strict=True))
+        ]
         keep = int(len(rows) * (1 - stale))
-        return {"generation": max(1, whole["generation"] - 50), "reset": True,
-                "instances": rows[:keep] + old[keep:]}
+        return {
+            "generation": max(1, whole["generation"] - 50),
+            "reset": True,
+            "instances": rows[:keep] + old[keep:],
+        }
 
     def _restart_balancer(self, fault: Fault) -> None:
         self._terminate(self._node(fault), fault.length)
@@ -340,8 +345,15 @@
             away = "10.0." if towards == "10.1." else "10.1."
             if between == (away, towards) and self.world.now < until and rng.random() < 0.3:
                 way = rng.random()
-                at = 0 if way < 0.15 else len(data) if way < 0.4 else len(data) - 1 if way < 0.5 \
+                at = (
+                    0
+                    if way < 0.15
+                    else len(data)
+                    if way < 0.4
+                    else len(data) - 1
+                    if way < 0.5
                     else int(rng.random() * len(data))
+                )
                 return int(at)
         return None
 
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -36,25 +36,53 @@
     o = scenario.options
     aims = {"status-check": 250, "reminder-set": 400, "sms-send": 400}
     kinds = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
-    services = [{"name": name, "goalTimeNs": aims[name] * MS, "deadlineNs": DEADLINES[name] * MS,
-                 "worth": 3.0, "lateShare": 0.2, "idempotency": kinds[KINDS[name]], "group": "cell",
-                 "windowNs": int(o.window * SECOND)} for name in CLASSES]
+    services = [
+        {
+            "name": name,
+            "goalTimeNs": aims[name] * MS,
+            "deadlineNs": DEADLINES[name] * MS,
+            "worth": 3.0,
+            "lateShare": 0.2,
+            "idempotency": kinds[KINDS[name]],
+            "group": "cell",
+            "windowNs": int(o.window * SECOND),
+        }
+        for name in CLASSES
+    ]
     return {
-        "az": 0, "balancers": o.balancers, "discovery": "push" if o.push else "ask", "stepNs": 2 * MS,
-        "failureDomains": [f"z{n}" for n in range(o.zones)], "kinds": ["standard"],
-        "report": {"fields": ["busy_reqs", "cpu_share"], "how": "piggyback"}, "services": services,
-        "bounds": {"cancelling": o.cancel, "maxAttempts": 3, "secondCopies": o.copies, "retryAfter": True,
-                   "maxRetryAfterNs": 750 * MS, "keepaliveNs": int(o.keepalive * SECOND),
-                   "connectTimeoutNs": 120 * MS},
-        "obligations": {"answerSlackNs": 8 * MS, "askEveryNs": 10 * SECOND, "coldFrom": 0.12,
-                        "coldNs": int(o.cold_time * SECOND), "drainGraceNs": 250 * MS, "fallNs": 3 * SECOND,
-                        "tipMultiple": 3.0},
+        "az": 0,
+        "balancers": o.balancers,
+        "discovery": "push" if o.push else "ask",
+        "stepNs": 2 * MS,
+        "failureDomains": [f"z{n}" for n in range(o.zones)],
+        "kinds": ["standard"],
+        "report": {"fields": ["busy_reqs", "cpu_share"], "how": "piggyback"},
+        "services": services,
+        "bounds": {
+            "cancelling": o.cancel,
+            "maxAttempts": 3,
+            "secondCopies": o.copies,
+            "retryAfter": True,
+            "maxRetryAfterNs": 750 * MS,
+            "keepaliveNs": int(o.keepalive * SECOND),
+            "connectTimeoutNs": 120 * MS,
+        },
+        "obligations": {
+            "answerSlackNs": 8 * MS,
+            "askEveryNs": 10 * SECOND,
+            "coldFrom": 0.12,
+            "coldNs": int(o.cold_time * SECOND),
+            "drainGraceNs": 250 * MS,
+            "fallNs": 3 * SECOND,
+            "tipMultiple": 3.0,
+        },
     }
 
 
 PEERS = 7946
-VIEW = msgspec.convert({"period_s": 0.2, "lease_s": 10.0, "datagrams_s": 60.0, "bytes_s": 12_500.0},
-                       fleet_view.Options)
+VIEW = msgspec.convert(
+    {"period_s": 0.2, "lease_s": 10.0, "datagrams_s": 60.0, "bytes_s": 12_500.0}, fleet_view.Options
+)
 DEADLINES = {"status-check": 1000, "reminder-set": 800, "sms-send": 1500}  # milliseconds
 MLLP_PORT, CONSOLE_PORT = 2575, 9090
 CLOCK_ERROR = 0.5  # seconds that clinics' clocks may be off, as balancers are told
@@ -63,12 +91,26 @@
 def mllp(scenario: Scenario, address: str) -> Options:
     """The feature `[mllp]` as a deployment words it."""
     o = scenario.options
-    routes = [{"trigger": hl7.TRIGGERS[name], "class": name, "deadline_ms": DEADLINES[name],
-               "target": f"/hl7/{name}"} for name in CLASSES if o.mllp_senders or KINDS[name] != "safe"]
-    return msgspec.convert({
-        "listen": [f"{address}:{MLLP_PORT}"], "upstreams": "mllp" if o.mllp_senders else "http",
-        "journal": "/journal" if o.journal else "", "memory": {"clock_error_s": CLOCK_ERROR},
-        "map": routes}, Options)
+    routes = [
+        {
+            "trigger": hl7.TRIGGERS[name],
+            "class": name,
+            "deadline_ms": DEADLINES[name],
+            "target": f"/hl7/{name}",
+        }
+        for name in CLASSES
+        if o.mllp_senders or KINDS[name] != "safe"
+    ]
+    return msgspec.convert(
+        {
+            "listen": [f"{address}:{MLLP_PORT}"],
+            "upstreams": "mllp" if o.mllp_senders else "http",
+            "journal": "/journal" if o.journal else "",
+            "memory": {"clock_error_s": CLOCK_ERROR},
+            "map": routes,
+        },
+        Options,
+    )
 
 
 class VirtualDisk:
@@ -166,18 +208,23 @@
         given = settings(day.scenario)
         given["az"] = self.number % options.zones
         self.settings = given
-        self.raw = {"name": self.name, "listen": f"{self.address[0]}:{self.address[1]}",
-                    "discovery": f"{day.discovery[0]}:{day.discovery[1]}",
-                    "seed": f"{day.scenario.seed}-{self.name}-{self.lives}",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.descriptors},
-                    "known": known, "settings": given}
+        self.raw = {
+            "name": self.name,
+            "listen": f"{self.address[0]}:{self.address[1]}",
+            "discovery": f"{day.discovery[0]}:{day.discovery[1]}",
+            "seed": f"{day.scenario.seed}-{self.name}-{self.lives}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.descriptors},
+            "known": known,
+            "settings": given,
+        }
         if options.view:
             self.raw["peer_listen"] = f"{self.host.name}:{PEERS}"
             self.raw["peers"] = [f"10.0.0.{n + 1}:{PEERS}" for n in range(options.balancers)]
         if options.consoles:
             self.raw["console"] = f"{self.address[0]}:{CONSOLE_PORT}"
-        process = self.process = Program(day.world, self.host, f"{self.name}.{self.lives}",
-                                         options.descriptors, options.callback_us * 1000)
+        process = self.process = Program(
+            day.world, self.host, f"{self.name}.{self.lives}", options.descriptors, options.callback_us * 1000
+        )
         process.stalls = self.stalls
         process.on_exit = self._ended
         self.services = []
@@ -185,8 +232,15 @@
         day.referee.reborn(self.name)
         self.living = {row["hostPort"]: row["instanceId"] for row in known["instances"]}
         self.confirmed = False
-        process.loop.start(serve(config.parse(self.raw, options.view), self._load,
-                                 VirtualClock(process), self._started, self._features()))
+        process.loop.start(
+            serve(
+                config.parse(self.raw, options.view),
+                self._load,
+                VirtualClock(process),
+                self._started,
+                self._features(),
+            )
+        )
 
     def _load(self) -> config.Config:
         try:
@@ -218,8 +272,11 @@
             self.day.referee.breach(rules.FAULT, self.day.world.now, f"{process.name}: {fault}")
         if process.exit_code != -9:
             if not process.terminated:
-                self.day.referee.breach(rules.FAULT, self.day.world.now,
-                                        f"{process.name} ended by itself with {process.exit_code}")
+                self.day.referee.breach(
+                    rules.FAULT,
+                    self.day.world.now,
+                    f"{process.name} ended by itself with {process.exit_code}",
+                )
             self.deaths.append((self.day.world.now, False))
 
     def view(self) -> View | None:
@@ -259,20 +316,28 @@
             return
         self.lives += 1
         name = f"s{self.number}-{self.lives}"
-        shape = Shape(slots=options.slots, cold_share=options.cold_share, cold_time=options.cold_time,
-                      most_connections=options.sender_table, keepalive=options.keepalive,
-                      key_window=options.window)
+        shape = Shape(
+            slots=options.slots,
+            cold_share=options.cold_share,
+            cold_time=options.cold_time,
+            most_connections=options.sender_table,
+            keepalive=options.keepalive,
+            key_window=options.window,
+        )
         link = MllpLink if options.mllp_senders else Link
         rng = day.world.stream(f"sender/{name}")
-        self.sender = Sender(name, self.cell, day.racks[self.cell], self.witness, rng, shape, self.mood, cold,
-                             link)
+        self.sender = Sender(
+            name, self.cell, day.racks[self.cell], self.witness, rng, shape, self.mood, cold, link
+        )
         self.process = Program(day.world, self.host, name)
         day.net.attach(self.process)
         self.process.loop.start(self.sender.serve(*self.address))
         day.by_name[name] = self.sender
         started = day.world.unix() // MS if cold else 0
-        day.list_later(0.0 if not cold else 0.1 + 0.5 * day.rng.random(), Instance(
-            name, self.address, self.zone, self.cell, started_ms=started))
+        day.list_later(
+            0.0 if not cold else 0.1 + 0.5 * day.rng.random(),
+            Instance(name, self.address, self.zone, self.cell, started_ms=started),
+        )
 
     def name(self) -> str:
         return self.sender.name if self.sender is not None else ""
--- a/dykeshift/sim/loop.py
+++ b/dykeshift/sim/loop.py
@@ -207,14 +207,23 @@
             self._ready.append(handle)
             self.wake()
 
-    def call_soon(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                  context: contextvars.Context | None = None) -> asyncio.Handle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
         handle = asyncio.Handle(callback, args, self, context)
         self._append(handle)
         return handle
 
-    def call_later(self, delay: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                   context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
         if self.flavour.uvloop:
             due = self._time + round(max(0.0, delay) * 1000) * MS
         else:
@@ -226,8 +235,13 @@
             self.wake(due)
         return handle
 
-    def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
         return self.call_later(when - self.time(), callback, *args, context=context)
 
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
@@ -236,8 +250,9 @@
     def create_future(self) -> asyncio.Future[Any]:
         return asyncio.Future(loop=self)
 
-    def create_task(self, coro: Any, *, name: str | None = None,
-                    context: contextvars.Context | None = None) -> asyncio.Task[Any]:
+    def create_task(
+        self, coro: Any, *, name: str | None = None, context: contextvars.Context | None = None
+    ) -> asyncio.Task[Any]:
         if not self.process.alive:
             coro.close()
             return _Buried(self)  # type: ignore[return-value]
@@ -267,8 +282,12 @@
     def is_closed(self) -> bool:
         return not self.process.alive
 
-    def add_signal_handler(self, sig: int, callback: Callable[..., object],  # type: ignore[override]
-                           *args: Any) -> None:
+    def add_signal_handler(  # type: ignore[override]
+        self,
+        sig: int,
+        callback: Callable[..., object],
+        *args: Any,
+    ) -> None:
         self._signals[sig] = (callback, args)
         waiting, self.process.pending_signals = self.process.pending_signals, []
         for number in waiting:
@@ -283,8 +302,9 @@
         assert self.net is not None, "the process's host is on no network"
         return self.net
 
-    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None,
-                                **kwargs: Any) -> tuple[transport.TcpTransport, Any]:
+    async def create_connection(
+        self, protocol_factory: Any, host: Any = None, port: Any = None, **kwargs: Any
+    ) -> tuple[transport.TcpTransport, Any]:
         """As asyncio does it: the connect first, then the protocol, each a step that may be cancelled."""
         endpoint = await self._network().connect(self.process, (str(host), int(port)))
         protocol = protocol_factory()
@@ -298,13 +318,21 @@
             raise
         return made, protocol
 
-    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None,  # type: ignore[override]
-                            *, backlog: int = 100, **kwargs: Any) -> transport.VirtualServer:
+    async def create_server(  # type: ignore[override]
+        self,
+        protocol_factory: Any,
+        host: Any = None,
+        port: Any = None,
+        *,
+        backlog: int = 100,
+        **kwargs: Any,
+    ) -> transport.VirtualServer:
         listener = self._network().listen(self.process, (str(host), int(port)), backlog)
         return transport.VirtualServer(self, listener, protocol_factory)
 
-    async def create_datagram_endpoint(self, protocol_factory: Any, local_addr: Any = None,
-                                       remote_addr: Any = None, **kwargs: Any) -> tuple[Any, Any]:
+    async def create_datagram_endpoint(
+        self, protocol_factory: Any, local_addr: Any = None, remote_addr: Any = None, **kwargs: Any
+    ) -> tuple[Any, Any]:
         port = self._network().bind_datagrams(self.process, local_addr)
         protocol = protocol_factory()
         made = transport.UdpTransport(self, port, protocol, remote_addr)
--- a/dykeshift/sim/net.py
+++ b/dykeshift/sim/net.py
@@ -80,10 +80,33 @@
 class Endpoint:
     """One end of a TCP connection, as the kernel keeps it."""
 
-    __slots__ = ("net", "host", "epoch", "process", "number", "address", "peer", "received", "ended", "error",
-                 "closed", "sent_end", "under_way", "last", "transport", "written", "held",
-                 "label", "unsent", "owner", "consumed", "arrived",
-                 "next_out", "next_in", "early")
+    __slots__ = (
+        "net",
+        "host",
+        "epoch",
+        "process",
+        "number",
+        "address",
+        "peer",
+        "received",
+        "ended",
+        "error",
+        "closed",
+        "sent_end",
+        "under_way",
+        "last",
+        "transport",
+        "written",
+        "held",
+        "label",
+        "unsent",
+        "owner",
+        "consumed",
+        "arrived",
+        "next_out",
+        "next_in",
+        "early",
+    )
 
     def __init__(self, net: Network, host: Host, address: Address, label: str) -> None:
         self.net, self.host, self.epoch, self.address, self.label = net, host, host.epoch, address, label
@@ -125,7 +148,7 @@
         """As much as the kernel takes; 0 when its buffer is full or the connection is over."""
         if self.closed or self.sent_end or self.error is not None:
             return 0
-        piece = data[:self.room()]
+        piece = data[: self.room()]
         if not piece:
             self.unsent = True
             return 0
@@ -179,8 +202,8 @@
         self.shut(reset=self.net.draw() < 0.8)
 
     def read(self) -> bytes:
-        data = bytes(self.received[:self.net.flavour.read_size])
-        del self.received[:len(data)]
+        data = bytes(self.received[: self.net.flavour.read_size])
+        del self.received[: len(data)]
         self.consumed += len(data)
         if data:
             self.peer.taken(len(data))
@@ -232,8 +255,10 @@
             if what != RST:
                 self._send(RST)
             return
-        net.world.note(f"{sender.label} > {self.label} "
-                       + (what if isinstance(what, str) else f"{len(what)} bytes {net.sum(what)}"))
+        net.world.note(
+            f"{sender.label} > {self.label} "
+            + (what if isinstance(what, str) else f"{len(what)} bytes {net.sum(what)}")
+        )
         if what == RST:
             self._reset()
         elif self.closed:
@@ -386,8 +411,11 @@
     def resume(self) -> None:
         """What waited for a link or a host goes on, as the next retransmission would."""
         for endpoint in list(self.holding):
-            if not self.linked(endpoint.host, endpoint.peer.host) or not endpoint.host.up \
-                    or not endpoint.peer.host.up:
+            if (
+                not self.linked(endpoint.host, endpoint.peer.host)
+                or not endpoint.host.up
+                or not endpoint.peer.host.up
+            ):
                 continue
             del self.holding[endpoint]
             held, endpoint.held = endpoint.held, []
@@ -484,4 +512,3 @@
             self.up.set_exception(self.problem)
         else:
             self.up.set_result(None)
-
--- a/dykeshift/sim/operators.py
+++ b/dykeshift/sim/operators.py
@@ -27,9 +27,11 @@
         self.out: dict[str, int] = {}  # ids that are to be out, and the life in which that was called for
         self.drains = 0  # standby calls less those taken back, as a number of the latest call
 
-    def _call(self, method: str, path: str, name: str, done: Callable[[int, str], None],
-              wanted: Callable[[], bool]) -> None:
+    def _call(
+        self, method: str, path: str, name: str, done: Callable[[int, str], None], wanted: Callable[[], bool]
+    ) -> None:
         life = self.node.lives
+
         def heard(status: int, text: str) -> None:
             self.day.world.note(f"{self.node.name} answers {path} {name} with {status}")
             if self.node.lives == life:
@@ -38,11 +40,20 @@
         def unanswered() -> None:
             began = self.day.world.now - SECOND
             if not self.day.excuse(self.node.name, began, began, self.day.world.now):
-                self.day.referee.breach(rules.CONSOLE, self.day.world.now,
-                                        f"{self.node.name} does not answer {path} in time")
-
-        self.day.inside(self.host, self.operator.call, method, path, name, heard,
-                        lambda: self.node.lives == life and wanted(), unanswered)
+                self.day.referee.breach(
+                    rules.CONSOLE, self.day.world.now, f"{self.node.name} does not answer {path} in time"
+                )
+
+        self.day.inside(
+            self.host,
+            self.operator.call,
+            method,
+            path,
+            name,
+            heard,
+            lambda: self.node.lives == life and wanted(),
+            unanswered,
+        )
 
     def enter(self, name: str) -> None:
         life = self.out[name] = self.node.lives
@@ -101,5 +112,8 @@
 
 def _told(figures: dict[str, Any]) -> dict[str, int]:
     rows = figures["calls"].values()
-    return {**{what: sum(row[what] for row in rows) for what in ("success", "busy", "failure")},
-            "attempts": figures["backend_calls"], "inflight": figures["inflight"]}
+    return {
+        **{what: sum(row[what] for row in rows) for what in ("success", "busy", "failure")},
+        "attempts": figures["backend_calls"],
+        "inflight": figures["inflight"],
+    }
--- a/dykeshift/sim/reach.py
+++ b/dykeshift/sim/reach.py
@@ -54,5 +54,9 @@
             return False
         if registry.silent or registry.fail_share or registry.delay > SOON or registry.frozen_at is not None:
             return False
-        return (node.host.up and there.host.up and not day.net.weather.spike
-                and day.net.linked(node.host, there.host))
+        return (
+            node.host.up
+            and there.host.up
+            and not day.net.weather.spike
+            and day.net.linked(node.host, there.host)
+        )
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -42,9 +42,30 @@
 DEAF = "not-served-again"
 VIEW = "view"  # of the fleet: a bound that does not hold, or a view that does not settle again
 FAULT = "fault"  # an exception that nothing caught, or an end that nobody asked for
-RULES = (LOST, TWICE_ANSWERED, WRONG_ANSWER, UNSAFE_AGAIN, KEYED_ASTRAY, REFUSED_RUN, EFFECT_TWICE, DRAIN,
-         COLD, ATTEMPTS, SENT_AFTER, HELD_BACK, BAN, DRAINED, FIGURES, CONSOLE, REJECTED, GONE, LEAK, DEAF,
-         VIEW, FAULT)
+RULES = (
+    LOST,
+    TWICE_ANSWERED,
+    WRONG_ANSWER,
+    UNSAFE_AGAIN,
+    KEYED_ASTRAY,
+    REFUSED_RUN,
+    EFFECT_TWICE,
+    DRAIN,
+    COLD,
+    ATTEMPTS,
+    SENT_AFTER,
+    HELD_BACK,
+    BAN,
+    DRAINED,
+    FIGURES,
+    CONSOLE,
+    REJECTED,
+    GONE,
+    LEAK,
+    DEAF,
+    VIEW,
+    FAULT,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,9 +151,13 @@
 
 
 class Referee:
-    def __init__(self, terms: Terms, excuse: Callable[[str, int, int, int], bool],
-                 parted: Callable[[str, int, int], bool] = lambda *_: False,
-                 reached: Callable[[str], int] = lambda _: 0) -> None:
+    def __init__(
+        self,
+        terms: Terms,
+        excuse: Callable[[str, int, int, int], bool],
+        parted: Callable[[str, int, int], bool] = lambda *_: False,
+        reached: Callable[[str], int] = lambda _: 0,
+    ) -> None:
         """`excuse(balancer, sent, since, until)`: whether something else kept it from answering.
 
         A machine that stood still counts between `since` and `until`, a link that was down from `sent` on.
@@ -232,8 +257,16 @@
 
     # ---- clinics: a message is one request, however often its frame comes ----
 
-    def framed(self, now: int, rid: str, number: int, kind: str, balancer: str, deadline: int,
-               ahead: list[tuple[str, int]]) -> None:
+    def framed(
+        self,
+        now: int,
+        rid: str,
+        number: int,
+        kind: str,
+        balancer: str,
+        deadline: int,
+        ahead: list[tuple[str, int]],
+    ) -> None:
         """The last byte of a frame has been handed over, behind those `ahead` on its connection."""
         entry = self.entries.get(rid)
         if entry is None:
@@ -296,8 +329,11 @@
         frame.over = True
         limit = frame.deadline + self.terms.answer_slack
         if now > limit and not self.excuse(frame.balancer, frame.sent, frame.deadline, limit):
-            self.breach(LOST, now, f"{rid}/{number} has no answer {(now - frame.deadline) / MS:.0f} ms "
-                                   "after its time")
+            self.breach(
+                LOST,
+                now,
+                f"{rid}/{number} has no answer {(now - frame.deadline) / MS:.0f} ms " "after its time",
+            )
 
     # ---- the wire between balancers and senders ----
 
@@ -316,14 +352,27 @@
         if since is None and sender in self.out:
             since = max(self.out[sender], self.reached(balancer)) + self.terms.told
         if since is not None and now > since + self.terms.drain_grace:
-            self.breach(DRAIN, now, f"{rid} goes to {sender} {(now - since) / MS:.0f} ms after {balancer} "
-                                    f"was told that it drains or is gone")
+            self.breach(
+                DRAIN,
+                now,
+                f"{rid} goes to {sender} {(now - since) / MS:.0f} ms after {balancer} "
+                f"was told that it drains or is gone",
+            )
         out = self.bans.get((balancer, sender))
         if out is not None and not mistaken and now > out + self.terms.drain_grace:
             self.breach(BAN, now, f"{rid} goes to {sender} {(now - out) / MS:.0f} ms after it was taken out")
 
-    def written(self, now: int, rid: str, balancer: str, sender: str, cell: int, connection: int,
-                cost: float, blind: bool = False) -> None:
+    def written(
+        self,
+        now: int,
+        rid: str,
+        balancer: str,
+        sender: str,
+        cell: int,
+        connection: int,
+        cost: float,
+        blind: bool = False,
+    ) -> None:
         """The last byte of an attempt has been handed to the balancer's kernel.
 
         `blind`: by what it was told in this life another sender lives at this address: nobody could have
@@ -365,8 +414,11 @@
             entry.served_by.add(sender)
         if self.kinds.get(errand) == "safe" or repeat:
             return
-        if self.kinds.get(errand) == "keyed" and entry is not None and (
-                any(t.blind for t in entry.tries) or now > entry.tries[-1].at + self.terms.window):
+        if (
+            self.kinds.get(errand) == "keyed"
+            and entry is not None
+            and (any(t.blind for t in entry.tries) or now > entry.tries[-1].at + self.terms.window)
+        ):
             return  # nobody could tell; or a sender came to it when its rack had forgotten the key
         effects = self.effects.setdefault(errand, [])
         effects.append((now, sender))
--- a/dykeshift/sim/runner.py
+++ b/dykeshift/sim/runner.py
@@ -39,12 +39,21 @@
     if result.breaches:
         breach = result.breaches[0]
         first = f"{breach.rule} at {(breach.at - EPOCH) / SECOND:.3f} s: {breach.text}"
-    return Played(seed, tuple(result.rules), first, result.digest, result.steps, result.virtual,
-                  time.process_time() - began, result.figures)
+    return Played(
+        seed,
+        tuple(result.rules),
+        first,
+        result.digest,
+        result.steps,
+        result.virtual,
+        time.process_time() - began,
+        result.figures,
+    )
 
 
-def play_all(seeds: Iterable[str], jobs: int,
-             seen: Callable[[Played], None] = lambda _: None) -> list[Played]:
+def play_all(
+    seeds: Iterable[str], jobs: int, seen: Callable[[Played], None] = lambda _: None
+) -> list[Played]:
     """Play these seeds in `jobs` processes; `seen` is told of each as it is done."""
     todo = list(seeds)
     done = dict[str, Played]()
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -25,11 +25,39 @@
 KINDS = {"status-check": "safe", "reminder-set": "keyed", "sms-send": "unsafe"}
 
 FAULTS = (
-    "stall", "sender-stall", "hang", "hang-class", "slow", "lose", "errors", "resets", "garble", "extra",
-    "forget", "cut-stream", "cut-answer", "discovery-slow", "discovery-fails", "discovery-silent",
-    "discovery-stale", "discovery-resets", "clock-step", "kill-balancer", "restart-balancer", "reload",
-    "reload-and-term", "drain", "kill-sender", "vanish-sender", "swap-addresses", "release", "cut-room",
-    "cut-discovery", "spikes", "flood", "costly",
+    "stall",
+    "sender-stall",
+    "hang",
+    "hang-class",
+    "slow",
+    "lose",
+    "errors",
+    "resets",
+    "garble",
+    "extra",
+    "forget",
+    "cut-stream",
+    "cut-answer",
+    "discovery-slow",
+    "discovery-fails",
+    "discovery-silent",
+    "discovery-stale",
+    "discovery-resets",
+    "clock-step",
+    "kill-balancer",
+    "restart-balancer",
+    "reload",
+    "reload-and-term",
+    "drain",
+    "kill-sender",
+    "vanish-sender",
+    "swap-addresses",
+    "release",
+    "cut-room",
+    "cut-discovery",
+    "spikes",
+    "flood",
+    "costly",
 )
 WATCH_FAULTS = ("watches-silent", "watches-reset")  # all open ones at once: drawn on days of their own
 DISK_FAULTS = ("disk-full", "disk-slow", "disk-fails")  # drawn where balancers keep a journal
@@ -115,8 +143,11 @@
         return json.dumps({"version": VERSION, **asdict(self)}, indent=None, separators=(",", ":"))
 
     def without(self, faults: set[int], asks: set[int]) -> Scenario:
-        return replace(self, faults=tuple(f for n, f in enumerate(self.faults) if n not in faults),
-                       asks=tuple(a for n, a in enumerate(self.asks) if n not in asks))
+        return replace(
+            self,
+            faults=tuple(f for n, f in enumerate(self.faults) if n not in faults),
+            asks=tuple(a for n, a in enumerate(self.asks) if n not in asks),
+        )
 
 
 def load(text: str) -> Scenario:
@@ -144,6 +175,7 @@
 
 # ---- drawing ----
 
+
 def _rng(seed: str, name: str) -> Random:
     digest = hashlib.blake2b(f"{seed}/scenario/{name}".encode(), digest_size=8).digest()
     return Random(int.from_bytes(digest, "big"))
@@ -207,14 +239,33 @@
     return round(round(seconds / grid) * grid, 6) if grid else round(seconds, 6)
 
 
-SIZES = {"slow": (2.0, 20.0), "lose": (0.05, 0.6), "errors": (0.1, 1.0), "resets": (0.05, 0.6),
-         "garble": (0.05, 0.6), "extra": (0.1, 0.8), "forget": (0.2, 1.0), "cut-stream": (0.0, 1.0),
-         "cut-answer": (0.0, 1.0), "discovery-slow": (0.1, 3.0), "discovery-fails": (0.3, 1.0),
-         "clock-step": (-120.0, 120.0), "spikes": (0.02, 0.3), "flood": (20, 120), "costly": (3.0, 12.0),
-         "kill-balancer": (0.0, 1.0)}
-LENGTHS = {"stall": (0.02, 1.2), "sender-stall": (0.1, 3.0), "flood": (0.05, 0.6),
-           "kill-balancer": (0.1, 3.0), "kill-sender": (0.1, 2.0), "vanish-sender": (0.3, 3.0),
-           "restart-balancer": (0.5, 2.5)}
+SIZES = {
+    "slow": (2.0, 20.0),
+    "lose": (0.05, 0.6),
+    "errors": (0.1, 1.0),
+    "resets": (0.05, 0.6),
+    "garble": (0.05, 0.6),
+    "extra": (0.1, 0.8),
+    "forget": (0.2, 1.0),
+    "cut-stream": (0.0, 1.0),
+    "cut-answer": (0.0, 1.0),
+    "discovery-slow": (0.1, 3.0),
+    "discovery-fails": (0.3, 1.0),
+    "clock-step": (-120.0, 120.0),
+    "spikes": (0.02, 0.3),
+    "flood": (20, 120),
+    "costly": (3.0, 12.0),
+    "kill-balancer": (0.0, 1.0),
+}
+LENGTHS = {
+    "stall": (0.02, 1.2),
+    "sender-stall": (0.1, 3.0),
+    "flood": (0.05, 0.6),
+    "kill-balancer": (0.1, 3.0),
+    "kill-sender": (0.1, 2.0),
+    "vanish-sender": (0.3, 3.0),
+    "restart-balancer": (0.5, 2.5),
+}
 OFTEN = {"stall": 3, "cut-stream": 4, "cut-answer": 4, "drain": 2, "kill-sender": 2, "flood": 2}
 
 
@@ -224,13 +275,23 @@
     moments = [rng.uniform(0.3, CHAOS) for _ in range(3)]  # faults gather round a few moments
     for kind in enabled:
         for _ in range(rng.randint(1, OFTEN.get(kind, 1) + 1)):
-            at = rng.choice(moments) + rng.choice([0.0, 0.0, rng.gauss(0, 0.05)]) if rng.random() < 0.6 \
+            at = (
+                rng.choice(moments) + rng.choice([0.0, 0.0, rng.gauss(0, 0.05)])
+                if rng.random() < 0.6
                 else rng.uniform(0.2, CHAOS)
+            )
             low, high = LENGTHS.get(kind, (0.2, 4.0))
             length = low * (high / low) ** rng.random()
             at = min(max(at, 0.05), CHAOS)
-            faults.append(Fault(kind, _round(at, options), _round(min(length, HEAL - at), options),
-                                rng.randrange(1000), round(rng.uniform(*SIZES.get(kind, (0.0, 1.0))), 4)))
+            faults.append(
+                Fault(
+                    kind,
+                    _round(at, options),
+                    _round(min(length, HEAL - at), options),
+                    rng.randrange(1000),
+                    round(rng.uniform(*SIZES.get(kind, (0.0, 1.0))), 4),
+                )
+            )
     return tuple(sorted(faults, key=lambda f: f.at))
 
 
@@ -246,11 +307,15 @@
         asks.append(_ask(rng, at, mix, mean_cost, options))
     for fault in faults:
         if fault.kind == "flood":
-            asks += [_ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost, options)
-                     for _ in range(int(fault.size))]
+            asks += [
+                _ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost, options)
+                for _ in range(int(fault.size))
+            ]
         if fault.kind == "costly":
-            asks += [_ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost * fault.size, options)
-                     for _ in range(6)]
+            asks += [
+                _ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost * fault.size, options)
+                for _ in range(6)
+            ]
     asks += _last_asks(options)
     return tuple(sorted(asks, key=lambda a: a.at))
 
@@ -277,34 +342,52 @@
 
 # ---- days on which the cold budget is all that keeps a sender up ----
 
+
 def _cold_at_size(rng: Random, seed: str) -> Scenario:
     """So many balancers that one attempt of each is more than a cold sender bears: rooms alone don't help."""
-    options = Options(balancers=rng.choice([40, 60]), senders=5, slots=1, cold_share=0.12, cold_time=20.0,
-                      callback_us=0, keepalive=5.0)
+    options = Options(
+        balancers=rng.choice([40, 60]),
+        senders=5,
+        slots=1,
+        cold_share=0.12,
+        cold_time=20.0,
+        callback_us=0,
+        keepalive=5.0,
+    )
     rate, load = rng.choice([120.0, 160.0]), rng.choice([0.7, 0.9])
     cost = load * options.senders * options.slots * 1000 / rate
     asks, at = list[Ask](), 0.0
     while (at := at + rng.expovariate(rate)) < CHAOS:
         work = min(max(2, int(rng.expovariate(1 / cost))), int(cost * 4))
         asks.append(Ask(_round(at, options), rng.choices(range(3), (0.2, 0.4, 0.4))[0], 1.0, work, retries=2))
-    faults = (Fault("release", round(rng.uniform(0.5, 2.0), 3), 2.0, rng.randrange(1000), 1.0),
-              Fault("kill-sender", round(rng.uniform(2.5, 4.0), 3), 0.3, rng.randrange(1000), 0.5))
+    faults = (
+        Fault("release", round(rng.uniform(0.5, 2.0), 3), 2.0, rng.randrange(1000), 1.0),
+        Fault("kill-sender", round(rng.uniform(2.5, 4.0), 3), 0.3, rng.randrange(1000), 0.5),
+    )
     return Scenario(seed, options, (*asks, *_last_asks(options)), faults)
 
 
 # ---- days on which nobody is told in time who does not ask again in time ----
 
+
 def _watches_break(rng: Random, seed: str) -> Scenario:
     """All watches break in one moment; a part of the senders begins to drain right after, and stays."""
-    options = Options(balancers=rng.randint(2, 5), senders=rng.randint(5, 8), push=rng.random() < 0.25,
-                      callback_us=rng.choice([0, 20]), cancel=rng.random() < 0.7)
+    options = Options(
+        balancers=rng.randint(2, 5),
+        senders=rng.randint(5, 8),
+        push=rng.random() < 0.25,
+        callback_us=rng.choice([0, 20]),
+        cancel=rng.random() < 0.7,
+    )
     at = rng.uniform(0.1, 0.4)
     faults = [Fault(rng.choice(WATCH_FAULTS), round(at, 6), 0.0)]
     if rng.random() < 0.3:
         faults.append(Fault("discovery-fails", round(at + 0.05, 6), round(rng.uniform(0.2, 1.0), 6), 0, 1.0))
     first = rng.randrange(1000)
-    faults += [Fault("drain", round(at + rng.uniform(0.0, 0.3), 6), HEAL - 0.5, first + n)
-               for n in range(max(1, options.senders // 4))]
+    faults += [
+        Fault("drain", round(at + rng.uniform(0.0, 0.3), 6), HEAL - 0.5, first + n)
+        for n in range(max(1, options.senders // 4))
+    ]
     rate, cost = 60.0, 0.4 * options.senders * options.slots * 1000 / 60.0
     asks, when = list[Ask](), 0.0
     while (when := when + rng.expovariate(rate)) < HEAL - 0.1:
@@ -314,6 +397,7 @@
 
 # ---- days with operators ----
 
+
 def _with_operators(rng: Random, seed: str, day: Scenario) -> Scenario:
     """The same day, with consoles that are called: bans, drains by hand, new settings; figures are read."""
     faults = list(day.faults)
@@ -321,18 +405,21 @@
         for _ in range(rng.randint(0, 2) + (kind == "ban")):
             at = rng.uniform(0.3, CHAOS - 0.5)
             length = _round(rng.uniform(0.3, HEAL - at), day.options)
-            faults.append(Fault(kind, _round(at, day.options), length, rng.randrange(1000),
-                                round(rng.random(), 4)))
+            faults.append(
+                Fault(kind, _round(at, day.options), length, rng.randrange(1000), round(rng.random(), 4))
+            )
     options = replace(day.options, consoles=True)
     return Scenario(seed, options, day.asks, tuple(sorted(faults, key=lambda f: f.at)))
 
 
 # ---- days with a view of the fleet ----
 
+
 def _with_view(rng: Random, seed: str, day: Scenario) -> Scenario:
     """The same day, with three to seven balancers, of which more are killed, stopped and restarted."""
-    options = replace(day.options, balancers=rng.randint(3, 7), view=True,
-                      peer_loss=rng.choice([0.0, 0.1, 0.3]))
+    options = replace(
+        day.options, balancers=rng.randint(3, 7), view=True, peer_loss=rng.choice([0.0, 0.1, 0.3])
+    )
     # Each balancer may need a connection to each sender: with fewer some are refused for good, view or not.
     options = replace(options, sender_table=max(options.sender_table, options.balancers))
     faults = list(day.faults)
@@ -340,17 +427,26 @@
         for _ in range(rng.randint(0, 2)):
             at, low, high = rng.uniform(0.5, CHAOS), *LENGTHS.get(kind, (0.2, 4.0))
             length = min(rng.uniform(low, high), HEAL - at)
-            faults.append(Fault(kind, _round(at, options), _round(length, options), rng.randrange(1000),
-                                round(rng.random(), 4)))
+            faults.append(
+                Fault(
+                    kind,
+                    _round(at, options),
+                    _round(length, options),
+                    rng.randrange(1000),
+                    round(rng.random(), 4),
+                )
+            )
     return Scenario(seed, options, day.asks, tuple(sorted(faults, key=lambda f: f.at)))
 
 
 # ---- days with clinics ----
 
+
 def _with_clinics(rng: Random, seed: str, day: Scenario) -> Scenario:
     """Part of the requests, or all where the senders speak MLLP, come from clinics instead."""
-    options = replace(day.options, clinics=rng.randint(1, 4), mllp_senders=rng.random() < 0.5,
-                      journal=rng.random() < 0.6)
+    options = replace(
+        day.options, clinics=rng.randint(1, 4), mllp_senders=rng.random() < 0.5, journal=rng.random() < 0.6
+    )
     faults = day.faults
     if options.journal:
         faults = tuple(sorted([*faults, *_disk_faults(rng, options)], key=lambda f: f.at))
@@ -362,15 +458,30 @@
 
 
 def _disk_faults(rng: Random, options: Options) -> list[Fault]:
-    return [Fault(kind, _round(rng.uniform(0.3, CHAOS - 1), options), _round(rng.uniform(0.1, 1.5), options),
-                  rng.randrange(1000), round(rng.random(), 4)) for kind in DISK_FAULTS if rng.random() < 0.25]
+    return [
+        Fault(
+            kind,
+            _round(rng.uniform(0.3, CHAOS - 1), options),
+            _round(rng.uniform(0.1, 1.5), options),
+            rng.randrange(1000),
+            round(rng.random(), 4),
+        )
+        for kind in DISK_FAULTS
+        if rng.random() < 0.25
+    ]
 
 
 def _from_clinic(rng: Random, ask: Ask, options: Options) -> Ask:
     if not options.mllp_senders and (KINDS[CLASSES[ask.klass]] == "safe" or rng.random() < 0.4):
         return ask
     chaos = ask.at < HEAL
-    return replace(ask, clinic=rng.randrange(options.clinics), mode=rng.choice(list(MODES)), retries=2,
-                   deadline=round(min(ask.deadline, 1.5), 3), half=chaos and rng.random() < 0.05,
-                   twin=chaos and rng.random() < 0.08,
-                   leaves=round(rng.uniform(0.001, 0.3), 3) if chaos and rng.random() < 0.15 else None)
+    return replace(
+        ask,
+        clinic=rng.randrange(options.clinics),
+        mode=rng.choice(list(MODES)),
+        retries=2,
+        deadline=round(min(ask.deadline, 1.5), 3),
+        half=chaos and rng.random() < 0.05,
+        twin=chaos and rng.random() < 0.08,
+        leaves=round(rng.uniform(0.001, 0.3), 3) if chaos and rng.random() < 0.15 else None,
+    )
--- a/dykeshift/sim/shrink.py
+++ b/dykeshift/sim/shrink.py
@@ -24,8 +24,13 @@
 
 
 class Shrinker:
-    def __init__(self, scenario: Scenario, rule: str | None, budget: int,
-                 seen: Callable[[int, int, int], None] = lambda plays, faults, asks: None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        rule: str | None,
+        budget: int,
+        seen: Callable[[int, int, int], None] = lambda plays, faults, asks: None,
+    ) -> None:
         """At most `budget` days are played; `seen` is told how many were and what is left."""
         self.best, self.rule, self.budget, self.seen = scenario, rule, budget, seen
         self.plays = 0
@@ -63,8 +68,13 @@
     def _drop_the_rest(self) -> None:
         """What came after the breach had no part in it."""
         at = self.at
-        self._try(replace(self.best, faults=tuple(f for f in self.best.faults if f.at <= at),
-                          asks=tuple(a for a in self.best.asks if a.at <= at)))
+        self._try(
+            replace(
+                self.best,
+                faults=tuple(f for f in self.best.faults if f.at <= at),
+                asks=tuple(a for a in self.best.asks if a.at <= at),
+            )
+        )
 
     def _thin(self, count: int, make: Callable[[set[int]], Scenario]) -> None:
         """Take out as much as possible of `count` parts: halves first, ever smaller pieces then."""
--- a/dykeshift/sim/views.py
+++ b/dykeshift/sim/views.py
@@ -47,8 +47,10 @@
                 self.breach(f"{node.name} keeps no view in the end")
             elif not view.settled or view.standing.at_least != len(self.nodes):
                 how = "settled" if view.settled else "not settled"
-                self.breach(f"{node.name} is {how} in the end, with at least {view.standing.at_least} of "
-                            f"{len(self.nodes)}")
+                self.breach(
+                    f"{node.name} is {how} in the end, with at least {view.standing.at_least} of "
+                    f"{len(self.nodes)}"
+                )
         digests = {view.digest(self.world.now) for _, view in views if view is not None}
         if len(digests) > 1:
             self.breach(f"{len(digests)} digests in the end")
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -48,8 +48,16 @@
             day.referee.begun(self.began, node.name, sender.name, self.rid)
             if not blind:
                 day.referee.first_byte(self.began, node.name, sender.name, self.rid, mistaken)
-            day.referee.written(now, self.rid, node.name, sender.name, sender.cell, self.number,
-                                float(request.query("cost") or 0), blind)
+            day.referee.written(
+                now,
+                self.rid,
+                node.name,
+                sender.name,
+                sender.cell,
+                self.number,
+                float(request.query("cost") or 0),
+                blind,
+            )
 
     def _requests(self, data: bytes) -> list[Message]:
         """What has become whole; a clinic's message goes by its control id."""
@@ -108,7 +116,8 @@
             if row["lifecycle"] != "left":
                 node.living[row["hostPort"]] = row["instanceId"]
             listed.add(row["instanceId"])
-            day.referee.told(now, node.name, row["instanceId"], row["lifecycle"] == "active",
-                             row["startedAtMs"] > 0)
+            day.referee.told(
+                now, node.name, row["instanceId"], row["lifecycle"] == "active", row["startedAtMs"] > 0
+            )
         if rows["reset"]:
             day.referee.told_whole(now, node.name, listed)
--- a/dykeshift/standins/client.py
+++ b/dykeshift/standins/client.py
@@ -215,8 +215,13 @@
             return
         errand, loop = self.errand, self.crowd.loop
         self.line, line.trial = line, self
-        headers = {"Host": "backend.local", "X-Request-Id": self.rid, "X-Class": errand.klass,
-                   "X-Deadline-Ms": str(int(errand.deadline * 1000)), **errand.marks}
+        headers = {
+            "Host": "backend.local",
+            "X-Request-Id": self.rid,
+            "X-Class": errand.klass,
+            "X-Deadline-Ms": str(int(errand.deadline * 1000)),
+            **errand.marks,
+        }
         if errand.hint:
             headers["X-Cost-Hint"] = str(errand.hint)
         if self.number:
--- a/dykeshift/standins/clinic.py
+++ b/dykeshift/standins/clinic.py
@@ -203,7 +203,7 @@
         letter = frame.letter
         data = hl7.block(letter.note.content())
         if letter.half and frame.number == 1:
-            line.transport.write(data[:1 + int(self.rng.random() * (len(data) - 1))])
+            line.transport.write(data[: 1 + int(self.rng.random() * (len(data) - 1))])
             line.transport.close()
             self.lines.pop(line, None)
             for other in line.drop():
@@ -227,8 +227,10 @@
         if not frame.handed_over:
             frame.handed_over = True
             line = next(line for line in self.lines if frame in line.frames)
-            ahead = [(one.letter.note.control_id, one.number)
-                     for one in list(line.frames)[:line.frames.index(frame)]]
+            ahead = [
+                (one.letter.note.control_id, one.number)
+                for one in list(line.frames)[: line.frames.index(frame)]
+            ]
             self.account.framed(frame.letter, frame.number, self.to, ahead)
 
     def _give_up(self, line: Line, frame: Frame) -> None:
--- a/dykeshift/standins/disk.py
+++ b/dykeshift/standins/disk.py
@@ -51,10 +51,10 @@
         """Of what was not synced any part may be there, its last piece torn or turned to noise."""
         for name, seen in self.seen.items():
             kept = self.kept.get(name, b"")
-            if seen[:len(kept)] != kept:
-                kept = kept[:len(seen)]
-            extra = seen[len(kept):]
-            part = extra[:self.rng.randint(0, len(extra))]
+            if seen[: len(kept)] != kept:
+                kept = kept[: len(seen)]
+            extra = seen[len(kept) :]
+            part = extra[: self.rng.randint(0, len(extra))]
             if part and self.rng.random() < 0.3:
                 spoilt = self.rng.randrange(len(part))
                 part = part[:spoilt] + self.rng.randbytes(len(part) - spoilt)
@@ -72,7 +72,7 @@
         if room is not None:
             used = sum(map(len, self.disk.seen.values()))
             if used + len(data) > room:
-                self.disk.seen[self.name] += data[:max(0, room - used)]
+                self.disk.seen[self.name] += data[: max(0, room - used)]
         self.disk.check(len(data))
         self.disk.seen[self.name] += data
 
--- a/dykeshift/standins/hl7.py
+++ b/dykeshift/standins/hl7.py
@@ -62,8 +62,10 @@
     def content(self) -> bytes:
         """Two segments that the standard names, and one of ours (`Z`) with what a stand-in sender goes by."""
         accept, application = MODES[self.mode]
-        head = (f"MSH|^~\\&|{self.clinic}|{self.facility}|LIFTTRAIL|CHOIBALSAN|{self.made}||"
-                f"{TRIGGERS[self.klass]}|{self.control_id}|P|2.5.1|||{accept}|{application}|||UNICODE UTF-8")
+        head = (
+            f"MSH|^~\\&|{self.clinic}|{self.facility}|LIFTTRAIL|CHOIBALSAN|{self.made}||"
+            f"{TRIGGERS[self.klass]}|{self.control_id}|P|2.5.1|||{accept}|{application}|||UNICODE UTF-8"
+        )
         return f"{head}\rPID|1||42||{self.patient}\rZLT|{self.klass}|{self.cost}\r".encode()
 
 
@@ -85,8 +87,10 @@
     `headers`: those of the HTTP request that brought it, where one did.
     """
     note = read_note(content)
-    lines = [f"POST /hl7?errand={note.control_id}&kind={note.klass}&cost={note.cost} HTTP/1.1",
-             f"X-Request-Id: {note.control_id}"]
+    lines = [
+        f"POST /hl7?errand={note.control_id}&kind={note.klass}&cost={note.cost} HTTP/1.1",
+        f"X-Request-Id: {note.control_id}",
+    ]
     key = note.control_id if headers is None else headers.get("idempotency-key", "")
     if key and note.klass == "reminder-set":
         lines.append(f"Idempotency-Key: {key}")
@@ -116,8 +120,15 @@
     def note(self) -> Note:
         self.count += 1
         draw = self.rng
-        return Note(f"{self.clinic}-{self.count}", self.clinic, draw.choice(list(TRIGGERS)[1:]),
-                    draw.choice(list(MODES)), draw.randint(1, 40), self.made, draw.choice(_NAMES))
+        return Note(
+            f"{self.clinic}-{self.count}",
+            self.clinic,
+            draw.choice(list(TRIGGERS)[1:]),
+            draw.choice(list(MODES)),
+            draw.randint(1, 40),
+            self.made,
+            draw.choice(_NAMES),
+        )
 
 
 def torn(data: bytes, rng: Random) -> list[bytes]:
@@ -126,6 +137,6 @@
     if way < 0.3:
         return [data]
     if way < 0.5:
-        return [data[n:n + 1] for n in range(len(data))]
+        return [data[n : n + 1] for n in range(len(data))]
     cuts = sorted({0, len(data), *(rng.randrange(len(data)) for _ in range(3))})
     return [data[a:b] for a, b in zip(cuts, cuts[1:], strict=False)]
--- a/dykeshift/standins/messages.py
+++ b/dykeshift/standins/messages.py
@@ -69,8 +69,8 @@
             if len(self.buffer) < self.length:
                 return whole
             if not self.chunked:
-                self.head.body = bytes(self.buffer[:self.length])
-                del self.buffer[:self.length]
+                self.head.body = bytes(self.buffer[: self.length])
+                del self.buffer[: self.length]
             whole.append(self.head)
             self.head = None
 
@@ -89,10 +89,10 @@
                 raise Unreadable("a body out of bounds")
             if len(self.buffer) < at + 2 + size + 2:
                 return False
-            if self.buffer[at + 2 + size:at + 2 + size + 2] != b"\r\n":
+            if self.buffer[at + 2 + size : at + 2 + size + 2] != b"\r\n":
                 raise Unreadable("a chunk that does not end")
-            head.body += bytes(self.buffer[at + 2:at + 2 + size])
-            del self.buffer[:at + 2 + size + 2]
+            head.body += bytes(self.buffer[at + 2 : at + 2 + size])
+            del self.buffer[: at + 2 + size + 2]
             if not size:
                 return True
         return False
@@ -106,7 +106,7 @@
         head = bytes(self.buffer[:at])
         if not _HEAD.fullmatch(head):
             raise Unreadable(f"no head of a message: {head[:60]!r}")
-        del self.buffer[:at + 4]
+        del self.buffer[: at + 4]
         found = _LENGTH.search(head)
         length = found[1] if found is not None else b"0"
         coding = _CODING.search(head)
--- a/dykeshift/standins/mllp_script.py
+++ b/dykeshift/standins/mllp_script.py
@@ -103,7 +103,7 @@
                 writer.transport.abort()
                 return False
             elif word in ("close", "cut"):
-                writer.write(hl7.block(good)[:int(value)])
+                writer.write(hl7.block(good)[: int(value)])
                 return False
         return True
 
@@ -117,8 +117,9 @@
     end: str  # "answered", "closed" or "silent"
 
 
-async def send(contents: list[bytes], to: tuple[str, int], wait: float, piece: int = 0,
-               cut: int | None = None) -> list[Heard]:
+async def send(
+    contents: list[bytes], to: tuple[str, int], wait: float, piece: int = 0, cut: int | None = None
+) -> list[Heard]:
     """Send frames one after another on one connection, each once the one before is answered.
 
     `piece`: bytes a write, 0 for all at once; `cut`: the last frame ends after so many bytes, then the
@@ -135,7 +136,7 @@
                 heard.append(Heard(hl7.read_note(content).control_id, [], "closed"))
                 break
             for at in range(0, len(data), piece or len(data)):
-                writer.write(data[at:at + (piece or len(data))])
+                writer.write(data[at : at + (piece or len(data))])
                 await writer.drain()
             heard.append(await _hear(reader, blocks, content, wait))
             if heard[-1].end != "answered":
--- a/dykeshift/standins/mllp_sender.py
+++ b/dykeshift/standins/mllp_sender.py
@@ -71,14 +71,33 @@
 
     def garble(self, body: bytes) -> None:
         good = self._ack("AA")
-        self.link.raw(self.link.sender.rng.choice([
-            b"\x00\xff\x13garbage", b"HTTP/1.1 200 OK\r\n\r\n", hl7.block(good.replace(b"MSA|", b"MSB|")),
-            hl7.block(good.replace(self.note.control_id.encode(), b"another-one")),
-            b"\x0b" + good + b"\x1c\x1c\x0d", b"\x0b" + good + hl7.block(good), b"\x0b" + good,
-            hl7.block(good.replace(b"|AA|", b"|XX|")), hl7.block(b"")]))
+        self.link.raw(
+            self.link.sender.rng.choice(
+                [
+                    b"\x00\xff\x13garbage",
+                    b"HTTP/1.1 200 OK\r\n\r\n",
+                    hl7.block(good.replace(b"MSA|", b"MSB|")),
+                    hl7.block(good.replace(self.note.control_id.encode(), b"another-one")),
+                    b"\x0b" + good + b"\x1c\x1c\x0d",
+                    b"\x0b" + good + hl7.block(good),
+                    b"\x0b" + good,
+                    hl7.block(good.replace(b"|AA|", b"|XX|")),
+                    hl7.block(b""),
+                ]
+            )
+        )
 
     def extra(self, body: bytes) -> None:
         good = hl7.block(self._ack("AA"))
-        self.link.raw(self.link.sender.rng.choice([
-            good + good, good + b"noise", good + b"\x0b", b"\r\n" + good, hl7.block(self._ack("CA")) + good]))
+        self.link.raw(
+            self.link.sender.rng.choice(
+                [
+                    good + good,
+                    good + b"noise",
+                    good + b"\x0b",
+                    b"\r\n" + good,
+                    hl7.block(self._ack("CA")) + good,
+                ]
+            )
+        )
         self.link.free()
