--- a/dykeshift/standins/operator.py
+++ b/dykeshift/standins/operator.py
@@ -59,21 +59,42 @@
         self.address = address
         self.turn = asyncio.Lock()
 
-    def call(self, method: str, path: str, name: str, done: Done, wanted: Callable[[], bool],
-             unanswered: Callable[[], None]) -> None:
+    def call(
+        self,
+        method: str,
+        path: str,
+        name: str,
+        done: Done,
+        wanted: Callable[[], bool],
+        unanswered: Callable[[], None],
+    ) -> None:
         """On the running loop. `wanted`: whether it is still to be made, or made again.
 
         `unanswered` is told of each time that nothing came within WAIT.
         """
         asyncio.get_running_loop().create_task(self._in_turn(method, path, name, done, wanted, unanswered))
 
-    async def _in_turn(self, method: str, path: str, name: str, done: Done, wanted: Callable[[], bool],
-                       unanswered: Callable[[], None]) -> None:
+    async def _in_turn(
+        self,
+        method: str,
+        path: str,
+        name: str,
+        done: Done,
+        wanted: Callable[[], bool],
+        unanswered: Callable[[], None],
+    ) -> None:
         async with self.turn:
             await self._call(method, path, name, done, wanted, unanswered)
 
-    async def _call(self, method: str, path: str, name: str, done: Done, wanted: Callable[[], bool],
-                    unanswered: Callable[[], None]) -> None:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        name: str,
+        done: Done,
+        wanted: Callable[[], bool],
+        unanswered: Callable[[], None],
+    ) -> None:
         loop = asyncio.get_running_loop()
         body = json.dumps({"name": name}) if name else ""
         data = f"{method} {path} HTTP/1.1\r\nHost: b\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
--- a/dykeshift/standins/registry.py
+++ b/dykeshift/standins/registry.py
@@ -32,9 +32,16 @@
     started_ms: int = 0  # Unix time; 0: long ago
 
     def row(self) -> dict[str, Any]:
-        return {"instanceId": self.id, "hostPort": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
-                "machineType": self.kind, "cell": self.cell, "lifecycle": self.lifecycle,
-                "weight": self.weight, "startedAtMs": self.started_ms}
+        return {
+            "instanceId": self.id,
+            "hostPort": f"{self.address[0]}:{self.address[1]}",
+            "zone": self.zone,
+            "machineType": self.kind,
+            "cell": self.cell,
+            "lifecycle": self.lifecycle,
+            "weight": self.weight,
+            "startedAtMs": self.started_ms,
+        }
 
 
 Told = Callable[["Call", int, bool, list[Instance]], None]
--- a/dykeshift/standins/sender.py
+++ b/dykeshift/standins/sender.py
@@ -28,7 +28,7 @@
 
 
 class Witness(Protocol):
-    """Whoever keeps account of what happens at senders. """
+    """Whoever keeps account of what happens at senders."""
 
     def arrived(self, sender: Sender, request: Message) -> None: ...
 
@@ -229,9 +229,13 @@
     def _reply(self, work: Work) -> None:
         mood, draw, link = self.mood, self.rng.random(), work.link
         body = f"{self.name} did {work.request.headers['x-request-id']}\n".encode()
-        for share, act in ((mood.error_share, self._error), (mood.lose_share, lambda _, __: None),
-                           (mood.reset_share, lambda at, _: at.abort()), (mood.garble_share, self._garble),
-                           (mood.extra_share, self._extra)):
+        for share, act in (
+            (mood.error_share, self._error),
+            (mood.lose_share, lambda _, __: None),
+            (mood.reset_share, lambda at, _: at.abort()),
+            (mood.garble_share, self._garble),
+            (mood.extra_share, self._extra),
+        ):
             if draw < share:
                 act(link, body)
                 return
@@ -300,18 +304,32 @@
             self.transport.write(data)
 
     def garble(self, body: bytes) -> None:
-        self.raw(self.sender.rng.choice([
-            b"\x00\xff\x13garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n" + body,
-            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body,
-            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) + 40) + body,
-            b"HTTP/1.1 200 OK\r\nX-Endless: " + b"a" * 70_000, b"HTTP/1.1 200 OK\r\n\r\n" + body]))
+        self.raw(
+            self.sender.rng.choice(
+                [
+                    b"\x00\xff\x13garbage\r\n\r\n",
+                    b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n" + body,
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + body,
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) + 40) + body,
+                    b"HTTP/1.1 200 OK\r\nX-Endless: " + b"a" * 70_000,
+                    b"HTTP/1.1 200 OK\r\n\r\n" + body,
+                ]
+            )
+        )
 
     def extra(self, body: bytes) -> None:
         report = self.sender.report()
         whole = render("HTTP/1.1 200 OK", report, body)
-        self.raw(self.sender.rng.choice([
-            b"HTTP/1.1 102 Processing\r\n\r\n" + whole, whole + whole, whole + b"noise",
-            render("HTTP/1.1 200 OK", {"X-Load": "{{no json"}, body)]))
+        self.raw(
+            self.sender.rng.choice(
+                [
+                    b"HTTP/1.1 102 Processing\r\n\r\n" + whole,
+                    whole + whole,
+                    whole + b"noise",
+                    render("HTTP/1.1 200 OK", {"X-Load": "{{no json"}, body),
+                ]
+            )
+        )
         self.free()
 
     def free(self) -> None:
--- a/dykeshift/store/files.py
+++ b/dykeshift/store/files.py
@@ -52,7 +52,7 @@
     def write(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self.fd, view):]
+            view = view[os.write(self.fd, view) :]
 
     def sync(self) -> None:
         os.fsync(self.fd)
--- a/dykeshift/store/records.py
+++ b/dykeshift/store/records.py
@@ -65,11 +65,11 @@
     if len(data) <= FILE_HEAD and data != head:
         found.end, found.torn = 0, len(data)  # spoilt while it was made: no record was ever behind it
         return found
-    if data[:len(MAGIC)] != MAGIC:
+    if data[: len(MAGIC)] != MAGIC:
         raise Foreign("it is no log file")
     if data[len(MAGIC)] != VERSION:
         raise Foreign(f"its format is version {data[len(MAGIC)]}, this program reads {VERSION}")
-    if data[len(MAGIC) + 1:FILE_HEAD] != kind:
+    if data[len(MAGIC) + 1 : FILE_HEAD] != kind:
         raise Foreign(f"it holds {data[len(MAGIC) + 1:FILE_HEAD]!r}, not {kind!r}")
     at = FILE_HEAD
     while at < len(data):
@@ -98,14 +98,14 @@
     begin = at + _HEAD.size
     if mark != MARK or length > MAX_PAYLOAD or begin + length > len(data):
         return None
-    payload = data[begin:begin + length]
+    payload = data[begin : begin + length]
     return payload if _sum(payload) == checksum else None
 
 
 def _cut_short(data: bytes, at: int) -> bool:
     """Whether what begins here is the beginning of a record."""
     if at + _HEAD.size > len(data):
-        return MARK.startswith(data[at:at + len(MARK)])
+        return MARK.startswith(data[at : at + len(MARK)])
     mark, length, _ = _HEAD.unpack_from(data, at)
     return bool(mark == MARK and length <= MAX_PAYLOAD and at + _HEAD.size + length > len(data))
 
--- a/dykeshift/versions/book.py
+++ b/dykeshift/versions/book.py
@@ -173,8 +173,12 @@
 
     def _propose(self, version: int, change: Propose) -> None:
         if self.pages.pending is None:
-            self.pages.pending = Pending(Rules(version, bytes(change.settings).decode(), change.by),
-                                         since=version, stages=change.stages, dry=change.dry)
+            self.pages.pending = Pending(
+                Rules(version, bytes(change.settings).decode(), change.by),
+                since=version,
+                stages=change.stages,
+                dry=change.dry,
+            )
 
     def _at(self, version: int, *phases: Phase) -> Pending | None:
         pending = self.pages.pending
@@ -202,8 +206,9 @@
             return
         if change.stage >= 0:
             if pending.stage < change.stage < len(pending.stages):
-                self.pages.pending = msgspec.structs.replace(pending, phase=Phase.STAGE, since=version,
-                                                             stage=change.stage)
+                self.pages.pending = msgspec.structs.replace(
+                    pending, phase=Phase.STAGE, since=version, stage=change.stage
+                )
             return
         self.pages.past = (self.pages.rules, *self.pages.past)[:KEPT]
         self.pages.rules = pending.rules
@@ -216,8 +221,9 @@
         if pending.phase is Phase.CHECK:
             self._end(change.version, "halted", change.reason)
         else:
-            self.pages.pending = msgspec.structs.replace(pending, phase=Phase.BACK, since=version,
-                                                         reason=change.reason)
+            self.pages.pending = msgspec.structs.replace(
+                pending, phase=Phase.BACK, since=version, reason=change.reason
+            )
 
     def _drop(self, version: int, change: Drop) -> None:
         pending = self._at(change.version, Phase.BACK)
--- a/dykeshift/versions/checks.py
+++ b/dykeshift/versions/checks.py
@@ -35,13 +35,16 @@
     before, after = live(held), live(new)
     for name in before:
         if name not in after and sight.inflight.get(name) and name not in closed:
-            return (f"class {name} would go and has {sight.inflight[name]} requests under way: "
-                    "close it first")
+            return (
+                f"class {name} would go and has {sight.inflight[name]} requests under way: " "close it first"
+            )
     for name, klass in after.items():
         usual = sight.usual.get(name, 0.0)
         if klass.deadline <= usual:
-            return (f"class {name}: a deadline of {klass.deadline / MS:.0f} ms is under what its "
-                    f"answers take, {usual / MS:.0f} ms")
+            return (
+                f"class {name}: a deadline of {klass.deadline / MS:.0f} ms is under what its "
+                f"answers take, {usual / MS:.0f} ms"
+            )
     if new.attempt_limit > sight.most_attempts:
         return f"{new.attempt_limit} attempts are more than the {sight.most_attempts} that are allowed"
     if new.attempt_limit < sight.attempts:
--- a/dykeshift/versions/core.py
+++ b/dykeshift/versions/core.py
@@ -129,8 +129,18 @@
             return []
         self.told, self.report_at, self.counter = state, now + pace, self.counter + 1
         verdict, reason = self._verdict(pending)
-        report = Report(self.history.ident(), self.birth, self.number, self.counter, pages.version,
-                        proposal, verdict, self.acts.mode, *self.answers, reason)
+        report = Report(
+            self.history.ident(),
+            self.birth,
+            self.number,
+            self.counter,
+            pages.version,
+            proposal,
+            verdict,
+            self.acts.mode,
+            *self.answers,
+            reason,
+        )
         leader = self.history.leader()
         if leader == self.number:
             self.guide.on_report(now, report)
@@ -145,8 +155,11 @@
         rules = pending.rules
         if rules not in self.verdicts:
             held = self.own.read(self.book.pages.rules.settings) if self._readable() else self.own.settings
-            self.verdicts = {rules: objection(rules.settings, self.own, held,
-                                              frozenset(self.book.pages.closed), self.sight())}
+            self.verdicts = {
+                rules: objection(
+                    rules.settings, self.own, held, frozenset(self.book.pages.closed), self.sight()
+                )
+            }
         reason = self.verdicts[rules]
         return (Verdict.NO if reason else Verdict.YES), reason
 
--- a/dykeshift/versions/force.py
+++ b/dykeshift/versions/force.py
@@ -95,12 +95,20 @@
 
     def _staged(self, pending: Pending) -> bool:
         return pending.phase is Phase.STAGE and any(
-            self.number in group for group in pending.stages[:pending.stage + 1])
+            self.number in group for group in pending.stages[: pending.stage + 1]
+        )
 
     def _with(self, mode: str, version: int, settings: Settings) -> Acts:
         pages = self.book.pages
-        return Acts(mode, version, settings, frozenset(pages.out), frozenset(), frozenset(pages.preferred),
-                    frozenset(pages.closed))
+        return Acts(
+            mode,
+            version,
+            settings,
+            frozenset(pages.out),
+            frozenset(),
+            frozenset(pages.preferred),
+            frozenset(pages.closed),
+        )
 
     # ---- without ----
 
@@ -123,8 +131,16 @@
             settings = one if settings is None else meet(settings, one)
         settings = settings or self.own.settings
         closed = set(pages.closed) | (set(live(settings)) if pages.doubt == "refuse" else set())
-        return Acts("doubtful", pages.rules.version, settings, frozenset(out), frozenset(pages.wary) - out,
-                    frozenset(pages.preferred), frozenset(closed), why)
+        return Acts(
+            "doubtful",
+            pages.rules.version,
+            settings,
+            frozenset(out),
+            frozenset(pages.wary) - out,
+            frozenset(pages.preferred),
+            frozenset(closed),
+            why,
+        )
 
     # ---- as the module is told ----
 
@@ -141,12 +157,19 @@
         except SettingsError:
             return {}
         first, second = live(held), live(comes)
-        return {name: frozenset({c.idempotency, second[name].idempotency}) for name, c in first.items()
-                if name in second and c.idempotency is not second[name].idempotency}
+        return {
+            name: frozenset({c.idempotency, second[name].idempotency})
+            for name, c in first.items()
+            if name in second and c.idempotency is not second[name].idempotency
+        }
 
 
 def word(acts: Acts, numbers: dict[str, int], leaving: frozenset[int] = frozenset()) -> Word:
     """What the decision module is told beside the settings. `numbers`: of servers, by name; `leaving`: told
     by other balancers' lists. Servers that are out come as bans, which the module has since long."""
-    return Word(leaving | frozenset(numbers[n] for n in acts.wary if n in numbers),
-                frozenset(numbers[n] for n in acts.preferred if n in numbers), acts.closed, acts.doubtful)
+    return Word(
+        leaving | frozenset(numbers[n] for n in acts.wary if n in numbers),
+        frozenset(numbers[n] for n in acts.preferred if n in numbers),
+        acts.closed,
+        acts.doubtful,
+    )
--- a/dykeshift/versions/guide.py
+++ b/dykeshift/versions/guide.py
@@ -108,8 +108,10 @@
             return Refuse(version, "; ".join(noes)[:REASON])
         if missing and late:
             who = ", ".join(map(str, missing[:8]))
-            return Refuse(version, f"{len(missing)} of {len(facts.alive)} have not said whether they "
-                                   f"can act on it: {who}")
+            return Refuse(
+                version,
+                f"{len(missing)} of {len(facts.alive)} have not said whether they " f"can act on it: {who}",
+            )
         if missing:
             return None
         if pending.dry:
@@ -140,20 +142,23 @@
         self._count(now, pending)
         if self.trial.worse:
             first, others = self.trial.first.rate(), self.trial.others.rate()
-            return Halt(version, f"stage {pending.stage}: {first:.1%} of its answers are bad, {others:.1%} "
-                                 "of the others'")
+            return Halt(
+                version,
+                f"stage {pending.stage}: {first:.1%} of its answers are bad, {others:.1%} " "of the others'",
+            )
         if now - self.since >= options.stage and self.trial.seen >= options.least:
             last = pending.stage + 1 >= len(pending.stages)
             return Force(version, -1 if last else pending.stage + 1)
         if now - self.since >= options.patience:
-            return Halt(version, f"stage {pending.stage}: {self.trial.seen:.0f} answers are too few to "
-                                 "judge it")
+            return Halt(
+                version, f"stage {pending.stage}: {self.trial.seen:.0f} answers are too few to " "judge it"
+            )
         return None
 
     def _count(self, now: int, pending: Pending) -> None:
         """One block: what each has answered since the last one, of those that act as their group should."""
         groups = [[0, 0], [0, 0]]
-        staged = {n for group in pending.stages[:pending.stage + 1] for n in group}
+        staged = {n for group in pending.stages[: pending.stage + 1] for n in group}
         for number, member in self.members.items():
             report, before = member.report, member.before
             if report.version < pending.since or report.mode == "doubtful":
@@ -170,6 +175,8 @@
 
 
 _NEXT: dict[Phase, Callable[[Guide, int, Facts, Pending], Change | None]] = {
-    Phase.CHECK: Guide._check, Phase.MIDDLE: Guide._middle, Phase.STAGE: Guide._stage,
+    Phase.CHECK: Guide._check,
+    Phase.MIDDLE: Guide._middle,
+    Phase.STAGE: Guide._stage,
     Phase.BACK: Guide._back,
 }
--- a/dykeshift/versions/link.py
+++ b/dykeshift/versions/link.py
@@ -22,8 +22,10 @@
         """What stands uncommitted in the log, and what was asked for here."""
         shared = self.core.shared
         entries = (shared.log.entry(i) for i in range(shared.commit + 1, shared.log.last + 1))
-        return (*(e.body for e in entries if e.sort == Sort.CHANGE),
-                *(p.body for p in self.core.proposals.open.values()))
+        return (
+            *(e.body for e in entries if e.sort == Sort.CHANGE),
+            *(p.body for p in self.core.proposals.open.values()),
+        )
 
     def why(self) -> str:
         shared = self.core.shared
--- a/dykeshift/versions/lists.py
+++ b/dykeshift/versions/lists.py
@@ -35,8 +35,9 @@
     newest: tuple[int, tuple[int, ...]] = (0, ())  # the newest word of another, to be passed on
     heard_at: int = 0
 
-    def on_own(self, now: int, generation: int | None, running: frozenset[int],
-               listed: frozenset[int]) -> None:
+    def on_own(
+        self, now: int, generation: int | None, running: frozenset[int], listed: frozenset[int]
+    ) -> None:
         """The own list as it is now: `running` of `listed` may be sent to."""
         gone = (self.running | set(self.leaving)) - running
         if generation != self.generation or running != self.running:
@@ -53,8 +54,10 @@
         new = {n for n in servers if n in self.running and n not in self.told}
         if len(self.out(now)) + len(new) > self.share * len(self.running):
             self.ignored += 1
-            return (f"generation {generation} would leave alone {len(new)} more of {len(self.running)} "
-                    f"servers, at most {self.share:.0%} may be")
+            return (
+                f"generation {generation} would leave alone {len(new)} more of {len(self.running)} "
+                f"servers, at most {self.share:.0%} may be"
+            )
         for number in new:
             self.told[number] = Told(generation, now)
         if generation > self.newest[0] or now - self.heard_at > self.last:
--- a/dykeshift/versions/own.py
+++ b/dykeshift/versions/own.py
@@ -49,5 +49,9 @@
 
 def share(raw: dict[str, Any]) -> str:
     """The part that all share, in one form: equal texts are equal settings."""
-    return json.dumps({name: value for name, value in raw.items() if name not in MINE}, sort_keys=True,
-                      separators=(",", ":"), ensure_ascii=False)
+    return json.dumps(
+        {name: value for name, value in raw.items() if name not in MINE},
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=False,
+    )
--- a/dykeshift/versions/terms.py
+++ b/dykeshift/versions/terms.py
@@ -96,8 +96,11 @@
     first, second = live(one), live(other)
     classes = [narrower(c, second[name]) if name in second else c for name, c in first.items()]
     classes += [c for name, c in second.items() if name not in first]
-    changed = {name: term.meet(getattr(one, name), getattr(other, name))
-               for name, term in SETTINGS.items() if term.meet is not None}
+    changed = {
+        name: term.meet(getattr(one, name), getattr(other, name))
+        for name, term in SETTINGS.items()
+        if term.meet is not None
+    }
     return replace(one, classes=tuple(classes), retired=frozenset(), **changed)
 
 
@@ -112,21 +115,27 @@
 
 def differences(one: Settings, other: Settings, sort: Sort = GUARDED) -> list[str]:
     """The fields of a sort that differ, in words; classes that only one has differ in nothing."""
-    found = [name for name, term in SETTINGS.items()
-             if term.sort is sort and name != "classes" and getattr(one, name) != getattr(other, name)]
+    found = [
+        name
+        for name, term in SETTINGS.items()
+        if term.sort is sort and name != "classes" and getattr(one, name) != getattr(other, name)
+    ]
     second = live(other)
     for name, klass in live(one).items():
         if name in second:
-            found += [f"{name}.{field}" for field, term in CLASS.items() if term.sort is sort
-                      and _counts(klass, second[name], field)
-                      and getattr(klass, field) != getattr(second[name], field)]
+            found += [
+                f"{name}.{field}"
+                for field, term in CLASS.items()
+                if term.sort is sort
+                and _counts(klass, second[name], field)
+                and getattr(klass, field) != getattr(second[name], field)
+            ]
     return found
 
 
 def _counts(one: RequestClass, other: RequestClass, field: str) -> bool:
     """Scope and window say something of keyed classes only."""
-    return field not in ("scope", "window") or (one.idempotency is Idempotency.KEYED
-                                                is other.idempotency)
+    return field not in ("scope", "window") or (one.idempotency is Idempotency.KEYED is other.idempotency)
 
 
 def contradicts(one: Settings, other: Settings) -> bool:
@@ -135,9 +144,15 @@
 
 # What a value allows, as a number or a set that grows with it: only the property tests and the judge ask.
 _BOLD: dict[str, Callable[[Any], Any]] = {
-    "balancers": lambda v: -v, "attempt_limit": lambda v: v, "copies_allowed": int, "cancel_allowed": int,
-    "cold_share": lambda v: v, "cold_time": lambda v: -v, "overload_multiple": lambda v: v,
-    "overload_window": lambda v: v, "answer_slack": lambda v: v,
+    "balancers": lambda v: -v,
+    "attempt_limit": lambda v: v,
+    "copies_allowed": int,
+    "cancel_allowed": int,
+    "cold_share": lambda v: v,
+    "cold_time": lambda v: -v,
+    "overload_multiple": lambda v: v,
+    "overload_window": lambda v: v,
+    "answer_slack": lambda v: v,
 }
 
 
@@ -147,15 +162,19 @@
         return dict.fromkeys((Scope.ALL, Scope.ZONE, Scope.CELL), float("inf"))
     if klass.idempotency is Idempotency.UNSAFE:
         return {}
-    within = {Scope.ALL: (Scope.ALL, Scope.ZONE, Scope.CELL), Scope.ZONE: (Scope.ZONE,),
-              Scope.CELL: (Scope.CELL,)}[klass.scope]
+    within = {
+        Scope.ALL: (Scope.ALL, Scope.ZONE, Scope.CELL),
+        Scope.ZONE: (Scope.ZONE,),
+        Scope.CELL: (Scope.CELL,),
+    }[klass.scope]
     return dict.fromkeys(within, float(klass.window))
 
 
 def bolder(one: Settings, other: Settings) -> list[str]:
     """In what the first allows anything that the second forbids."""
-    found = [name for name, measure in _BOLD.items()
-             if measure(getattr(one, name)) > measure(getattr(other, name))]
+    found = [
+        name for name, measure in _BOLD.items() if measure(getattr(one, name)) > measure(getattr(other, name))
+    ]
     second = live(other)
     for name, klass in live(one).items():
         if name in second:
@@ -166,5 +185,6 @@
 
 def complete() -> list[str]:
     """Fields that the tables do not name: a field that comes later has to be judged first."""
-    return ([f.name for f in fields(Settings) if f.name not in SETTINGS]
-            + [f.name for f in fields(RequestClass) if f.name not in CLASS])
+    return [f.name for f in fields(Settings) if f.name not in SETTINGS] + [
+        f.name for f in fields(RequestClass) if f.name not in CLASS
+    ]
--- a/dykeshift/versions/trial.py
+++ b/dykeshift/versions/trial.py
@@ -42,8 +42,9 @@
         if na > 0 and nb > 0:
             if qa > qb:
                 p0 = (na * qa + nb * qb) / (na + nb)
-                self.evidence += (_likelihood(na, a, qa) + _likelihood(nb, b, qb)
-                                  - _likelihood(na + nb, a + b, p0))
+                self.evidence += (
+                    _likelihood(na, a, qa) + _likelihood(nb, b, qb) - _likelihood(na + nb, a + b, p0)
+                )
             self.first.good, self.first.bad = self.first.good + na - a, self.first.bad + a
             self.others.good, self.others.bad = self.others.good + nb - b, self.others.bad + b
 
--- a/dykeshift/versions/wire.py
+++ b/dykeshift/versions/wire.py
@@ -83,33 +83,64 @@
     head = HEAD.pack(VERSION, kind, seal.tag, message.history, message.birth)
     if isinstance(message, Report):
         reason = message.reason.encode()[:REASON]
-        data = head + REPORT.pack(message.number, message.counter, message.version, message.pending,
-                                  message.verdict, MODES.index(message.mode), message.answers & 0xFFFFFFFF,
-                                  message.bad & 0xFFFFFFFF, len(reason)) + reason
+        data = (
+            head
+            + REPORT.pack(
+                message.number,
+                message.counter,
+                message.version,
+                message.pending,
+                message.verdict,
+                MODES.index(message.mode),
+                message.answers & 0xFFFFFFFF,
+                message.bad & 0xFFFFFFFF,
+                len(reason),
+            )
+            + reason
+        )
     else:
         servers = message.servers[:SERVERS]
-        data = head + LEAVING.pack(message.number, message.generation) + b"".join(
-            server.to_bytes(8, "big") for server in servers)
+        data = (
+            head
+            + LEAVING.pack(message.number, message.generation)
+            + b"".join(server.to_bytes(8, "big") for server in servers)
+        )
     return data + seal.of(data)
 
 
 def decode(data: bytes, seal: Seal) -> Message:
     """Raises Bad for whatever is no message of this fleet."""
     kind, history, birth = unseal(data, seal, HEAD, HEAD.size)
-    body = data[HEAD.size:-SEAL]
+    body = data[HEAD.size : -SEAL]
     try:
         if kind == Kind.REPORT:
             number, counter, version, pending, verdict, mode, answers, bad, length = REPORT.unpack_from(body)
-            reason = body[REPORT.size:REPORT.size + length].decode("utf-8", "replace")
-            return Report(history, birth, number, counter, version, pending, Verdict(verdict), MODES[mode],
-                          answers, bad, reason)
+            reason = body[REPORT.size : REPORT.size + length].decode("utf-8", "replace")
+            return Report(
+                history,
+                birth,
+                number,
+                counter,
+                version,
+                pending,
+                Verdict(verdict),
+                MODES[mode],
+                answers,
+                bad,
+                reason,
+            )
         if kind == Kind.LEAVING:
             number, generation = LEAVING.unpack_from(body)
-            rest = body[LEAVING.size:]
+            rest = body[LEAVING.size :]
             if len(rest) % 8:
                 raise ValueError("a server is cut off")
-            return Leaving(history, birth, number, generation, tuple(
-                int.from_bytes(rest[at:at + 8], "big") for at in range(0, len(rest), 8)))
+            return Leaving(
+                history,
+                birth,
+                number,
+                generation,
+                tuple(int.from_bytes(rest[at : at + 8], "big") for at in range(0, len(rest), 8)),
+            )
     except (ValueError, IndexError, struct.error):
         pass
     raise Bad("form")
--- a/dykeshift/view/bounds.py
+++ b/dykeshift/view/bounds.py
@@ -54,8 +54,9 @@
     def unheard(self, table: Table) -> list[Address]:
         """Addresses that nobody known lives at and that are not given up."""
         lived = {m.address for m in table}
-        return [a for a in dict.fromkeys(self.peers)
-                if a != self.own and a not in lived and a not in self.quiet]
+        return [
+            a for a in dict.fromkeys(self.peers) if a != self.own and a not in lived and a not in self.quiet
+        ]
 
     def places(self, table: Table) -> int:
         """Counted anew only where something has changed: this is asked at each datagram."""
@@ -107,8 +108,11 @@
             return ()
         if now - self.began >= self.wait:
             self.quiet.update(self.unheard(table))
-        return [m for m in table if m.state is State.UNREACHABLE
-                and now - max(m.since, m.heard, self.held_since) >= self.wait]
+        return [
+            m
+            for m in table
+            if m.state is State.UNREACHABLE and now - max(m.since, m.heard, self.held_since) >= self.wait
+        ]
 
     def heard_at(self, address: Address) -> None:
         self.quiet.discard(address)
--- a/dykeshift/view/core.py
+++ b/dykeshift/view/core.py
@@ -89,8 +89,16 @@
 
 
 class View:
-    def __init__(self, options: Options, seal: Seal, me: Entry, peers: tuple[Address, ...],
-                 own: Address | None, everybody: Address | None, rng: Random) -> None:
+    def __init__(
+        self,
+        options: Options,
+        seal: Seal,
+        me: Entry,
+        peers: tuple[Address, ...],
+        own: Address | None,
+        everybody: Address | None,
+        rng: Random,
+    ) -> None:
         """`me.birth`: drawn at random for each process. `own`: its place in `peers`, where it is told."""
         self.options, self.seal, self.me = options, seal, me
         self.peers, self.everybody, self.rng = peers, everybody, rng
@@ -184,10 +192,22 @@
 
     # ---- sending ----
 
-    def _send(self, now: int, priority: int, address: Address | None, kind: Kind, *, ask: int = 0,
-              echo: int = 0, target: str = "", proof: tuple[int, int] = (0, 0),
-              sums: tuple[int, ...] = (), flags: int = 0,
-              entries: list[Entry] | None = None, fill: bool = False) -> bool:
+    def _send(
+        self,
+        now: int,
+        priority: int,
+        address: Address | None,
+        kind: Kind,
+        *,
+        ask: int = 0,
+        echo: int = 0,
+        target: str = "",
+        proof: tuple[int, int] = (0, 0),
+        sums: tuple[int, ...] = (),
+        flags: int = 0,
+        entries: list[Entry] | None = None,
+        fill: bool = False,
+    ) -> bool:
         """Within the budget, or not at all. `fill`: with news as far as there is room."""
         if address is None or (self.yielded and kind is not Kind.ACK):
             return False
@@ -202,8 +222,25 @@
         self.seq += 1
         digest = self.table.digest() ^ mark(self.me)
         flags |= HOLDS * self.standing.holds
-        data = encode(Message(kind, self.me.name, self.me.birth, self.me.incarnation, self.seq, digest, flags,
-                              ask, echo, target, proof, sums, own), self.seal, packed)
+        data = encode(
+            Message(
+                kind,
+                self.me.name,
+                self.me.birth,
+                self.me.incarnation,
+                self.seq,
+                digest,
+                flags,
+                ask,
+                echo,
+                target,
+                proof,
+                sums,
+                own,
+            ),
+            self.seal,
+            packed,
+        )
         self.budget.spend(len(data))
         self.out.append((data, address))
         return True
@@ -218,12 +255,20 @@
         self.questions[token] = question
         return token
 
-    def _ask(self, now: int, priority: int, address: Address | None, name: str,
-             relay: tuple[str, int] | None = None, entries: list[Entry] | None = None) -> None:
+    def _ask(
+        self,
+        now: int,
+        priority: int,
+        address: Address | None,
+        name: str,
+        relay: tuple[str, int] | None = None,
+        entries: list[Entry] | None = None,
+    ) -> None:
         if address is not None:
             token = self._token(Question(name, now, now + 4 * self.options.period, relay))
-            if not self._send(now, priority, address, Kind.PING, ask=token, entries=entries,
-                              fill=not entries):
+            if not self._send(
+                now, priority, address, Kind.PING, ask=token, entries=entries, fill=not entries
+            ):
                 del self.questions[token]
 
     def _some(self, most: int, but: str = "") -> list[Member]:
@@ -364,8 +409,11 @@
             self.news.add(entry)
         if entry.state is State.SUSPECT:
             member.suspect_until = now + self.suspicion()
-        if entry.state in (State.SUSPECT, State.UNREACHABLE) and member.address is not None and (
-                now - member.heard < TOUCH * self.options.period):
+        if (
+            entry.state in (State.SUSPECT, State.UNREACHABLE)
+            and member.address is not None
+            and (now - member.heard < TOUCH * self.options.period)
+        ):
             self._send(now, RELAY, member.address, Kind.NEWS, entries=[entry])  # it can contradict at once
         if entry.state is State.ALIVE:
             member.fails = 0
@@ -393,8 +441,11 @@
 
     def _hear_of_self(self, now: int, entry: Entry) -> None:
         if entry.birth == self.me.birth:
-            if entry.incarnation >= self.me.incarnation and entry.state is not State.ALIVE and (
-                    self.me.state is State.ALIVE):
+            if (
+                entry.incarnation >= self.me.incarnation
+                and entry.state is not State.ALIVE
+                and (self.me.state is State.ALIVE)
+            ):
                 self.me = replace(self.me, incarnation=entry.incarnation)
                 self._raise(now)
             return
@@ -428,8 +479,10 @@
             return
         question = self.questions.pop(message.echo, None) if message.echo else None
         if question is not None and (
-                message.name not in (question.name or message.name, question.via)
-                or message.kind is Kind.VIA and message.target != question.name):
+            message.name not in (question.name or message.name, question.via)
+            or message.kind is Kind.VIA
+            and message.target != question.name
+        ):
             question = None
         known = self.table.get(message.name)
         if question is not None and message.kind is not Kind.VIA:
@@ -451,8 +504,10 @@
 
     def _proved(self, now: int, message: Message, address: Address, question: Question) -> Member | None:
         """Who answers a question of ours is at work, and is who it says."""
-        entry = next((e for e in message.entries if e.name == message.name and e.birth == message.birth),
-                     Entry(message.name, message.incarnation, message.birth))
+        entry = next(
+            (e for e in message.entries if e.name == message.name and e.birth == message.birth),
+            Entry(message.name, message.incarnation, message.birth),
+        )
         known = self.table.get(message.name)
         if known is None or known.entry.birth != message.birth:
             self._merge(now, replace(entry, incarnation=message.incarnation, state=State.ALIVE))
@@ -473,8 +528,16 @@
         if question.relay is not None:
             asker = self.table.get(question.relay[0])
             if asker is not None:
-                self._send(now, RELAY, asker.address, Kind.VIA, echo=question.relay[1], target=message.name,
-                           proof=(message.birth, message.incarnation), fill=True)
+                self._send(
+                    now,
+                    RELAY,
+                    asker.address,
+                    Kind.VIA,
+                    echo=question.relay[1],
+                    target=message.name,
+                    proof=(message.birth, message.incarnation),
+                    fill=True,
+                )
         return known
 
     def _answered(self, now: int) -> None:
@@ -568,14 +631,22 @@
         awake = not self.yielded and (alone or self._in_touch(now))
         standing = self.bounds.stand(now, self.table, awake, self._known_alive(now))
         if (standing.at_least, standing.at_most, standing.holds) != (
-                self.standing.at_least, self.standing.at_most, self.standing.holds):
+            self.standing.at_least,
+            self.standing.at_most,
+            self.standing.holds,
+        ):
             self.events.append(Event("bounds", at_least=standing.at_least, at_most=standing.at_most))
         self.standing = standing
         settled = self._is_settled(now)
         if settled != self.settled:
             self.settled, self.settled_at = settled, now
-            self.events.append(Event("settled" if settled else "unsettled", at_least=standing.at_least,
-                                     at_most=standing.at_most))
+            self.events.append(
+                Event(
+                    "settled" if settled else "unsettled",
+                    at_least=standing.at_least,
+                    at_most=standing.at_most,
+                )
+            )
 
     def _known_alive(self, now: int) -> int:
         """Of the others. What it believed before it stood still, or was cut off, counts once one who holds
@@ -609,21 +680,36 @@
         """For the console. Seconds, counts, hexadecimal digests."""
 
         def row(entry: Entry, state: State, since: int) -> dict[str, Any]:
-            return {"name": entry.name, "number": entry.number if entry.number != NOBODY else -1,
-                    "incarnation": entry.incarnation, "state": state.name.lower(),
-                    "settings": f"{entry.settings:08x}", "zone": entry.zone,
-                    "program": f"{entry.program >> 8}.{entry.program & 255}",
-                    "since_s": round(max(0, now - since) / 1e9, 3)}
+            return {
+                "name": entry.name,
+                "number": entry.number if entry.number != NOBODY else -1,
+                "incarnation": entry.incarnation,
+                "state": state.name.lower(),
+                "settings": f"{entry.settings:08x}",
+                "zone": entry.zone,
+                "program": f"{entry.program >> 8}.{entry.program & 255}",
+                "since_s": round(max(0, now - since) / 1e9, 3),
+            }
 
         rows = [row(self.me, self.me.state, self.bounds.began)]
         rows += [row(m.entry, self.state_of(now, m), m.since) for m in self.table]
         rows.sort(key=lambda r: str(r["name"]))
-        return {"self": self.me.name, "incarnation": self.me.incarnation, "settled": self.settled,
-                "since_s": round((now - self.settled_at) / 1e9, 3), "at_least": self.standing.at_least,
-                "at_most": self.standing.at_most, "holds_lease": self.standing.holds,
-                "lease_s": self.options.lease / 1e9, "yielded": self.yielded, "twin": self.yielded or any(
-                    n >= RIVALS for n in self.rivals.values()), "digest": self.digest(now),
-                "periods": self.periods, "woken": self.woken, "woken_at": self.woken_at, "members": rows,
-                "sent": {"datagrams": self.budget.sent[0], "bytes": self.budget.sent[1]},
-                "dropped": dict(sorted(self.dropped.items()))}
-
+        return {
+            "self": self.me.name,
+            "incarnation": self.me.incarnation,
+            "settled": self.settled,
+            "since_s": round((now - self.settled_at) / 1e9, 3),
+            "at_least": self.standing.at_least,
+            "at_most": self.standing.at_most,
+            "holds_lease": self.standing.holds,
+            "lease_s": self.options.lease / 1e9,
+            "yielded": self.yielded,
+            "twin": self.yielded or any(n >= RIVALS for n in self.rivals.values()),
+            "digest": self.digest(now),
+            "periods": self.periods,
+            "woken": self.woken,
+            "woken_at": self.woken_at,
+            "members": rows,
+            "sent": {"datagrams": self.budget.sent[0], "bytes": self.budget.sent[1]},
+            "dropped": dict(sorted(self.dropped.items())),
+        }
--- a/dykeshift/view/shell.py
+++ b/dykeshift/view/shell.py
@@ -15,8 +15,9 @@
 
 
 class Port(asyncio.DatagramProtocol):
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, view: View,
-                 tell: Callable[[Event], None]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, view: View, tell: Callable[[Event], None]
+    ) -> None:
         self.loop, self.clock, self.view, self.tell = loop, clock, view, tell
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
--- a/dykeshift/view/wire.py
+++ b/dykeshift/view/wire.py
@@ -109,14 +109,26 @@
 
 def pack_entry(entry: Entry) -> bytes:
     name = entry.name.encode()
-    body = ENTRY.pack(entry.incarnation, entry.birth, entry.state, entry.number, entry.tier, entry.zone,
-                      entry.settings, entry.program, len(name)) + name
+    body = (
+        ENTRY.pack(
+            entry.incarnation,
+            entry.birth,
+            entry.state,
+            entry.number,
+            entry.tier,
+            entry.zone,
+            entry.settings,
+            entry.program,
+            len(name),
+        )
+        + name
+    )
     return bytes((MEMBER, len(body))) + body
 
 
 def _unpack_entry(value: bytes) -> Entry:
     incarnation, birth, state, number, tier, zone, settings, program, length = ENTRY.unpack_from(value)
-    name = value[ENTRY.size:ENTRY.size + length]
+    name = value[ENTRY.size : ENTRY.size + length]
     if not 0 < length <= LONGEST_NAME or len(name) < length:
         raise ValueError("a name is cut off")
     return Entry(name.decode(), incarnation, birth, State(state), number, tier, zone, settings, program)
@@ -125,8 +137,20 @@
 def encode(message: Message, seal: Seal, packed: list[bytes] | None = None) -> bytes:
     """`packed`: entries that are packed already, after the message's own. What does not fit is left out."""
     name = message.name.encode()
-    parts = [HEAD.pack(VERSION, message.kind, seal.tag, message.birth, message.incarnation, message.seq,
-                       message.digest, message.flags, len(name)), name]
+    parts = [
+        HEAD.pack(
+            VERSION,
+            message.kind,
+            seal.tag,
+            message.birth,
+            message.incarnation,
+            message.seq,
+            message.digest,
+            message.flags,
+            len(name),
+        ),
+        name,
+    ]
     if message.ask:
         parts.append(struct.pack(">BBI", ASK, 4, message.ask))
     if message.echo:
@@ -176,7 +200,7 @@
         at = HEAD.size + length
         if not 0 < length <= LONGEST_NAME or at > len(data) - SEAL:
             raise ValueError("no name")
-        message = Message(Kind(kind), data[HEAD.size:at].decode(), birth, incarnation, seq, digest, flags)
+        message = Message(Kind(kind), data[HEAD.size : at].decode(), birth, incarnation, seq, digest, flags)
         _fields(message, data[at:-SEAL])
     except (ValueError, struct.error):
         raise Bad("form") from None
@@ -187,7 +211,7 @@
     at = 0
     while at + 2 <= len(rest):
         kind, length = rest[at], rest[at + 1]
-        value = rest[at + 2:at + 2 + length]
+        value = rest[at + 2 : at + 2 + length]
         if len(value) < length:
             raise ValueError("a field is cut off")
         at += 2 + length
--- a/tests/agree/defects.py
+++ b/tests/agree/defects.py
@@ -65,14 +65,16 @@
 _init = core.Agree.__init__
 
 
-def _early(self: pieces.Assembly, name: tuple[int, ...], length: int, offset: int,
-           chunk: bytes) -> bytes | None:
+def _early(
+    self: pieces.Assembly, name: tuple[int, ...], length: int, offset: int, chunk: bytes
+) -> bytes | None:
     """Shows what has arrived, padded."""
     return (bytes(offset) + chunk).ljust(length, b"\0")
 
 
-def _any_version(self: proposals.Proposals, now: int, ident: int, expect: int, body: bytes,
-                 address: Address | None) -> bool:
+def _any_version(
+    self: proposals.Proposals, now: int, ident: int, expect: int, body: bytes, address: Address | None
+) -> bool:
     return _take(self, now, ident, self.shared.log.version, body, address)
 
 
@@ -118,7 +120,7 @@
     assert self.disk is not None
     if self.disk.hole:
         self.disk.hole = False
-        del self.disk.payloads[len(self.disk.payloads) // 2:]
+        del self.disk.payloads[len(self.disk.payloads) // 2 :]
     _recover(self)
 
 
@@ -158,8 +160,9 @@
     "shown before it is whole": _patch(pieces.Assembly, "add", _early),
     "expected version not checked": _patch(proposals.Proposals, "_take", _any_version),
     "own copy counted before it is kept": _patch(state.Shared, "kept", _counts_what_is_not_kept),
-    "joint stage counts the new seats alone": _both(_patch(seats.Seats, "quorum", _new_ones_alone),
-                                                    _patch(seats.Seats, "agreed", _new_ones_have)),
+    "joint stage counts the new seats alone": _both(
+        _patch(seats.Seats, "quorum", _new_ones_alone), _patch(seats.Seats, "agreed", _new_ones_have)
+    ),
     "a vote for a shorter log": _patch(voting.Voter, "_current", _votes_for_anybody),
     "a read without a round": _patch(proposals.Proposals, "_wait", _reads_alone),
     "a proposal not known again": _patch(log.Log, "committed_as", _not_its_own),
--- a/tests/agree/test_agree.py
+++ b/tests/agree/test_agree.py
@@ -40,8 +40,9 @@
 
 def made(world: Agreement, at: int, body: bytes, expect: int | None = None) -> int:
     """A change that is committed; its version."""
-    done = world.propose(at, body, max(version(world, s.number) for s in world.up()) if expect is None
-                         else expect)
+    done = world.propose(
+        at, body, max(version(world, s.number) for s in world.up()) if expect is None else expect
+    )
     assert world.run(10, lambda: done.end != FOREVER) and done.ok, done
     return done.version
 
@@ -380,8 +381,16 @@
     core = world.core(next(n for n in range(5) if n not in voters(world)))
     spread, now = core.spread, 1000 * SECOND
     spread.questions[77] = now
-    told = Message(Kind.ANSWER, (0, 1), core.shared.epoch, 1, token=77, commit=core.shared.commit, of=2000,
-                   chain=core.shared.log.chain_at(core.shared.commit) or 0)
+    told = Message(
+        Kind.ANSWER,
+        (0, 1),
+        core.shared.epoch,
+        1,
+        token=77,
+        commit=core.shared.commit,
+        of=2000,
+        chain=core.shared.log.chain_at(core.shared.commit) or 0,
+    )
     spread.on_answer(now + 3 * SECOND, told, ("10.0.0.0", 1))
     assert spread.lease_left(now + 3 * SECOND) == 5 * SECOND
     spread.on_answer(now + 3 * SECOND, told, ("10.0.0.0", 1))  # played again, it answers nothing
--- a/tests/agree/test_defects.py
+++ b/tests/agree/test_defects.py
@@ -28,10 +28,12 @@
     "own copy counted before it is kept": lambda: test_agree.test_nothing_counts_before_it_is_kept("alone"),
     "said before it is kept": lambda: test_agree.test_nothing_counts_before_it_is_kept("follower"),
     "a spoilt file read on": test_agree.test_a_spoilt_file_costs_the_birth_and_a_torn_end_does_not,
-    "joint stage counts the new seats alone":
-        test_parts.test_any_two_majorities_of_a_change_have_somebody_in_common,
-    "lease from the answer's arrival":
-        test_agree.test_a_lease_counts_from_the_question_and_takes_the_age_of_the_answer_off,
+    "joint stage counts the new seats alone": (
+        test_parts.test_any_two_majorities_of_a_change_have_somebody_in_common
+    ),
+    "lease from the answer's arrival": (
+        test_agree.test_a_lease_counts_from_the_question_and_takes_the_age_of_the_answer_off
+    ),
     "an old epoch goes on": test_agree.test_what_is_left_of_an_old_epoch_commits_nothing_once_it_has_heard,
 }
 
--- a/tests/agree/test_explore.py
+++ b/tests/agree/test_explore.py
@@ -14,10 +14,13 @@
     assert result.broken == "" and {"leader 1", "candidate 0"} <= result.reached
 
 
-@pytest.mark.parametrize("defect, bounds", [
-    ("vote not kept", Bounds(terms=1, crashes=0, states=2000)),
-    ("one less than a majority", Bounds(terms=1, crashes=0, flying=2, states=100)),
-])
+@pytest.mark.parametrize(
+    "defect, bounds",
+    [
+        ("vote not kept", Bounds(terms=1, crashes=0, states=2000)),
+        ("one less than a majority", Bounds(terms=1, crashes=0, flying=2, states=100)),
+    ],
+)
 def test_the_defect_is_found(defect: str, bounds: Bounds, monkeypatch: pytest.MonkeyPatch) -> None:
     DEFECTS[defect](monkeypatch)
     result = explore(bounds)
--- a/tests/agree/test_parts.py
+++ b/tests/agree/test_parts.py
@@ -30,11 +30,17 @@
 @st.composite
 def messages(draw: st.DrawFn) -> Message:
     kind = draw(st.sampled_from(Kind))
-    fields: dict[str, Any] = {name: draw(st.integers(0, 2 ** SIZES.get(name, 32) - 1))
-                              for name in FIELDS[kind][1]}
-    made = Message(kind, (draw(st.integers(0, 65535)), draw(U32)),
-                   (draw(U32), draw(st.integers(0, 65535)), draw(U32)),
-                   draw(U32), draw(st.integers(0, 65535)), **fields)
+    fields: dict[str, Any] = {
+        name: draw(st.integers(0, 2 ** SIZES.get(name, 32) - 1)) for name in FIELDS[kind][1]
+    }
+    made = Message(
+        kind,
+        (draw(st.integers(0, 65535)), draw(U32)),
+        (draw(U32), draw(st.integers(0, 65535)), draw(U32)),
+        draw(U32),
+        draw(st.integers(0, 65535)),
+        **fields,
+    )
     if kind in CHUNKED:
         made.chunk = draw(st.binary(max_size=CHUNK))
         made.length = min(made.offset + len(made.chunk) + draw(st.integers(0, 9)), 2**32 - 1)
@@ -52,8 +58,9 @@
 
 
 @given(st.binary(max_size=300), messages(), st.integers(0, 255), st.integers(1, 255))
-def test_any_bytes_end_in_a_message_or_in_its_error(data: bytes, message: Message, at: int,
-                                                    flip: int) -> None:
+def test_any_bytes_end_in_a_message_or_in_its_error(
+    data: bytes, message: Message, at: int, flip: int
+) -> None:
     whole = bytearray(encode(message, SEAL))
     whole[at % len(whole)] ^= flip
     for one in (data, bytes(whole)):
@@ -69,11 +76,12 @@
 
 @given(st.binary(max_size=2000), st.randoms(use_true_random=False))
 def test_pieces_in_any_order_make_the_whole_once(body: bytes, rng: Random) -> None:
-    assembly, pieces = Assembly(), [(n, body[n:n + CHUNK]) for n in range(0, max(1, len(body)), CHUNK)]
+    assembly, pieces = Assembly(), [(n, body[n : n + CHUNK]) for n in range(0, max(1, len(body)), CHUNK)]
     order = pieces * 3
     rng.shuffle(order)
-    found = [w for w in (assembly.add((1,), len(body), at, chunk) for at, chunk in order + pieces)
-             if w is not None]
+    found = [
+        w for w in (assembly.add((1,), len(body), at, chunk) for at, chunk in order + pieces) if w is not None
+    ]
     assert found and set(found) == {body}
 
 
@@ -90,8 +98,10 @@
             assert one.agreed(has.__getitem__) == int(one.quorum(lambda s, y=yes: s in y))  # type: ignore[misc]
 
 
-@pytest.mark.parametrize("voters, places, numbers", [
-    (5, 200, (0, 40, 80, 120, 160)), (5, 4, (0, 1, 2)), (3, 3, (0, 1, 2)), (3, 1, (0,)), (5, 0, ())])
+@pytest.mark.parametrize(
+    "voters, places, numbers",
+    [(5, 200, (0, 40, 80, 120, 160)), (5, 4, (0, 1, 2)), (3, 3, (0, 1, 2)), (3, 1, (0,)), (5, 0, ())],
+)
 def test_who_votes_at_first(voters: int, places: int, numbers: tuple[int, ...]) -> None:
     assert seats.drawn(voters, places) == numbers
 
@@ -111,7 +121,10 @@
         rest.append(whole.entry(index))
     for index in range(12, 21):
         assert (rest.chain_at(index), rest.term_at(index), rest.version_at(index)) == (
-            whole.chain_at(index), whole.term_at(index), whole.version_at(index))
+            whole.chain_at(index),
+            whole.term_at(index),
+            whole.version_at(index),
+        )
     assert [rest.committed_as(n, 15) for n in (3, 14, 18)] == [3, 14, None]
     whole.begin_at(base)
     assert (whole.last, whole.chain_at(20)) == (20, rest.chain_at(20))
@@ -122,22 +135,29 @@
 
 def test_records_read_back_are_the_life_that_was_written() -> None:
     log = _log(6)
-    records: list[tuple[Any, ...]] = [("me", (7, 1, 9), 42), ("base", Base(wanted=3, now=((0, 42),))),
-                                      ("vote", 3, (0, 42))]
+    records: list[tuple[Any, ...]] = [
+        ("me", (7, 1, 9), 42),
+        ("base", Base(wanted=3, now=((0, 42),))),
+        ("vote", 3, (0, 42)),
+    ]
     records += [("entry", log.entry(n)) for n in range(1, 7)] + [("cut", 5), ("vote", 4, None)]
     kept = keep.replay([keep.pack(r) for r in records])
     assert kept is not None and (kept.epoch, kept.birth, kept.term, kept.vote) == ((7, 1, 9), 42, 4, None)
     assert kept.log.last == 4 and kept.log.chain_at(4) == log.chain_at(4)
     again = keep.replay(keep.whole(kept))
     assert again is not None and (again.term, again.log.chain_at(4)) == (4, log.chain_at(4))
-    for wrong in ([b"\xc1"], [keep.pack(("vote", 1, None))],
-                  [keep.pack(("me", (7, 1, 9), 1)), keep.pack(("what", 1))]):
+    for wrong in (
+        [b"\xc1"],
+        [keep.pack(("vote", 1, None))],
+        [keep.pack(("me", (7, 1, 9), 1)), keep.pack(("what", 1))],
+    ):
         with pytest.raises(keep.Spoilt):
             keep.replay(wrong)
 
 
-def call(kind: str, start: int, end: int, version: int, body: bytes = b"", expect: int = 0,
-         ok: bool = True) -> Operation:
+def call(
+    kind: str, start: int, end: int, version: int, body: bytes = b"", expect: int = 0, ok: bool = True
+) -> Operation:
     return Operation(kind, start, end, body, expect, version, ok and kind == "propose")
 
 
@@ -149,10 +169,14 @@
     "a read that is stale": ([FIRST, call("read", 11, 12, 0)], False),
     "two committed as one": ([FIRST, call("propose", 1, 9, 1, b"b")], False),
     "unknown, and seen later": ([call("propose", 0, FOREVER, 0, b"a"), call("read", 90, 91, 1, b"a")], True),
-    "unknown, seen and gone": ([call("propose", 0, FOREVER, 0, b"a"), call("read", 50, 51, 1, b"a"),
-                                call("read", 60, 61, 0)], False),
-    "turned down, and seen": ([call("propose", 0, 9, 1, b"b", ok=False), FIRST,
-                               call("read", 11, 12, 1, b"b")], False),
+    "unknown, seen and gone": (
+        [call("propose", 0, FOREVER, 0, b"a"), call("read", 50, 51, 1, b"a"), call("read", 60, 61, 0)],
+        False,
+    ),
+    "turned down, and seen": (
+        [call("propose", 0, 9, 1, b"b", ok=False), FIRST, call("read", 11, 12, 1, b"b")],
+        False,
+    ),
     "turned down though nothing came between": ([call("propose", 0, 9, 0, b"b", ok=False)], False),
     "a body nobody proposed": ([FIRST, call("read", 11, 12, 1, b"z")], False),
     "a version left out": ([FIRST, call("propose", 11, 12, 3, b"c", 2)], False),
@@ -170,8 +194,14 @@
         sent: list[Any] = []
         waiting: list[Any] = []
         core = Agree(Options(voters=1), SEAL, 0, {0: ("127.0.0.1", 1)}, Random(1), disk=True)
-        runner = Runner(asyncio.get_running_loop(), SYSTEM, core, sent.extend, lambda event: None,
-                        lambda records, done: waiting.append(done))
+        runner = Runner(
+            asyncio.get_running_loop(),
+            SYSTEM,
+            core,
+            sent.extend,
+            lambda event: None,
+            lambda records, done: waiting.append(done),
+        )
         runner.start()
         core.shared.send(runner.now(), 0, ("127.0.0.1", 2), Kind.ASK)
         runner.carry(core.on_timer(runner.now()))
--- a/tests/agree/test_stateful.py
+++ b/tests/agree/test_stateful.py
@@ -18,8 +18,9 @@
 class Machine(RuleBasedStateMachine):
     def __init__(self) -> None:
         super().__init__()
-        self.world = Agreement("stateful", 4, Options(voters=3, lease=4 * SECOND, replace=8 * SECOND, keep=4),
-                               (0, 1))
+        self.world = Agreement(
+            "stateful", 4, Options(voters=3, lease=4 * SECOND, replace=8 * SECOND, keep=4), (0, 1)
+        )
         self.world.start_all()
         assert self.world.run(20, self.world.led)
 
@@ -80,6 +81,11 @@
             assert check(self.world.operations) == ""
 
 
-Machine.TestCase.settings = settings(max_examples=20, stateful_step_count=30, deadline=None, derandomize=True,
-                                     suppress_health_check=list(HealthCheck))
+Machine.TestCase.settings = settings(
+    max_examples=20,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 TestStateful = Machine.TestCase
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -36,19 +36,37 @@
 
 def test_the_shell_completes_commands() -> None:
     asked = {"_LIFTTRAIL_COMPLETE": "bash_complete", "COMP_WORDS": "lifttrail d", "COMP_CWORD": "1"}
-    done = subprocess.run([sys.executable, "-m", "dykeshift"], capture_output=True, text=True, check=True,
-                          env={**os.environ, **asked})
+    done = subprocess.run(
+        [sys.executable, "-m", "dykeshift"],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, **asked},
+    )
     assert done.stdout.strip() == "plain,demo"
 
 
-@pytest.mark.parametrize("arguments", [
-    ("nonsense",), ("sim",), ("sim", "run", "--seeds", "9:3"), ("sim", "run", "--seeds", "a:b"),
-    ("sim", "run", "--seeds", "-5:3"), ("sim", "run", "--seeds", "0:99999999"), ("sim", "run", "--jobs", "0"),
-    ("sim", "replay", "no-such-file"), ("sim", "shrink", "1", "--rule", "gravity"),
-    ("sim", "replay", "1", "--trace", "/no/such/folder/x"), ("check", "/no/such/file"), ("check",),
-    ("init", "/no/such/folder/x"), ("demo", "--seconds", "-1"), ("demo", "--fault", "earthquake"),
-    ("demo", "--balancers", "0"),
-])
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("nonsense",),
+        ("sim",),
+        ("sim", "run", "--seeds", "9:3"),
+        ("sim", "run", "--seeds", "a:b"),
+        ("sim", "run", "--seeds", "-5:3"),
+        ("sim", "run", "--seeds", "0:99999999"),
+        ("sim", "run", "--jobs", "0"),
+        ("sim", "replay", "no-such-file"),
+        ("sim", "shrink", "1", "--rule", "gravity"),
+        ("sim", "replay", "1", "--trace", "/no/such/folder/x"),
+        ("check", "/no/such/file"),
+        ("check",),
+        ("init", "/no/such/folder/x"),
+        ("demo", "--seconds", "-1"),
+        ("demo", "--fault", "earthquake"),
+        ("demo", "--balancers", "0"),
+    ],
+)
 def test_bad_input_is_one_line_and_exit_2(arguments: tuple[str, ...], capsys: Capture) -> None:
     code, out, err = said(capsys, *arguments)
     assert code == 2 and out == "" and err.startswith("lifttrail") and err.count("\n") == 1
@@ -101,14 +119,17 @@
 
 
 def test_commands_load_nothing_of_each_other() -> None:
-    script = ("import sys\nfrom dykeshift.cli import main\nmain(['check', '/no/such/file'])\n"
-              "print(sorted(m for m in sys.modules if m.startswith('dykeshift.')))")
+    script = (
+        "import sys\nfrom dykeshift.cli import main\nmain(['check', '/no/such/file'])\n"
+        "print(sorted(m for m in sys.modules if m.startswith('dykeshift.')))"
+    )
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "['dykeshift.cli', 'dykeshift.cli.check']"
 
 
 # ---- configurations ----
 
+
 def test_the_example_is_usable_as_written_and_without_its_comments(tmp_path: Path, capsys: Capture) -> None:
     for extra in ((), ("--json",)):
         path = tmp_path / f"config{len(extra)}.json"
@@ -117,15 +138,19 @@
         assert said(capsys, "init", str(path))[0] == 2  # it is there already
 
 
-@pytest.mark.parametrize(("change", "finding"), [
-    ({"listen": "nowhere"}, "error: 'nowhere' is no address"),
-    ({"settings": {}}, "error: settings lack settings.bounds"),
-    ({"known": {"generation": "x", "reset": True, "instances": []}}, "error: known: "),
-    ({"colour": 1}, "doubtful: the key 'colour'"),
-    ({"limits": {"sockets": 16}}, "doubtful: limits leave"),
-])
-def test_check_says_what_is_wrong(change: dict[str, object], finding: str, tmp_path: Path,
-                                  capsys: Capture) -> None:
+@pytest.mark.parametrize(
+    ("change", "finding"),
+    [
+        ({"listen": "nowhere"}, "error: 'nowhere' is no address"),
+        ({"settings": {}}, "error: settings lack settings.bounds"),
+        ({"known": {"generation": "x", "reset": True, "instances": []}}, "error: known: "),
+        ({"colour": 1}, "doubtful: the key 'colour'"),
+        ({"limits": {"sockets": 16}}, "doubtful: limits leave"),
+    ],
+)
+def test_check_says_what_is_wrong(
+    change: dict[str, object], finding: str, tmp_path: Path, capsys: Capture
+) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**example(), **change}))
     code, out, _ = said(capsys, "check", str(path))
@@ -142,8 +167,12 @@
     config = {**example(), "listen": f"127.0.0.1:{address[1]}", "discovery": "127.0.0.1:1"}
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
-    process = subprocess.Popen([sys.executable, "-m", "dykeshift.node"], stderr=subprocess.PIPE, text=True,
-                               env={**os.environ, "NODE_CONFIG": str(path)})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "dykeshift.node"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "NODE_CONFIG": str(path)},
+    )
     try:
         until = time.monotonic() + 60
         while process.poll() is None and time.monotonic() < until:
@@ -157,9 +186,25 @@
 
 # ---- the demo: real processes on loopback ----
 
+
 def test_the_demo_keeps_every_rule_through_its_faults(capsys: Capture) -> None:
-    code, out, _ = said(capsys, "demo", "--seconds", "4", "--json", "--rate", "30", "--senders", "4",
-                        "--fault", "hang", "--fault", "drain", "--fault", "kill-balancer")
+    code, out, _ = said(
+        capsys,
+        "demo",
+        "--seconds",
+        "4",
+        "--json",
+        "--rate",
+        "30",
+        "--senders",
+        "4",
+        "--fault",
+        "hang",
+        "--fault",
+        "drain",
+        "--fault",
+        "kill-balancer",
+    )
     report = json.loads(out)
     assert code == 0 and report["broken_rules"] == [] and report["answers"]["served"] > 50
     assert len(report["notes"]) >= 3
@@ -185,5 +230,8 @@
     tally.sent(errand, "d1-2", to)
     tally.left(errand, "d1-2", to)
     assert [text.split(" ", 1)[1][:30] for text in tally.broken_rules] == [
-        "(sms-send) takes effect twice", "(unsafe) is refused and has ru", "is served with what no sender ",
-        "has no answer in its time"]
+        "(sms-send) takes effect twice",
+        "(unsafe) is refused and has ru",
+        "is served with what no sender ",
+        "has no answer in its time",
+    ]
--- a/tests/cli/test_console.py
+++ b/tests/cli/test_console.py
@@ -41,10 +41,15 @@
     run(play())
 
 
-@pytest.mark.parametrize("arguments", [
-    ("status", "--at", "nowhere"), ("status",), ("enter", "--at", "127.0.0.1:1"),
-    ("jump", "--at", "127.0.0.1:1"),
-])
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("status", "--at", "nowhere"),
+        ("status",),
+        ("enter", "--at", "127.0.0.1:1"),
+        ("jump", "--at", "127.0.0.1:1"),
+    ],
+)
 def test_bad_use_is_one_line_and_exit_2(arguments: tuple[str, ...], capsys: Capture) -> None:
     assert main(["console", *arguments]) == 2
     _, err = capsys.readouterr()
--- a/tests/cli/test_mllp.py
+++ b/tests/cli/test_mllp.py
@@ -50,15 +50,24 @@
     return code, out, err
 
 
-@pytest.mark.parametrize(("script", "mode", "heard", "code"), [
-    ("AA", "", "m1: AA (answered)", 0), ("AR\nAA", "", "m1: AR (answered)\nm1: AA (answered)", 1),
-    ("CA AA", "AL|AL", "m1: CA AA (answered)", 0), ("CA close", "AL|AL", "m1: CA (closed)", 1),
-    ("reset", "", "m1: - (closed)", 1), ("cut 12", "", "m1: - (closed)", 1),
-    ("garbage", "", "m1: - (closed)", 1), ("wrong-id", "", "m1: AA (answered)", 0),
-    ("unframed", "", "m1: - (closed)", 1),
-    ("wait 0.01 AE", "", "m1: AE (answered)", 1)])
+@pytest.mark.parametrize(
+    ("script", "mode", "heard", "code"),
+    [
+        ("AA", "", "m1: AA (answered)", 0),
+        ("AR\nAA", "", "m1: AR (answered)\nm1: AA (answered)", 1),
+        ("CA AA", "AL|AL", "m1: CA AA (answered)", 0),
+        ("CA close", "AL|AL", "m1: CA (closed)", 1),
+        ("reset", "", "m1: - (closed)", 1),
+        ("cut 12", "", "m1: - (closed)", 1),
+        ("garbage", "", "m1: - (closed)", 1),
+        ("wrong-id", "", "m1: AA (answered)", 0),
+        ("unframed", "", "m1: - (closed)", 1),
+        ("wait 0.01 AE", "", "m1: AE (answered)", 1),
+    ],
+)
 def test_a_file_is_sent_and_what_comes_back_is_shown(
-        script: str, mode: str, heard: str, code: int, tmp_path: Path, capsys: Capture) -> None:
+    script: str, mode: str, heard: str, code: int, tmp_path: Path, capsys: Capture
+) -> None:
     path = tmp_path / "message.hl7"
     path.write_text(MESSAGE.format("m1", mode))
     with server(script) as scripted:
@@ -75,7 +84,9 @@
         to = f"127.0.0.1:{scripted.address[1]}"
         code, out, _ = said(capsys, "send", str(path), "--to", to, "--cut", "30", "--json")
         assert code == 1 and [(h["control_id"], h["end"]) for h in json.loads(out)] == [
-            ("m1", "answered"), ("m2", "closed")]
+            ("m1", "answered"),
+            ("m2", "closed"),
+        ]
         assert len(scripted.seen) == 1
         code, out, _ = said(capsys, "send", str(path), "--to", to, "--wait", "0.05")
         assert (code, out) == (1, "m1: - (silent)\n")
@@ -108,11 +119,20 @@
     assert code == 2 and err.startswith("lifttrail mllp serve: ") and err.count("\n") == 1
 
 
-@pytest.mark.parametrize("arguments", [
-    ("send", "/no/such", "--to", "127.0.0.1:1"), ("send", "{file}", "--to", "127.0.0.1:1"),
-    ("send", "{file}", "--to", "10.9.8.7:2575"), ("send", "{file}", "--to", "nowhere"),
-    ("send", "{file}", "--to", "127.0.0.1:1", "--times", "0"), ("serve", "--script", "/no/such"),
-    ("make", "--count", "0"), ("journal", "/no/such"), ("send", "{bad}", "--to", "127.0.0.1:1")])
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("send", "/no/such", "--to", "127.0.0.1:1"),
+        ("send", "{file}", "--to", "127.0.0.1:1"),
+        ("send", "{file}", "--to", "10.9.8.7:2575"),
+        ("send", "{file}", "--to", "nowhere"),
+        ("send", "{file}", "--to", "127.0.0.1:1", "--times", "0"),
+        ("serve", "--script", "/no/such"),
+        ("make", "--count", "0"),
+        ("journal", "/no/such"),
+        ("send", "{bad}", "--to", "127.0.0.1:1"),
+    ],
+)
 def test_bad_input_is_one_line(arguments: tuple[str, ...], tmp_path: Path, capsys: Capture) -> None:
     (tmp_path / "file").write_text(MESSAGE.format("m1", ""))
     (tmp_path / "bad").write_text("no message\n")
@@ -127,8 +147,10 @@
     path = tmp_path / "mllp-00000001.log"
     path.write_bytes(file_head(KIND) + one + two)
     code, out, _ = said(capsys, "journal", str(tmp_path))
-    assert code == 0 and out.splitlines() == [f"{path.name}: 2 records, {len(one + two) + 8} bytes",
-                                              "1 answers and 0 messages without one from the journal"]
+    assert code == 0 and out.splitlines() == [
+        f"{path.name}: 2 records, {len(one + two) + 8} bytes",
+        "1 answers and 0 messages without one from the journal",
+    ]
     path.write_bytes(file_head(KIND) + one[:-1] + b"?" + two + one[:-3])
     code, out, _ = said(capsys, "journal", str(tmp_path), "--json")
     assert code == 1 and json.loads(out)["files"][0]["damaged"] == [[8, 8 + len(one)]]
@@ -139,17 +161,28 @@
 
 # ---- feature files ----
 
-@pytest.mark.parametrize(("text", "said_of"), [
-    ("[mllp]\nlisten = ['127.0.0.1:1']\n[[mllp.map]]\ntrigger='ORM'\nclass='send'", "usable, 1 features on"),
-    ("# nothing\n", "usable, 0 features on"), ("[mlp]\n", "there is no feature [mlp]"),
-    ("[mllp]\ncolour = 1", "unknown field `colour`"),
-    ("[mllp]\nconnections = 'x'", "Expected `int`, got `str`"),
-    ("[mllp]\nlisten = ['x']", "no address"), ("[mllp]\nlisten = ['127.0.0.1:1']", "map is empty"),
-    ("[mllp]\nconnections = 0", "connections is 0"), ("[mllp\n", "bad feature file"),
-    ("[mllp]\nupstreams = 'smtp'", "Invalid enum value 'smtp'"),
-])
-def test_check_says_what_is_wrong_with_a_feature_file(text: str, said_of: str, tmp_path: Path,
-                                                      capsys: Capture) -> None:
+
+@pytest.mark.parametrize(
+    ("text", "said_of"),
+    [
+        (
+            "[mllp]\nlisten = ['127.0.0.1:1']\n[[mllp.map]]\ntrigger='ORM'\nclass='send'",
+            "usable, 1 features on",
+        ),
+        ("# nothing\n", "usable, 0 features on"),
+        ("[mlp]\n", "there is no feature [mlp]"),
+        ("[mllp]\ncolour = 1", "unknown field `colour`"),
+        ("[mllp]\nconnections = 'x'", "Expected `int`, got `str`"),
+        ("[mllp]\nlisten = ['x']", "no address"),
+        ("[mllp]\nlisten = ['127.0.0.1:1']", "map is empty"),
+        ("[mllp]\nconnections = 0", "connections is 0"),
+        ("[mllp\n", "bad feature file"),
+        ("[mllp]\nupstreams = 'smtp'", "Invalid enum value 'smtp'"),
+    ],
+)
+def test_check_says_what_is_wrong_with_a_feature_file(
+    text: str, said_of: str, tmp_path: Path, capsys: Capture
+) -> None:
     path = tmp_path / "lifttrail.toml"
     path.write_text(text)
     code = main(("check", str(path)))
@@ -172,10 +205,12 @@
 
 
 def test_what_is_off_is_not_imported() -> None:
-    script = ("import sys\nfrom dykeshift.node import features, __main__\n"
-              "assert not features.load('deploy/lifttrail.toml', False, None).parts\n"
-              "print([m for m in sys.modules if m.startswith(('dykeshift.mllp', 'dykeshift.store', 'msgspec',"
-              " 'structlog', 'tomllib'))])")
+    script = (
+        "import sys\nfrom dykeshift.node import features, __main__\n"
+        "assert not features.load('deploy/lifttrail.toml', False, None).parts\n"
+        "print([m for m in sys.modules if m.startswith(('dykeshift.mllp', 'dykeshift.store', 'msgspec',"
+        " 'structlog', 'tomllib'))])"
+    )
     command = [sys.executable, "-c", script]
     done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout.strip() == "[]"
@@ -185,17 +220,28 @@
     from dykeshift.cli.init import example
 
     (tmp_path / "config.json").write_text(json.dumps({**example(), "listen": "127.0.0.1:0"}))
-    (tmp_path / "f.toml").write_text(f"[mllp]\njournal = '{tmp_path / 'none'}'\nlisten = ['127.0.0.1:0']\n"
-                                     "[[mllp.map]]\ntrigger = 'ORM'\nclass = 'sms-send'\n")
-    done = subprocess.run([sys.executable, "-m", "dykeshift.node"], capture_output=True, text=True, cwd=ROOT,
-                          env={"NODE_CONFIG": str(tmp_path / "config.json"), "PATH": "/usr/bin",
-                               "LIFTTRAIL_FEATURES": str(tmp_path / "f.toml")})
+    (tmp_path / "f.toml").write_text(
+        f"[mllp]\njournal = '{tmp_path / 'none'}'\nlisten = ['127.0.0.1:0']\n"
+        "[[mllp.map]]\ntrigger = 'ORM'\nclass = 'sms-send'\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "dykeshift.node"],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={
+            "NODE_CONFIG": str(tmp_path / "config.json"),
+            "PATH": "/usr/bin",
+            "LIFTTRAIL_FEATURES": str(tmp_path / "f.toml"),
+        },
+    )
     assert done.returncode == 2 and "the journal" in done.stderr.splitlines()[-1]
     assert "No such file" in done.stderr and "Traceback" not in done.stderr
 
 
 # ---- the daemon killed outright, over and over; the long run is benchmarks/mllp_kill.py --kills 500 ----
 
+
 def test_a_killed_daemon_does_nothing_twice_and_loses_nothing_that_it_acknowledged() -> None:
     command = [sys.executable, "benchmarks/mllp_kill.py", "--kills", "6", "--jobs", "2", "--json"]
     done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, env={"PYTHONPATH": "."})
--- a/tests/cli/test_rig.py
+++ b/tests/cli/test_rig.py
@@ -14,13 +14,19 @@
 from dykeshift.cli.fleet import headline
 
 
-@pytest.mark.parametrize("arguments, said", [
-    (["rig", "run"], "a FILE or --seeds"), (["rig", "run", "x.toml", "--seeds", "1"], "one of them"),
-    (["rig", "run", "nowhere.toml"], "cannot read"), (["rig", "run", "--seeds", "b"], "range of seeds"),
-    (["fleet", "members", "--at", "here"], "no address"),
-])
+@pytest.mark.parametrize(
+    "arguments, said",
+    [
+        (["rig", "run"], "a FILE or --seeds"),
+        (["rig", "run", "x.toml", "--seeds", "1"], "one of them"),
+        (["rig", "run", "nowhere.toml"], "cannot read"),
+        (["rig", "run", "--seeds", "b"], "range of seeds"),
+        (["fleet", "members", "--at", "here"], "no address"),
+    ],
+)
 def test_what_cannot_be_done_is_a_line_and_exit_2(
-        arguments: list[str], said: str, capsys: pytest.CaptureFixture[str]) -> None:
+    arguments: list[str], said: str, capsys: pytest.CaptureFixture[str]
+) -> None:
     assert main(arguments) == 2
     told = capsys.readouterr().err
     assert said in told and told.count("\n") == 1
@@ -43,8 +49,15 @@
 
 
 def test_a_headline_says_how_sure_the_view_is() -> None:
-    view = {"self": "n1", "settled": False, "since_s": 2.0, "at_least": 3, "at_most": 5, "holds_lease": False,
-            "digest": "ab"}
+    view = {
+        "self": "n1",
+        "settled": False,
+        "since_s": 2.0,
+        "at_least": 3,
+        "at_most": 5,
+        "holds_lease": False,
+        "digest": "ab",
+    }
     assert headline(view) == "n1: not settled for 2.0 s, 3 to 5 at work, holds no lease, digest ab"
 
 
@@ -60,8 +73,12 @@
 
 
 def test_sigterm_leaves_no_balancer_behind() -> None:
-    run = subprocess.Popen([sys.executable, "-m", "dykeshift", "rig", "run", "--seeds", "0:2", "--jobs", "2"],
-                           start_new_session=True, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    run = subprocess.Popen(
+        [sys.executable, "-m", "dykeshift", "rig", "run", "--seeds", "0:2", "--jobs", "2"],
+        start_new_session=True,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     while run.poll() is None and not any("dykeshift.node" in line for line in _of_session(run.pid)):
         os.sched_yield()
     run.terminate()
--- a/tests/console/test_calls.py
+++ b/tests/console/test_calls.py
@@ -54,10 +54,17 @@
 
 
 CALLS = st.one_of(
-    st.tuples(st.just(b"PUT"), st.sampled_from([b"/maintenance/enter", b"/maintenance/exit"]),
-              st.sampled_from([named(n) for n in (*KNOWN, "s9", "")])),
-    st.tuples(st.sampled_from([b"PUT", b"GET", b"POST"]), st.sampled_from([*calls.CALLS, b"/", b"/stand"]),
-              st.sampled_from([b"", b"{", b"[]", b'{"name":7}', b'{"nam":"s0"}', named("s0"), b"[" * 9000])))
+    st.tuples(
+        st.just(b"PUT"),
+        st.sampled_from([b"/maintenance/enter", b"/maintenance/exit"]),
+        st.sampled_from([named(n) for n in (*KNOWN, "s9", "")]),
+    ),
+    st.tuples(
+        st.sampled_from([b"PUT", b"GET", b"POST"]),
+        st.sampled_from([*calls.CALLS, b"/", b"/stand"]),
+        st.sampled_from([b"", b"{", b"[]", b'{"name":7}', b'{"nam":"s0"}', named("s0"), b"[" * 9000]),
+    ),
+)
 
 
 @given(st.lists(CALLS, max_size=30))
@@ -76,13 +83,22 @@
         assert desk.state() == (out, draining)
 
 
-@pytest.mark.parametrize(("method", "target", "body", "status"), [
-    (b"GET", b"/status", b"", 200), (b"GET", b"/status?verbose=1", b"", 200), (b"PUT", b"/status", b"", 405),
-    (b"GET", b"/status/", b"", 404), (b"POST", b"/standby", b"", 405),
-    (b"PUT", b"/maintenance/enter", named("s9"), 404), (b"PUT", b"/maintenance/exit", named("s9"), 404),
-    (b"PUT", b"/maintenance/enter", named(""), 400), (b"PUT", b"/maintenance/enter", b"s0", 400),
-    (b"PUT", b"/maintenance/enter", b"\xff", 400), (b"PUT", b"/maintenance/enter", b'["s0"]', 400),
-])
+@pytest.mark.parametrize(
+    ("method", "target", "body", "status"),
+    [
+        (b"GET", b"/status", b"", 200),
+        (b"GET", b"/status?verbose=1", b"", 200),
+        (b"PUT", b"/status", b"", 405),
+        (b"GET", b"/status/", b"", 404),
+        (b"POST", b"/standby", b"", 405),
+        (b"PUT", b"/maintenance/enter", named("s9"), 404),
+        (b"PUT", b"/maintenance/exit", named("s9"), 404),
+        (b"PUT", b"/maintenance/enter", named(""), 400),
+        (b"PUT", b"/maintenance/enter", b"s0", 400),
+        (b"PUT", b"/maintenance/enter", b"\xff", 400),
+        (b"PUT", b"/maintenance/enter", b'["s0"]', 400),
+    ],
+)
 def test_what_is_answered_to(method: bytes, target: bytes, body: bytes, status: int) -> None:
     got = calls.answer(Desk(), method, target, body)
     assert got.status == status
--- a/tests/console/test_shell.py
+++ b/tests/console/test_shell.py
@@ -55,20 +55,31 @@
 METRICS = b"GET /status/metrics HTTP/1.1\r\nHost: b\r\n\r\n"
 
 
-@pytest.mark.parametrize(("pieces", "status"), [
-    ((b"GET /status HTTP/1.1\r\nHost: b\r\n\r\n",), 200),
-    ((b"GET /status HTTP/1.0\r\n\r\n",), 200),
-    (tuple(bytes([byte]) for byte in put("maintenance/enter", "s0")), 200),
-    ((b"PUT /maintenance/enter HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n",
-      b'6\r\n{"name\r\n', b'7;x=y\r\n":"s0"}\r\n0\r\n\r\n'), 200),
-    ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\nnoise",), 200),
-    ((b"NONSENSE\r\n\r\n",), 400), ((b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",), 400),
-    ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 20000\r\n\r\n",), 413),
-    ((b"GET /status HTTP/1.1\r\nX: " + b"x" * 20_000,), 431),
-    ((b"GET /status HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n",), 400),
-])
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        ((b"GET /status HTTP/1.1\r\nHost: b\r\n\r\n",), 200),
+        ((b"GET /status HTTP/1.0\r\n\r\n",), 200),
+        (tuple(bytes([byte]) for byte in put("maintenance/enter", "s0")), 200),
+        (
+            (
+                b"PUT /maintenance/enter HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b'6\r\n{"name\r\n',
+                b'7;x=y\r\n":"s0"}\r\n0\r\n\r\n',
+            ),
+            200,
+        ),
+        ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\nnoise",), 200),
+        ((b"NONSENSE\r\n\r\n",), 400),
+        ((b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",), 400),
+        ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 20000\r\n\r\n",), 413),
+        ((b"GET /status HTTP/1.1\r\nX: " + b"x" * 20_000,), 431),
+        ((b"GET /status HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n",), 400),
+    ],
+)
 def test_calls_in_every_form_are_answered_once_and_the_connection_ends(
-        pieces: tuple[bytes, ...], status: int) -> None:
+    pieces: tuple[bytes, ...], status: int
+) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         async with called(stub) as (_, call):
@@ -81,7 +92,8 @@
     async def main() -> None:
         async with called() as (balancer, _):
             reader, writer = await asyncio.open_connection(
-                *balancer.services[-1].server.sockets[0].getsockname())
+                *balancer.services[-1].server.sockets[0].getsockname()
+            )
             writer.write(b"PUT /standby HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
             assert "100" in (await read_message(reader)).start
             writer.write(b"x")
--- a/tests/fleet/before.py
+++ b/tests/fleet/before.py
@@ -50,7 +50,7 @@
     def _gather(self, now: int) -> None:
         super()._gather(now)
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
-        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
+        self.pool = self.ready[: max(POOL_LEAST * DRAW, int(met))]
         pool = set(self.pool)
         lacking = sum(1 - self._warmth(now, s) for s in self.cold if s in pool)
         self.whole = max(len(self.pool) - lacking, SAFETY * len(self.pool), 1.0)
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -15,9 +15,13 @@
 from dykeshift.rules import Balancer, Server
 
 DAY = Day(
-    senders=Senders(count=10, queue=400), balancers=Balancers(count=300), clients=Clients(retries=2),
-    load=(Stretch(seconds=4.5, load=0.95),), warm_s=0.5,
-    troubles=(Trouble(kind="restart", at=1.0, part=0.4),))
+    senders=Senders(count=10, queue=400),
+    balancers=Balancers(count=300),
+    clients=Clients(retries=2),
+    load=(Stretch(seconds=4.5, load=0.95),),
+    warm_s=0.5,
+    troubles=(Trouble(kind="restart", at=1.0, part=0.4),),
+)
 
 
 class Ignores(Balancer):
@@ -57,8 +61,9 @@
     assert play(DAY, defect, 1).breaches.get("cold", 0) > 0
 
 
-@pytest.mark.parametrize(("limit", "least", "most"), [
-    (1, 0.02, 0.1), (20, 0.35, 0.45), (86, 0.55, 0.7), (1e9, 0.7, 0.7)])
+@pytest.mark.parametrize(
+    ("limit", "least", "most"), [(1, 0.02, 0.1), (20, 0.35, 0.45), (86, 0.55, 0.7), (1e9, 0.7, 0.7)]
+)
 def test_what_is_used_of_the_budget_leaves_room_for_chance(limit: float, least: float, most: float) -> None:
     used = Balancer._used(limit)
     assert least <= used <= most
--- a/tests/fleet/test_experiments.py
+++ b/tests/fleet/test_experiments.py
@@ -44,19 +44,21 @@
     assert len(rows) == 8 == len(set(played)) and [r["key"] for r in rows] == [c.key for c in cells(plan)]
     results = out / runs.RESULTS
     whole = results.read_bytes()
-    results.write_bytes(whole[:whole.rfind(b"\n", 0, len(whole) - 1) - 40])  # killed in the middle of a line
+    results.write_bytes(whole[: whole.rfind(b"\n", 0, len(whole) - 1) - 40])  # killed in the middle of a line
     played.clear()
     again = runs.execute(plan, text, out, 2, lambda n, row: played.append(row["key"]))
     assert played and len(played) == 2
     timed = ("module_us", "model_us", "list_ms", "tries_per_s")
     for before, after in zip(rows, again, strict=True):
         assert {k: v for k, v in before["figures"].items() if k not in timed} == {
-            k: v for k, v in after["figures"].items() if k not in timed}
+            k: v for k, v in after["figures"].items() if k not in timed
+        }
     assert len(results.read_bytes().splitlines()) == 8
 
 
 def test_results_of_other_code_or_another_plan_are_not_mixed(
-        file: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    file: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     plan, text = plans.read(file)
     out = file.with_suffix("")
     runs.execute(plan, text, out, 1, lambda n, row: None)
@@ -80,18 +82,25 @@
         plans.code_digest(plan)
 
 
-@pytest.mark.parametrize(("old", "new", "said"), [
-    ("seeds = 2", "seeds = 0", "$.seeds"), ('"random"', '"best"', "there is no policy 'best'"),
-    ("count\"", "cuont\"", "unknown field `cuont` - at `$.senders`"),
-    ("[4, 6]", "[0]", "`$.senders.count`"),
-    ("[4, 6]", "[]", "needs a path with values"), ("[[axis]]", "[[axes]]", "unknown field `axes`"),
-    ("load = 0.5 }", "load = 'x' }", "`$.load[0].load`"),
-    ("warm_s = 0.1", "warm_s = 9", "as long as the day"),
-    ("senders.count", "load.7.load", "no place 'load.7.load'"), ("[day]", "[day", "Expected ']'"),
-    ('name = "small"', "", "missing required field `name`"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("seeds = 2", "seeds = 0", "$.seeds"),
+        ('"random"', '"best"', "there is no policy 'best'"),
+        ('count"', 'cuont"', "unknown field `cuont` - at `$.senders`"),
+        ("[4, 6]", "[0]", "`$.senders.count`"),
+        ("[4, 6]", "[]", "needs a path with values"),
+        ("[[axis]]", "[[axes]]", "unknown field `axes`"),
+        ("load = 0.5 }", "load = 'x' }", "`$.load[0].load`"),
+        ("warm_s = 0.1", "warm_s = 9", "as long as the day"),
+        ("senders.count", "load.7.load", "no place 'load.7.load'"),
+        ("[day]", "[day", "Expected ']'"),
+        ('name = "small"', "", "missing required field `name`"),
+    ],
+)
 def test_a_bad_file_is_one_line_with_its_place(
-        old: str, new: str, said: str, file: Path, capsys: Capture) -> None:
+    old: str, new: str, said: str, file: Path, capsys: Capture
+) -> None:
     file.write_text(SMALL.replace(old, new, 1))
     assert main(["experiment", "run", str(file)]) == 2
     err = capsys.readouterr().err
@@ -144,12 +153,15 @@
     assert model["percentiles_ms"]["50"] * 0.8 < real["percentiles_ms"]["50"]
 
 
-@pytest.mark.parametrize(("day", "said"), [
-    ("troubles = [{ kind = 'hang', at = 1 }]", "no troubles"),
-    ("senders = { count = 100 }", "at most 60 senders"),
-    ("work = { law = 'exponential' }", "work is constant"),
-    ("load = [{ seconds = 9, swing = 1 }]", "one steady"),
-])
+@pytest.mark.parametrize(
+    ("day", "said"),
+    [
+        ("troubles = [{ kind = 'hang', at = 1 }]", "no troubles"),
+        ("senders = { count = 100 }", "at most 60 senders"),
+        ("work = { law = 'exponential' }", "work is constant"),
+        ("load = [{ seconds = 9, swing = 1 }]", "one steady"),
+    ],
+)
 def test_what_real_processes_cannot_play_is_refused(day: str, said: str) -> None:
     work = "" if "work" in day else "work = { law = 'constant' }\n"
     with pytest.raises(PlanError, match=said):
@@ -158,8 +170,10 @@
 
 def test_intervals_cover_the_mean_as_often_as_they_say() -> None:
     rng = np.random.default_rng(3)
-    covered = sum(low <= 5.0 <= high for low, high in (
-        estimate(rng.normal(5.0, 2.0, 20).tolist())[1:3] for _ in range(300)))
+    covered = sum(
+        low <= 5.0 <= high
+        for low, high in (estimate(rng.normal(5.0, 2.0, 20).tolist())[1:3] for _ in range(300))
+    )
     assert 0.88 < covered / 300 < 0.98
     days = rng.normal(100.0, 50.0, 30)  # days differ by far more than the policies do
     ours = {n: float(d + 1 + rng.normal(0, 0.5)) for n, d in enumerate(days)}
--- a/tests/fleet/test_mass.py
+++ b/tests/fleet/test_mass.py
@@ -83,18 +83,34 @@
 
 
 # Balancers come back with a list from before the senders' addresses changed hands, and lose answers then.
-STALE = [{"kind": "replace", "at": 0.5, "part": 0.7, "spread_s": 1},
-         {"kind": "balancer-restart", "at": 11, "seconds": 0.3, "part": 0.8, "stale_s": 11},
-         {"kind": "mute", "at": 10, "seconds": 4, "part": 1.0, "size": 0.4}]
-
-
-@pytest.mark.parametrize(("make", "kind", "changes", "rule"), [
-    (Alone, "join", {"senders__count": 10, "senders__cells": 5, "balancers__count": 300, "load":
-                     [{"seconds": 9, "load": 0.95}]}, "cold"),
-    (Trusting, "herd", {"troubles": STALE, "load": [{"seconds": 14, "load": 0.7}]}, "keyed-astray"),
-    (Again, "split", {}, "unsafe-again"), (Mum, "join", {}, "no-advice"),
-    (Anywhere, "split", {}, "keyed-astray"), (Loyal, "roll", {}, "drain"),
-])
+STALE = [
+    {"kind": "replace", "at": 0.5, "part": 0.7, "spread_s": 1},
+    {"kind": "balancer-restart", "at": 11, "seconds": 0.3, "part": 0.8, "stale_s": 11},
+    {"kind": "mute", "at": 10, "seconds": 4, "part": 1.0, "size": 0.4},
+]
+
+
+@pytest.mark.parametrize(
+    ("make", "kind", "changes", "rule"),
+    [
+        (
+            Alone,
+            "join",
+            {
+                "senders__count": 10,
+                "senders__cells": 5,
+                "balancers__count": 300,
+                "load": [{"seconds": 9, "load": 0.95}],
+            },
+            "cold",
+        ),
+        (Trusting, "herd", {"troubles": STALE, "load": [{"seconds": 14, "load": 0.7}]}, "keyed-astray"),
+        (Again, "split", {}, "unsafe-again"),
+        (Mum, "join", {}, "no-advice"),
+        (Anywhere, "split", {}, "keyed-astray"),
+        (Loyal, "roll", {}, "drain"),
+    ],
+)
 def test_a_defect_is_seen(make: Maker, kind: str, changes: dict[str, Any], rule: str) -> None:
     assert rule in play(small(kind, **changes), make, 3).breaches
 
@@ -102,8 +118,11 @@
 def test_a_balancer_that_keeps_the_old_discovery_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
     """It is told nothing, and counts as told all the same."""
     monkeypatch.setattr(Host, "move", lambda self, discovery: None)
-    day = small("roll", troubles=[t for t in DAYS["roll"]["troubles"] if t["kind"] != "balancer-roll"],
-                load=[{"seconds": 20, "load": 0.6}])
+    day = small(
+        "roll",
+        troubles=[t for t in DAYS["roll"]["troubles"] if t["kind"] != "balancer-roll"],
+        load=[{"seconds": 20, "load": 0.6}],
+    )
     assert "drain" in play(day, Balancer, 3).breaches
 
 
--- a/tests/fleet/test_theory.py
+++ b/tests/fleet/test_theory.py
@@ -15,9 +15,9 @@
 def test_the_laws_have_the_moments_that_the_paper_states() -> None:
     mean = DOLLY.moment(1, 1)
     assert sum(DOLLY.shares) == pytest.approx(1.0) and mean == pytest.approx(4.7, abs=0.02)
-    assert DOLLY.moment(1, 2) - mean ** 2 == pytest.approx(9.5, abs=0.1)
+    assert DOLLY.moment(1, 2) - mean**2 == pytest.approx(9.5, abs=0.1)
     assert VARIED.mean == pytest.approx(1 / 4.7)
-    assert VARIED.square / VARIED.mean ** 2 - 1 == pytest.approx(10.0)
+    assert VARIED.square / VARIED.mean**2 - 1 == pytest.approx(10.0)
     assert sum(share for _, share in DOLLY.least(5)) == pytest.approx(1.0)
     assert DOLLY.moment(5, 1) < DOLLY.moment(2, 1) < mean
 
@@ -63,8 +63,10 @@
 
 
 def test_policies_see_the_same_jobs_and_riq_outlives_redundancy() -> None:
-    times = {policy: play(Setting(100, 0.7, 20, VARIED, DOLLY, policy, jobs=20_000), seed=3).times.mean()
-             for policy in ("riq", "redundancy", "random")}
+    times = {
+        policy: play(Setting(100, 0.7, 20, VARIED, DOLLY, policy, jobs=20_000), seed=3).times.mean()
+        for policy in ("riq", "redundancy", "random")
+    }
     # At this rate twenty copies of each are more than the servers can do: its times grow without end.
     assert times["riq"] < times["random"] < times["redundancy"]
     again = play(Setting(100, 0.7, 20, VARIED, DOLLY, "riq", jobs=20_000), seed=3).times.mean()
--- a/tests/handover/test_bans.py
+++ b/tests/handover/test_bans.py
@@ -15,13 +15,18 @@
 from dykeshift.handover.bans import Bans, Spoilt, read
 from dykeshift.handover.folder import BANS, Folder
 
-EVENTS = st.lists(st.tuples(st.sampled_from(["enter", "exit"]), st.sampled_from(["s0", "s1", "é"]),
-                            st.integers(1, 2 * bans.KEPT)), max_size=30)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["enter", "exit"]), st.sampled_from(["s0", "s1", "é"]), st.integers(1, 2 * bans.KEPT)
+    ),
+    max_size=30,
+)
 
 
 @given(EVENTS)
 def test_what_is_written_is_read_again_and_is_what_a_plain_model_says(
-        events: list[tuple[str, str, int]]) -> None:
+    events: list[tuple[str, str, int]],
+) -> None:
     held, out, now = Bans(), dict[str, int](), 0
     for event, name, wait in events:
         now += wait
@@ -36,13 +41,20 @@
         assert held.out == out
 
 
-@pytest.mark.parametrize(("text", "kept"), [
-    ("", set()), ("{", set()), ("[]", set()), ("7", set()), ("[" * 100_000, set()),
-    ('{"v":9,"out":{"s0":5},"back":{}}', {"s0"}),  # of a later version: a ban is a ban
-    ('{"out":{"s0":5,"s1":"noon"}}', {"s0", "s1"}),
-    ('{"v":1,"out":{"s0":-5,"s1":5},"back":{"s2":[1]}}', {"s0", "s1"}),
-    ('{"v":1,"out":["s0"],"back":{}}', set()),
-])
+@pytest.mark.parametrize(
+    ("text", "kept"),
+    [
+        ("", set()),
+        ("{", set()),
+        ("[]", set()),
+        ("7", set()),
+        ("[" * 100_000, set()),
+        ('{"v":9,"out":{"s0":5},"back":{}}', {"s0"}),  # of a later version: a ban is a ban
+        ('{"out":{"s0":5,"s1":"noon"}}', {"s0", "s1"}),
+        ('{"v":1,"out":{"s0":-5,"s1":5},"back":{"s2":[1]}}', {"s0", "s1"}),
+        ('{"v":1,"out":["s0"],"back":{}}', set()),
+    ],
+)
 def test_a_spoilt_text_says_so_and_keeps_every_ban_that_can_be_read(text: str, kept: set[str]) -> None:
     with pytest.raises(Spoilt) as caught:
         read(text)
@@ -89,8 +101,12 @@
     assert folder.others() == (0, 0)
     others = []
     for since in (50, 200):
-        other = subprocess.Popen([sys.executable, "-c", HOLDS, str(tmp_path), str(since)], text=True,
-                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        other = subprocess.Popen(
+            [sys.executable, "-c", HOLDS, str(tmp_path), str(since)],
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         assert other.stdout is not None and other.stdout.readline() == "serving\n"
         others.append(other)
     assert folder.others() == (2, 1)
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -23,7 +23,8 @@
 
 
 def test_bans_of_another_process_hold_here_until_they_are_ended(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         async with node(stub) as balancer:
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -61,13 +61,26 @@
             one.bind(("127.0.0.1", 0))
             console: tuple[str, int] = one.getsockname()
         path = self.folder / f"config{len(self.processes)}.json"
-        given = {**configuration(self.registry.address, self.known), "console": "%s:%d" % console,
-                 "listen": "%s:%d" % self.listener.getsockname()}
+        given = {
+            **configuration(self.registry.address, self.known),
+            "console": "%s:%d" % console,
+            "listen": "%s:%d" % self.listener.getsockname(),
+        }
         path.write_text(json.dumps(given))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "dykeshift.node", cwd=ROOT, pass_fds=[self.listener.fileno()],
-            env={**os.environ, "NODE_CONFIG": str(path), "TMPDIR": str(self.folder),
-                 "NODE_INHERITED_FD": str(self.listener.fileno()), **env})
+            sys.executable,
+            "-m",
+            "dykeshift.node",
+            cwd=ROOT,
+            pass_fds=[self.listener.fileno()],
+            env={
+                **os.environ,
+                "NODE_CONFIG": str(path),
+                "TMPDIR": str(self.folder),
+                "NODE_INHERITED_FD": str(self.listener.fileno()),
+                **env,
+            },
+        )
         self.processes.append(process)
         while process.returncode is None:
             try:
@@ -224,8 +237,13 @@
             _, console = await made.start(TMPDIR="")
             assert "200" in (await made.call(console, "PUT", "/maintenance/enter", "s0")).start
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "dykeshift.node", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "NODE_CONFIG": str(tmp_path / "config0.json"), "NODE_INHERITED_FD": "77"})
+            sys.executable,
+            "-m",
+            "dykeshift.node",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(tmp_path / "config0.json"), "NODE_INHERITED_FD": "77"},
+        )
         _, text = await process.communicate()
         assert process.returncode == 2 and text.count(b"\n") == 1 and b"NODE_INHERITED_FD" in text
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -41,18 +41,35 @@
 
 def make_settings(**changes: object) -> Settings:
     values: dict[str, object] = {
-        "classes": CLASSES, "balancers": 4, "zone": 0, "ask_discovery": False, "ask_every": 10 * S,
-        "attempt_limit": 3, "copies_allowed": True, "cancel_allowed": True, "cold_share": 0.12,
-        "cold_time": 24 * S, "overload_multiple": 2.5, "overload_window": 1500 * MS,
-        "answer_slack": 20 * MS, "step": 5 * MS,
+        "classes": CLASSES,
+        "balancers": 4,
+        "zone": 0,
+        "ask_discovery": False,
+        "ask_every": 10 * S,
+        "attempt_limit": 3,
+        "copies_allowed": True,
+        "cancel_allowed": True,
+        "cold_share": 0.12,
+        "cold_time": 24 * S,
+        "overload_multiple": 2.5,
+        "overload_window": 1500 * MS,
+        "answer_slack": 20 * MS,
+        "step": 5 * MS,
     }
     values.update(changes)
     return Settings(**values)  # type: ignore[arg-type]
 
 
 def entry(n: int, state: ServerState = ServerState.READY, started: int = 0, **kw: int) -> ServerEntry:
-    return ServerEntry(id=n, zone=kw.get("zone", n % 2), cell=kw.get("cell", n % 3), kind=kw.get("kind", 0),
-                       state=state, weight=1.0, started=started)
+    return ServerEntry(
+        id=n,
+        zone=kw.get("zone", n % 2),
+        cell=kw.get("cell", n % 3),
+        kind=kw.get("kind", 0),
+        state=state,
+        weight=1.0,
+        started=started,
+    )
 
 
 @dataclass
@@ -151,9 +168,20 @@
         seen.ends[attempt] = outcome
         if outcome is Outcome.OK and not seen.final:
             seen.final = "OK"
-        return self.play(self.balancer.on_attempt_end(self.now, AttemptEnd(
-            rid, attempt, seen.servers[attempt], outcome, self.now - seen.sent[attempt], bool(seen.final),
-            report)))
+        return self.play(
+            self.balancer.on_attempt_end(
+                self.now,
+                AttemptEnd(
+                    rid,
+                    attempt,
+                    seen.servers[attempt],
+                    outcome,
+                    self.now - seen.sent[attempt],
+                    bool(seen.final),
+                    report,
+                ),
+            )
+        )
 
     def end_all(self, rid: str, outcome: Outcome = Outcome.OK) -> None:
         """End every attempt of a request that is out, also those that an end before it brings about."""
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -27,6 +27,7 @@
 
 # ---- what is drawn ----
 
+
 def test_the_same_seed_draws_the_same_load_and_shapes_hold() -> None:
     load = Load(address=HERE, rate=100, seconds=20)
     orders = draw(load)
@@ -45,6 +46,7 @@
 
 # ---- what is measured, on a clock of its own ----
 
+
 class Scripted:
     """A transport that answers as told, after so long; all stands still at times."""
 
@@ -114,10 +116,19 @@
     assert opened.ends["served"] == 200 and closed.ends["served"] == 20
 
 
-@pytest.mark.parametrize(("kind", "first", "tries"), [
-    ("safe", "failed", 2), ("safe", "broken", 2), ("keyed", "failed", 1), ("unsafe", "failed", 1),
-    ("unsafe", "broken", 1), ("keyed", "refused", 2), ("unsafe", "refused", 2), ("safe", "served", 1),
-])
+@pytest.mark.parametrize(
+    ("kind", "first", "tries"),
+    [
+        ("safe", "failed", 2),
+        ("safe", "broken", 2),
+        ("keyed", "failed", 1),
+        ("unsafe", "failed", 1),
+        ("unsafe", "broken", 1),
+        ("keyed", "refused", 2),
+        ("unsafe", "refused", 2),
+        ("safe", "served", 1),
+    ],
+)
 def test_it_tries_again_only_where_that_is_harmless(kind: str, first: str, tries: int) -> None:
     raw = {"name": "k", "share": 1.0, "kind": kind, "deadline_ms": 1000}
     kinds = (msgspec.convert(raw, Kind),)
@@ -155,6 +166,7 @@
 
 # ---- the search ----
 
+
 @pytest.mark.parametrize("capacity", [130.0, 3.0, 49.9, 2000.0])
 def test_the_search_finds_the_edge_and_a_noisy_run_does_not_mislead_it(capacity: float) -> None:
     search, plays = Search(50.0, 1000.0), 0
@@ -176,9 +188,11 @@
 
 # ---- on loopback ----
 
-ANSWERS = {"/served": b"200 OK\r\nContent-Length: 2\r\n\r\nok",
-           "/refused": b"503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n",
-           "/failed": b"500 No\r\nContent-Length: 0\r\n\r\n"}
+ANSWERS = {
+    "/served": b"200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "/refused": b"503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n",
+    "/failed": b"500 No\r\nContent-Length: 0\r\n\r\n",
+}
 
 
 @contextlib.asynccontextmanager
@@ -223,12 +237,31 @@
         loop.close()
 
 
-@pytest.mark.parametrize(("path", "answer"), [
-    ("/served", "served"), ("/refused", "refused"), ("/failed", "failed"), ("/broken", "broken")])
+@pytest.mark.parametrize(
+    ("path", "answer"),
+    [("/served", "served"), ("/refused", "refused"), ("/failed", "failed"), ("/broken", "broken")],
+)
 def test_the_command_counts_what_a_server_answers(path: str, answer: str, capsys: Capture) -> None:
     with in_thread() as (address, heads):
-        code = main(["load", address, "--rate", "40", "--seconds", "0.5", "--path", path, "--json",
-                     "--shape", "constant", "--class", "put:1:keyed:500", "--cost", "5"])
+        code = main(
+            [
+                "load",
+                address,
+                "--rate",
+                "40",
+                "--seconds",
+                "0.5",
+                "--path",
+                path,
+                "--json",
+                "--shape",
+                "constant",
+                "--class",
+                "put:1:keyed:500",
+                "--cost",
+                "5",
+            ]
+        )
         found = json.loads(capsys.readouterr().out)
     assert found["answers"][answer] == found["errands"] == 20 and code == (answer != "served")
     assert all("Idempotency-Key: key-l1-" in h and "cost=5" in h and "X-Class: put" in h for h in heads)
@@ -237,8 +270,18 @@
 
 def test_several_processes_and_an_earlier_result_beside(tmp_path: Path, capsys: Capture) -> None:
     with in_thread() as (address, heads):
-        arguments = ["load", address, "--rate", "40", "--seconds", "0.5", "--path", "/served",
-                     "--processes", "2"]
+        arguments = [
+            "load",
+            address,
+            "--rate",
+            "40",
+            "--seconds",
+            "0.5",
+            "--path",
+            "/served",
+            "--processes",
+            "2",
+        ]
         assert main([*arguments, "--json"]) == 0
         first = capsys.readouterr().out
         (tmp_path / "first.json").write_text(first)
@@ -259,14 +302,27 @@
     assert asyncio.run(go()) == ["served", "failed", "refused", "broken"]
 
 
-@pytest.mark.parametrize("arguments", [
-    ("nowhere",), ("10.1.2.3:80",), ("127.0.0.1:99999",), (HERE, "--rate", "-1"), (HERE, "--rate", "1e9"),
-    (HERE, "--seconds", "0"), (HERE, "--shape", "steps"), (HERE, "--shape", "steps", "--steps", "5"),
-    (HERE, "--class", "a:1:odd:100"), (HERE, "--class", "a:0.5:safe:100"), (HERE, "--class", "a"),
-    (HERE, "--trace", "/no/such", "--shape", "trace"), (HERE, "--search", "x"),
-    (HERE, "--against", "/no/such"), (HERE, "--search", "0.9,99,100", "--shape", "closed"),
-    (HERE, "--processes", "1000"),
-])
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("nowhere",),
+        ("10.1.2.3:80",),
+        ("127.0.0.1:99999",),
+        (HERE, "--rate", "-1"),
+        (HERE, "--rate", "1e9"),
+        (HERE, "--seconds", "0"),
+        (HERE, "--shape", "steps"),
+        (HERE, "--shape", "steps", "--steps", "5"),
+        (HERE, "--class", "a:1:odd:100"),
+        (HERE, "--class", "a:0.5:safe:100"),
+        (HERE, "--class", "a"),
+        (HERE, "--trace", "/no/such", "--shape", "trace"),
+        (HERE, "--search", "x"),
+        (HERE, "--against", "/no/such"),
+        (HERE, "--search", "0.9,99,100", "--shape", "closed"),
+        (HERE, "--processes", "1000"),
+    ],
+)
 def test_what_it_will_not_do_is_one_line(arguments: tuple[str, ...], capsys: Capture) -> None:
     code = main(["load", *arguments])
     out, err = capsys.readouterr()
--- a/tests/mllp/test_carrier.py
+++ b/tests/mllp/test_carrier.py
@@ -37,10 +37,13 @@
                 writer.write(ack(code, got.body))
 
 
-@pytest.mark.parametrize(("codes", "heard", "sent"), [
-    (("AA",), "AA", 1), (("AE",), "AE", 1), (("@",), "AE", 1), (("!",), "AE", 1), (("CA",), "AE", 1)])
+@pytest.mark.parametrize(
+    ("codes", "heard", "sent"),
+    [(("AA",), "AA", 1), (("AE",), "AE", 1), (("@",), "AE", 1), (("!",), "AE", 1), (("CA",), "AE", 1)],
+)
 def test_what_an_answer_proves_and_that_what_may_have_run_goes_once(
-        codes: tuple[str, ...], heard: str, sent: int) -> None:
+    codes: tuple[str, ...], heard: str, sent: int
+) -> None:
     async def main() -> None:
         async with place(Says(*codes), mllp=True) as here:
             clinic = await here.clinic()
@@ -121,9 +124,13 @@
             got = await here.node.ask(request(body=message("h1")))
             assert got.start.split()[1] == "200" and hl7.read_ack(got.body) == ("AA", "h1")
             assert got.headers["content-type"] == "application/hl7-v2"
-            for asked in (request("check", "r2"), request(rid="r3", body=b"no HL7"),
-                          request("set", "r4", body=message("other")), request(rid="r5", body=b"MSH|\x0b"),
-                          request(rid="r6", body=message("n", accept="NE", application="NE"))):
+            for asked in (
+                request("check", "r2"),
+                request(rid="r3", body=b"no HL7"),
+                request("set", "r4", body=message("other")),
+                request(rid="r5", body=b"MSH|\x0b"),
+                request(rid="r6", body=message("n", accept="NE", application="NE")),
+            ):
                 assert (await here.node.ask(asked)).start.split()[1] == "422"
             keyed = request("set", "r7", body=message("k-r7", "SIU^S12"))
             assert (await here.node.ask(keyed)).start.split()[1] == "200"
@@ -188,6 +195,7 @@
                 while await clinic.say(message(f"g{at}")) != "AA":
                     pass
                 before = len(here.stub.seen)
+
                 async def cut(stub: Stub, got: Message, writer: asyncio.StreamWriter, at: int = at) -> None:
                     writer.write(ack("AA", got.body)[:at])
                     writer.close()
--- a/tests/mllp/test_framing.py
+++ b/tests/mllp/test_framing.py
@@ -14,7 +14,7 @@
 def fed(data: bytes, size: int = 1 << 20, max_frame: int = 100) -> list[Frame | Broken]:
     deframer, out = Deframer(max_frame), list[Frame | Broken]()
     for at in range(0, len(data), size):
-        out += deframer.feed(0, data[at:at + size])
+        out += deframer.feed(0, data[at : at + size])
     return out
 
 
@@ -29,25 +29,30 @@
     assert fed(data, size) == fed(data)
 
 
-@given(st.lists(st.sampled_from([b"\x0b", b"\x1c", b"\r", b"\n", b"a", b"\x00", b"x" * 40]), max_size=60),
-       st.integers(1, 5))
+@given(
+    st.lists(st.sampled_from([b"\x0b", b"\x1c", b"\r", b"\n", b"a", b"\x00", b"x" * 40]), max_size=60),
+    st.integers(1, 5),
+)
 def test_the_same_with_bytes_that_matter(pieces: list[bytes], size: int) -> None:
     data = b"".join(pieces)
     assert fed(data, size) == fed(data)
 
 
-@pytest.mark.parametrize(("data", "said"), [
-    (b"\x0bhalf\x0bwhole\x1c\r", [Broken(Flaw.START_INSIDE), Frame(b"whole")]),
-    (b"\x0bone\x1cx\x0btwo\x1c\r", [Broken(Flaw.BAD_END), Broken(Flaw.NOISE), Frame(b"two")]),
-    (b"\x0bone\x1c\x0btwo\x1c\r", [Broken(Flaw.BAD_END), Frame(b"two")]),
-    (b"\x0bone\x1c\ntwo", [Broken(Flaw.BAD_END), Broken(Flaw.NOISE)]),
-    (b"GET / HTTP/1.1\r\n\r\n", [Broken(Flaw.NOISE)]),
-    (b"\x0b" + b"x" * 101 + b"\x1c\r\x0bnext\x1c\r", [Broken(Flaw.TOO_LONG), Frame(b"next")]),
-    (b"\x0b" + b"x" * 101 + b"\x0bnext\x1c\r", [Broken(Flaw.TOO_LONG), Frame(b"next")]),
-    (b"\x0b\x1c\r", [Frame(b"")]),
-    (b"\x0ba\x00b\rc\nd\x1c\r", [Frame(b"a\x00b\rc\nd")]),
-    (b"\r\n\x1c\r", [Broken(Flaw.NOISE)]),
-])
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"\x0bhalf\x0bwhole\x1c\r", [Broken(Flaw.START_INSIDE), Frame(b"whole")]),
+        (b"\x0bone\x1cx\x0btwo\x1c\r", [Broken(Flaw.BAD_END), Broken(Flaw.NOISE), Frame(b"two")]),
+        (b"\x0bone\x1c\x0btwo\x1c\r", [Broken(Flaw.BAD_END), Frame(b"two")]),
+        (b"\x0bone\x1c\ntwo", [Broken(Flaw.BAD_END), Broken(Flaw.NOISE)]),
+        (b"GET / HTTP/1.1\r\n\r\n", [Broken(Flaw.NOISE)]),
+        (b"\x0b" + b"x" * 101 + b"\x1c\r\x0bnext\x1c\r", [Broken(Flaw.TOO_LONG), Frame(b"next")]),
+        (b"\x0b" + b"x" * 101 + b"\x0bnext\x1c\r", [Broken(Flaw.TOO_LONG), Frame(b"next")]),
+        (b"\x0b\x1c\r", [Frame(b"")]),
+        (b"\x0ba\x00b\rc\nd\x1c\r", [Frame(b"a\x00b\rc\nd")]),
+        (b"\r\n\x1c\r", [Broken(Flaw.NOISE)]),
+    ],
+)
 def test_what_stands_out_of_place_is_told(data: bytes, said: list[Frame | Broken]) -> None:
     for size in (1, 2, 3, 1000):
         assert fed(data, size) == said
--- a/tests/mllp/test_front.py
+++ b/tests/mllp/test_front.py
@@ -27,14 +27,21 @@
 from tests.store.machine import Machine
 
 SECOND = 1_000_000_000
-ROUTES = [{"trigger": "SIU^S12", "class": "set", "target": "/hl7/reminder"},
-          {"trigger": "ORM", "class": "send", "target": "/hl7/send"},
-          {"trigger": "SIU^S15", "class": "set", "key": "PID-3"}]
+ROUTES = [
+    {"trigger": "SIU^S12", "class": "set", "target": "/hl7/reminder"},
+    {"trigger": "ORM", "class": "send", "target": "/hl7/send"},
+    {"trigger": "SIU^S15", "class": "set", "key": "PID-3"},
+]
 MADE = time.strftime("%Y%m%d%H%M%S", time.gmtime())  # one for all: a resend is the same
 
 
-def message(control: str = "m1", trigger: str = "ORM^O01", text: str = "Ganbold", accept: str = "",
-            application: str = "") -> bytes:
+def message(
+    control: str = "m1",
+    trigger: str = "ORM^O01",
+    text: str = "Ganbold",
+    accept: str = "",
+    application: str = "",
+) -> bytes:
     head = f"MSH|^~\\&|CLINIC|DORNOD|LT|CH|{MADE}||{trigger}|{control}|P|2.5.1|||{accept}|{application}"
     return f"{head}\rPID|1||42||{text}\r".encode()
 
@@ -72,8 +79,9 @@
 
 
 @asynccontextmanager
-async def place(handler: Handler, complete: bool = True, mllp: bool = False, disk: Disk | None = None,
-                **changes: Any) -> AsyncIterator[Place]:
+async def place(
+    handler: Handler, complete: bool = True, mllp: bool = False, disk: Disk | None = None, **changes: Any
+) -> AsyncIterator[Place]:
     """The whole balancer with `[mllp]` on, one stub as its only upstream."""
     stub = await Stub(handler, mllp=mllp).start()
     routes = [route for route in ROUTES if not (mllp and "key" in route)]
@@ -134,8 +142,9 @@
     run(main())
 
 
-@pytest.mark.parametrize(("handler", "code"), [
-    (resets, "AE"), (says(answer(b"", "500 Internal Server Error")), "AE")])
+@pytest.mark.parametrize(
+    ("handler", "code"), [(resets, "AE"), (says(answer(b"", "500 Internal Server Error")), "AE")]
+)
 def test_what_may_have_run_is_an_error_for_good_and_never_sent_again(handler: Handler, code: str) -> None:
     async def main() -> None:
         async with place(handler) as here:
@@ -187,11 +196,26 @@
     async def main() -> None:
         async with place(says(answer()), pipelined=2) as here:
             clinic = await here.clinic()
-            clinic.writer.write(b"".join(frame(m) for m in (
-                message("m1"), b"nonsense", message("m3", "ADT^A01"), message("m4"), message("m5"))))
+            clinic.writer.write(
+                b"".join(
+                    frame(m)
+                    for m in (
+                        message("m1"),
+                        b"nonsense",
+                        message("m3", "ADT^A01"),
+                        message("m4"),
+                        message("m5"),
+                    )
+                )
+            )
             heard = await clinic.hear(5)
             assert [(a.code.value, a.control_id) for a in heard] == [
-                ("AA", b"m1"), ("AR", b""), ("AR", b"m3"), ("AA", b"m4"), ("AA", b"m5")]
+                ("AA", b"m1"),
+                ("AR", b""),
+                ("AR", b"m3"),
+                ("AA", b"m4"),
+                ("AA", b"m5"),
+            ]
 
     run(main())
 
@@ -259,9 +283,11 @@
 
 # ---- the parts by themselves ----
 
+
 @given(st.lists(st.integers(0, 9), max_size=12), st.integers(1, 3), st.randoms(use_true_random=False))
 def test_answers_leave_in_the_order_of_frames_whatever_the_order_they_come_in(
-        contents: list[int], limit: int, random: object) -> None:
+    contents: list[int], limit: int, random: object
+) -> None:
     session = Session(limit, 100)
     open_slots = session.receive(0, b"".join(frame(b"%d" % n) for n in contents))
     out = b""
@@ -277,23 +303,41 @@
 def test_a_mapping_that_cannot_be_used_is_said() -> None:
     from tests.harness import KEYED_ALL, KEYED_CELL, SAFE
 
-    for rules, said in (([Rule("ADT", 7, 1)], "no class 7"), ([Rule("ADT", 0, 1)], "safe to repeat"),
-                        ([Rule("ADT", 1, 1), Rule("ADT", 1, 1)], "mapped twice"),
-                        ([Rule("ADT", 2, 1)], "refused after it ran")):
+    for rules, said in (
+        ([Rule("ADT", 7, 1)], "no class 7"),
+        ([Rule("ADT", 0, 1)], "safe to repeat"),
+        ([Rule("ADT", 1, 1), Rule("ADT", 1, 1)], "mapped twice"),
+        ([Rule("ADT", 2, 1)], "refused after it ran"),
+    ):
         with pytest.raises(MappingError, match=said):
             Mapping((SAFE, KEYED_CELL, KEYED_ALL), rules)
-    for bad, said in (({"trigger": "sms"}, "no trigger"), ({"deadline": 0}, "not positive"),
-                      ({"target": b"hl7"}, "no path"), ({"key": "SCH"}, "names no field")):
+    for bad, said in (
+        ({"trigger": "sms"}, "no trigger"),
+        ({"deadline": 0}, "not positive"),
+        ({"target": b"hl7"}, "no path"),
+        ({"key": "SCH"}, "names no field"),
+    ):
         with pytest.raises(MappingError, match=said):
             Rule(**{"trigger": "ADT", "klass": 1, "deadline": 1, **bad})  # type: ignore[arg-type]
     with pytest.raises(MappingError, match="by its control id"):
         Mapping((SAFE, KEYED_CELL), [Rule("ADT", 1, 1, key="SCH-1")], to_mllp=True)
 
 
-@pytest.mark.parametrize(("text", "when"), [
-    ("20261201093000", 1796117400), ("202612010930", 1796117400), ("20261201173000+0800", 1796117400),
-    ("20261201093000.25", 1796117400.25), ("20261201", None), ("", None), ("yesterday", None),
-    ("20261301093000", None), ("20261201093000+9", None), ("20261201093000+9900", None)])
+@pytest.mark.parametrize(
+    ("text", "when"),
+    [
+        ("20261201093000", 1796117400),
+        ("202612010930", 1796117400),
+        ("20261201173000+0800", 1796117400),
+        ("20261201093000.25", 1796117400.25),
+        ("20261201", None),
+        ("", None),
+        ("yesterday", None),
+        ("20261301093000", None),
+        ("20261201093000+9", None),
+        ("20261201093000+9900", None),
+    ],
+)
 def test_when_a_message_was_made(text: str, when: float | None) -> None:
     header = read(f"MSH|^~\\&|A|B|C|D|{text}||ORM|1\r".encode()).header
     assert made(header) == (int(when * 4) * SECOND // 4 if when is not None else None)
@@ -301,6 +345,7 @@
 
 # ---- more of the hard cases ----
 
+
 def test_a_frame_of_60_mb_without_end_costs_its_connection_and_no_memory() -> None:
     async def main() -> None:
         async with place(says(answer()), max_frame_kb=64) as here:
@@ -318,10 +363,21 @@
     run(main())
 
 
-@pytest.mark.parametrize("content", [
-    b"MSH", b"MSH|", b"MSH|^~", b"MSHx^~\\&x", b"MSH|aaaa|", b"", b"\x00" * 300,
-    b"MSH|^~\\&|||||||ORM^O01||P|2.5",
-    b"MSH|^~\\&|" + b"x" * 3000, b"PID|1\rMSH|^~\\&|"])
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"MSH",
+        b"MSH|",
+        b"MSH|^~",
+        b"MSHx^~\\&x",
+        b"MSH|aaaa|",
+        b"",
+        b"\x00" * 300,
+        b"MSH|^~\\&|||||||ORM^O01||P|2.5",
+        b"MSH|^~\\&|" + b"x" * 3000,
+        b"PID|1\rMSH|^~\\&|",
+    ],
+)
 def test_what_has_no_usable_header_is_rejected_and_the_connection_goes_on(content: bytes) -> None:
     async def main() -> None:
         async with place(says(answer())) as here:
--- a/tests/mllp/test_journal.py
+++ b/tests/mllp/test_journal.py
@@ -110,7 +110,11 @@
         again = Desk(disk)
         assert (again.report.answered, again.report.unanswered) == (1, 1)
         assert [again.knows(name) for name in "abcd"] == [
-            Verdict.REPLAY, Verdict.UNKNOWN, Verdict.NEW, Verdict.NEW]
+            Verdict.REPLAY,
+            Verdict.UNKNOWN,
+            Verdict.NEW,
+            Verdict.NEW,
+        ]
 
     run(main)
 
@@ -191,8 +195,11 @@
 def test_damage_in_the_middle_moves_the_horizon_to_the_last_record_behind_it() -> None:
     name, digest = message("a").name, message("a").digest
     memory = Memory[int](0, Bounds(clock_error=2 * S), complete=True)
-    report = replay([found(Sent(name, digest, 1, 5 * S), Answered(name, digest, 1, 9 * S, b"AA"),
-                           holes=[(20, 40)])], memory, 99 * S)
+    report = replay(
+        [found(Sent(name, digest, 1, 5 * S), Answered(name, digest, 1, 9 * S, b"AA"), holes=[(20, 40)])],
+        memory,
+        99 * S,
+    )
     assert memory.horizon == 11 * S and report.lost == 20 and "damaged" in str(report)
     memory = Memory[int](0, Bounds(clock_error=2 * S), complete=True)
     replay([found(Sent(name, digest, 1, 5 * S), holes=[(80, 100)])], memory, 99 * S)
@@ -210,14 +217,17 @@
         replay([Found(7, Recovered([b"\x92\x63\x01"], 0, [], 20))], Memory[int](0, complete=True), 1)
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["sent", "answered", "withdrawn", "step", "cut"]),
-                           st.sampled_from("abc")), max_size=40)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["sent", "answered", "withdrawn", "step", "cut"]), st.sampled_from("abc")),
+    max_size=40,
+)
 
 
 @settings(max_examples=150, deadline=None)
 @given(STEPS, st.integers(0, 1000))
 def test_through_any_power_cuts_nothing_that_was_told_to_last_is_taken_for_new(
-        steps: list[tuple[str, str]], seed: int) -> None:
+    steps: list[tuple[str, str]], seed: int
+) -> None:
     async def main() -> None:
         disk = Disk(seed)
         desk = Desk(disk, full=300)
@@ -246,5 +256,3 @@
                 waiting.clear()
 
     run(main)
-
-
--- a/tests/mllp/test_message.py
+++ b/tests/mllp/test_message.py
@@ -10,10 +10,12 @@
 from dykeshift.mllp.acks import Code, Problem
 from dykeshift.mllp.message import Separators, Unreadable, escape, read, unescape
 
-SIU = (b"MSH|^~\\&|CLINIC|DORNOD|LIFTTRAIL|CHOIBALSAN|20261201093000||SIU^S12^SIU_S12|MSG00001|P|2.5.1"
-       b"|||AL|NE||UNICODE UTF-8\r"
-       b"SCH|10345^10345|2196178^2196178|||10345|OFFICE^Office visit|reason\\T\\more\\X41\\|OFFICE|60|m\r"
-       b"PID|1||42^^^MRN~43||B\xd0\xb0\xd1\x82^Ganbold\\S\\x\r")
+SIU = (
+    b"MSH|^~\\&|CLINIC|DORNOD|LIFTTRAIL|CHOIBALSAN|20261201093000||SIU^S12^SIU_S12|MSG00001|P|2.5.1"
+    b"|||AL|NE||UNICODE UTF-8\r"
+    b"SCH|10345^10345|2196178^2196178|||10345|OFFICE^Office visit|reason\\T\\more\\X41\\|OFFICE|60|m\r"
+    b"PID|1||42^^^MRN~43||B\xd0\xb0\xd1\x82^Ganbold\\S\\x\r"
+)
 
 
 def header(**fields: bytes) -> bytes:
@@ -38,13 +40,25 @@
     assert unescape(b"a?S?b", message.header.separators) == b"a*b"
 
 
-@pytest.mark.parametrize(("content", "code"), [
-    (b"", 100), (b"PID|1\r", 100), (b"MSH", 102), (b"MSH|\r", 102), (b"MSH|^~\r", 102),
-    (b"MSH|^^\\&|A\r", 102), (b"MSHA^~\\&A\r", 102), (b"MSH\x01^~\\&\x01A\r", 102), (b"MSH|||||||\r", 102),
-    (b"MSH|^~\\&|" + b"x" * 5000, 102), (header(f9=b""), 101),
-    (header(f10=b""), 101), (header(f10=b"9" * 200), 102),
-    (b"\x00" * 50, 100),
-])
+@pytest.mark.parametrize(
+    ("content", "code"),
+    [
+        (b"", 100),
+        (b"PID|1\r", 100),
+        (b"MSH", 102),
+        (b"MSH|\r", 102),
+        (b"MSH|^~\r", 102),
+        (b"MSH|^^\\&|A\r", 102),
+        (b"MSHA^~\\&A\r", 102),
+        (b"MSH\x01^~\\&\x01A\r", 102),
+        (b"MSH|||||||\r", 102),
+        (b"MSH|^~\\&|" + b"x" * 5000, 102),
+        (header(f9=b""), 101),
+        (header(f10=b""), 101),
+        (header(f10=b"9" * 200), 102),
+        (b"\x00" * 50, 100),
+    ],
+)
 def test_what_cannot_be_routed_is_told_with_its_code(content: bytes, code: int) -> None:
     with pytest.raises(Unreadable) as caught:
         read(content)
@@ -81,8 +95,10 @@
     problem = Problem(acks.NO_EVENT, "no|mapping", "MSH^1^9")
     got = acks.build(message.header, Code.AR, "L7", "20261201093001", problem)
     lines = got.split(b"\r")
-    assert lines[0] == (b"MSH|^~\\&|LIFTTRAIL|CHOIBALSAN|CLINIC|DORNOD|20261201093001||ACK^S12^ACK|L7|P|2.5.1"
-                        b"||||||UNICODE UTF-8")
+    assert lines[0] == (
+        b"MSH|^~\\&|LIFTTRAIL|CHOIBALSAN|CLINIC|DORNOD|20261201093001||ACK^S12^ACK|L7|P|2.5.1"
+        b"||||||UNICODE UTF-8"
+    )
     assert lines[1] == b"MSA|AR|MSG00001"
     assert lines[2] == b"ERR||MSH^1^9|201^Unsupported event code^HL70357|E||||no\\F\\mapping"
     assert read(got).header.trigger == "ACK^S12" and acks.is_ack(got) and not acks.is_ack(SIU)
@@ -94,13 +110,17 @@
     assert acks.parse(got).control_id == b"" and b"|ACK|L8|P|2.5.1\r" in got
 
 
-@pytest.mark.parametrize(("accept", "application", "given"), [
-    (b"", b"", {"AA", "AE", "AR"}), (b"AL", b"NE", {"CA", "CE", "CR"}),
-    (b"AL", b"AL", {c.value for c in Code}),
-    (b"ER", b"SU", {"CE", "CR", "AA"}),
-    (b"NE", b"NE", set()),
-    (b"", b"AL", {"AA", "AE", "AR"}),
-])
+@pytest.mark.parametrize(
+    ("accept", "application", "given"),
+    [
+        (b"", b"", {"AA", "AE", "AR"}),
+        (b"AL", b"NE", {"CA", "CE", "CR"}),
+        (b"AL", b"AL", {c.value for c in Code}),
+        (b"ER", b"SU", {"CE", "CR", "AA"}),
+        (b"NE", b"NE", set()),
+        (b"", b"AL", {"AA", "AE", "AR"}),
+    ],
+)
 def test_who_is_acknowledged_when(accept: bytes, application: bytes, given: set[str]) -> None:
     one = read(header(f15=accept, f16=application)).header
     assert {code.value for code in Code if acks.wanted(one, code)} == given
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -105,8 +105,17 @@
 
 
 def instance(name: str, address: tuple[str, int], state: str = "active", **changes: Any) -> dict[str, Any]:
-    return {"instanceId": name, "hostPort": f"{address[0]}:{address[1]}", "zone": "a", "machineType": "m",
-            "cell": 1, "lifecycle": state, "weight": 1.0, "startedAtMs": 0, **changes}
+    return {
+        "instanceId": name,
+        "hostPort": f"{address[0]}:{address[1]}",
+        "zone": "a",
+        "machineType": "m",
+        "cell": 1,
+        "lifecycle": state,
+        "weight": 1.0,
+        "startedAtMs": 0,
+        **changes,
+    }
 
 
 def listing(generation: int, whole: bool, *instances: dict[str, Any]) -> dict[str, Any]:
@@ -139,30 +148,61 @@
 
 
 def service(name: str, idempotency: str, **changes: Any) -> dict[str, Any]:
-    return {"name": name, "goalTimeNs": 400_000_000, "deadlineNs": 5_000_000_000, "worth": 1.0,
-            "idempotency": idempotency, "group": "cell", "windowNs": 4_000_000_000, "lateShare": 0.2,
-            **changes}
+    return {
+        "name": name,
+        "goalTimeNs": 400_000_000,
+        "deadlineNs": 5_000_000_000,
+        "worth": 1.0,
+        "idempotency": idempotency,
+        "group": "cell",
+        "windowNs": 4_000_000_000,
+        "lateShare": 0.2,
+        **changes,
+    }
 
 
 def settings(**changes: Any) -> dict[str, Any]:
     return {
-        "az": 0, "balancers": 1, "discovery": "ask", "stepNs": 2_000_000, "failureDomains": ["a", "b"],
-        "kinds": ["m"], "report": {"fields": ["cpu_share"], "how": "piggyback"},
-        "bounds": {"cancelling": True, "maxAttempts": 3, "secondCopies": True, "retryAfter": True,
-                   "maxRetryAfterNs": 750_000_000, "keepaliveNs": 10_000_000_000,
-                   "connectTimeoutNs": 2_000_000_000},
-        "obligations": {"answerSlackNs": 8_000_000, "askEveryNs": 10_000_000_000, "coldFrom": 0.12,
-                        "coldNs": 23_000_000_000, "drainGraceNs": 250_000_000, "fallNs": 3_000_000_000,
-                        "tipMultiple": 3.0},
+        "az": 0,
+        "balancers": 1,
+        "discovery": "ask",
+        "stepNs": 2_000_000,
+        "failureDomains": ["a", "b"],
+        "kinds": ["m"],
+        "report": {"fields": ["cpu_share"], "how": "piggyback"},
+        "bounds": {
+            "cancelling": True,
+            "maxAttempts": 3,
+            "secondCopies": True,
+            "retryAfter": True,
+            "maxRetryAfterNs": 750_000_000,
+            "keepaliveNs": 10_000_000_000,
+            "connectTimeoutNs": 2_000_000_000,
+        },
+        "obligations": {
+            "answerSlackNs": 8_000_000,
+            "askEveryNs": 10_000_000_000,
+            "coldFrom": 0.12,
+            "coldNs": 23_000_000_000,
+            "drainGraceNs": 250_000_000,
+            "fallNs": 3_000_000_000,
+            "tipMultiple": 3.0,
+        },
         "services": [service("check", "pure"), service("set", "token"), service("send", "side_effect")],
         **changes,
     }
 
 
 def configuration(registry: tuple[str, int], known: Any = None) -> dict[str, Any]:
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"{registry[0]}:{registry[1]}",
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": known, "settings": settings()}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": f"{registry[0]}:{registry[1]}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known,
+        "settings": settings(),
+    }
 
 
 @dataclass
@@ -202,8 +242,14 @@
         return await read_message(self.reader)
 
 
-def request(klass: str = "send", rid: str = "r1", deadline: int | str = 4000, body: bytes = b"hello",
-            method: str | None = None, **headers: str) -> bytes:
+def request(
+    klass: str = "send",
+    rid: str = "r1",
+    deadline: int | str = 4000,
+    body: bytes = b"hello",
+    method: str | None = None,
+    **headers: str,
+) -> bytes:
     fields = {"Host": "backend.local", "X-Request-Id": rid, "X-Class": klass, "X-Deadline-Ms": str(deadline)}
     if klass == "set":
         fields["Idempotency-Key"] = f"k-{rid}"
--- a/tests/node/test_agree.py
+++ b/tests/node/test_agree.py
@@ -29,8 +29,9 @@
 
 
 def on(**options: Any) -> Features:
-    chosen = msgspec.convert({"voters": 3, "beat_s": 0.05, "lease_s": 2.0, "replace_s": 2.0, **options},
-                             feature.Options)
+    chosen = msgspec.convert(
+        {"voters": 3, "beat_s": 0.05, "lease_s": 2.0, "replace_s": 2.0, **options}, feature.Options
+    )
     return Features((*view_on().parts, (feature, chosen)))
 
 
@@ -70,11 +71,16 @@
                 assert (status, told["version"]) == (200, n + 1)
             status, told = await propose(every[1], "too late", 1)
             assert status == 409 and "another change" in told["reason"]
-            again = await propose(every[0], "change 2", 2, id=every[2].changes() and json.loads(
-                every[2].changes())["changes"][0]["id"])
+            again = await propose(
+                every[0],
+                "change 2",
+                2,
+                id=every[2].changes() and json.loads(every[2].changes())["changes"][0]["id"],
+            )
             assert again[0] == 200 and again[1]["version"] == 3  # the same proposal, asked elsewhere
             assert [await asked(s, b"GET", b"/agree/read") for s in every] == 3 * [
-                (200, {"version": 3, "entry": "change 2"})]
+                (200, {"version": 3, "entry": "change 2"})
+            ]
             for one in every:
                 told = json.loads(one.host.offers.calls[b"/agree"]())
                 assert told.keys() >= KEYS and told["committed"] == 3 and told["voters"] == [0, 1, 2]
@@ -97,8 +103,7 @@
     async def main(change: int) -> None:
         stub = await Stub(says(answer())).start()
         peers = ports(1)
-        async with node(stub, beside=kept, name="n", peer_listen=peers[0],
-                        peers=peers) as balancer:
+        async with node(stub, beside=kept, name="n", peer_listen=peers[0], peers=peers) as balancer:
             one = service(balancer)
             births.append(one.core.shared.birth)
             await until(lambda: one.core.voter.settled())
@@ -118,10 +123,15 @@
     assert births[2] != births[1]
 
 
-@pytest.mark.parametrize("text, said", [
-    ("[agree]\nlease_s = 1.0", "20 beats"), ("[agree]\nvoters = 4", "voters"),
-    ("[agree]\ndatagrams_s = 40.0\nvoters = 7", "datagrams_s"), ("[agree]\nbeat = 1", "beat"),
-])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("[agree]\nlease_s = 1.0", "20 beats"),
+        ("[agree]\nvoters = 4", "voters"),
+        ("[agree]\ndatagrams_s = 40.0\nvoters = 7", "datagrams_s"),
+        ("[agree]\nbeat = 1", "beat"),
+    ],
+)
 def test_what_can_not_be_used_is_said_in_a_line(tmp_path: Path, text: str, said: str) -> None:
     path = tmp_path / "f.toml"
     path.write_text(text + "\n")
@@ -133,7 +143,9 @@
     path = tmp_path / "f.toml"
     path.write_text("[agree]\n[view]\n")
     assert [module.__name__ for module, _ in features.load(str(path), True, None).parts] == [
-        "dykeshift.node.view", "dykeshift.node.agree"]
+        "dykeshift.node.view",
+        "dykeshift.node.agree",
+    ]
     code = "import sys, dykeshift.node.__main__; sys.exit(any('agree' in name for name in sys.modules))"
     assert subprocess.run([sys.executable, "-c", code]).returncode == 0
 
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -36,7 +36,7 @@
 
 
 def chunks(body: bytes, size: int, extension: bytes = b"") -> bytes:
-    pieces = [body[n:n + size] for n in range(0, len(body), size)]
+    pieces = [body[n : n + size] for n in range(0, len(body), size)]
     return b"".join(b"%x%s\r\n%s\r\n" % (len(p), extension, p) for p in pieces)
 
 
@@ -56,12 +56,18 @@
     return Message(lines[0], headers, body)
 
 
-@pytest.mark.parametrize("sent", [
-    answer(BODY), CHUNKED + chunks(BODY, 1000) + b"0\r\n\r\n",
-    CHUNKED + chunks(BODY, 70_000, b";name=value") + b"0\r\nX-Trailer: x\r\n\r\n",
-    CHUNKED + chunks(BODY[:40_000], 1) + b"0\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
-    b"HTTP/1.1 200 OK\r\n\r\nshort", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer(BODY),
-])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        answer(BODY),
+        CHUNKED + chunks(BODY, 1000) + b"0\r\n\r\n",
+        CHUNKED + chunks(BODY, 70_000, b";name=value") + b"0\r\nX-Trailer: x\r\n\r\n",
+        CHUNKED + chunks(BODY[:40_000], 1) + b"0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+        b"HTTP/1.1 200 OK\r\n\r\nshort",
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer(BODY),
+    ],
+)
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_an_answer_of_any_framing_comes_whole(sent: bytes, version: str) -> None:
     async def main() -> None:
@@ -70,8 +76,9 @@
             caller = await balancer.open()
             caller.writer.write(request("check").replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
             got = await read_any(caller.reader)
-            assert "200" in got.start and got.body == (BODY[:40_000] if b"1\r\n\x00" in sent[:80] else
-                                                       b"short" if b"short" in sent else BODY)
+            assert "200" in got.start and got.body == (
+                BODY[:40_000] if b"1\r\n\x00" in sent[:80] else b"short" if b"short" in sent else BODY
+            )
             assert version == "1.1" or "transfer-encoding" not in got.headers
             assert not balancer.front.driver.jobs
 
@@ -80,6 +87,7 @@
 
 def test_a_short_answer_without_a_length_is_no_long_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """It comes with a length of its own, and on a connection that is kept."""
+
     async def main() -> None:
         stub = await Stub(says(CHUNKED + chunks(b"x" * 9000, 100) + b"0\r\n\r\n")).start()
         async with node(stub) as balancer:
@@ -277,9 +285,9 @@
 
 async def sent_in_halves(balancer: Node, whole: bytes, between: Callable[[], bool]) -> Caller:
     caller = await balancer.open()
-    caller.writer.write(whole[:len(whole) // 2])
+    caller.writer.write(whole[: len(whole) // 2])
     await until(between)
-    caller.writer.write(whole[len(whole) // 2:])
+    caller.writer.write(whole[len(whole) // 2 :])
     return caller
 
 
@@ -292,8 +300,9 @@
 
         stubs = [await Reads(refuse_once).start() for _ in range(2)]
         async with node(*stubs) as balancer:  # type: ignore[arg-type]
-            caller = await sent_in_halves(balancer, long_request(BODY, chunked),
-                                          lambda: balancer.front.budget.total > 400_000)
+            caller = await sent_in_halves(
+                balancer, long_request(BODY, chunked), lambda: balancer.front.budget.total > 400_000
+            )
             assert stubs[0].heads == stubs[1].heads == 0  # nobody chooses before its last byte has come
             assert (await read_message(caller.reader)).body == b"done"
             assert [m.body == BODY for s in stubs for m in s.seen] == [True, True]
@@ -329,7 +338,7 @@
             balancer.front.budget.limit = 100_000
             caller = await balancer.open()
             whole = long_request(BODY, False)
-            caller.writer.write(whole[:len(whole) // 2])
+            caller.writer.write(whole[: len(whole) // 2])
             got = await read_message(caller.reader)
             assert "503" in got.start and got.headers["connection"] == "close"  # it can't have run
             assert sum(s.heads for s in stubs) == 1 and balancer.front.budget.total == 0
@@ -342,8 +351,9 @@
         stubs = [await Reads(lambda _, writer: writer.transport.abort()).start() for _ in range(3)]
         async with node(*stubs) as balancer:  # type: ignore[arg-type]
             balancer.front.budget.limit = 100_000
-            caller = await sent_in_halves(balancer, long_request(BODY, False, "set"),
-                                          lambda: sum(s.heads for s in stubs) == 1)
+            caller = await sent_in_halves(
+                balancer, long_request(BODY, False, "set"), lambda: sum(s.heads for s in stubs) == 1
+            )
             got = await read_message(caller.reader)
             assert "500" in got.start and sum(len(s.seen) for s in stubs) == 1
 
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -62,8 +62,9 @@
             registry = balancer.registry
             await until(lambda: len(registry.paths) == 1)
             assert registry.paths[0].startswith("/v1/endpoints?from=1&hold_ms=")
-            registry.put(listing(5, False, instance("s0", old.address, "leaving"),
-                                 instance("s1", new.address)))
+            registry.put(
+                listing(5, False, instance("s0", old.address, "leaving"), instance("s1", new.address))
+            )
             await until(lambda: len(registry.paths) == 2)
             assert registry.paths[1].startswith("/v1/endpoints?from=5&hold_ms=")
             for n in range(6):
@@ -102,7 +103,11 @@
 
 
 BROKEN: list[Any] = [
-    [], {}, None, 5, {"generation": 2, "reset": False},
+    [],
+    {},
+    None,
+    5,
+    {"generation": 2, "reset": False},
     {"generation": "x", "reset": False, "instances": []},
     {"generation": 2, "reset": 1, "instances": []},
     {"generation": 2, "reset": False, "instances": [5]},
@@ -115,9 +120,17 @@
 ]
 
 
-@pytest.mark.parametrize("reply", [*(answer(json.dumps(b).encode()) for b in BROKEN), answer(b"{"),
-                                   answer(b"[" * 60_000), b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-                                   answer(b"", "503 Service Unavailable"), answer(b"", "404 Not Found")])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        *(answer(json.dumps(b).encode()) for b in BROKEN),
+        answer(b"{"),
+        answer(b"[" * 60_000),
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        answer(b"", "503 Service Unavailable"),
+        answer(b"", "404 Not Found"),
+    ],
+)
 def test_a_broken_update_is_dropped_told_as_failed_and_asked_for_again(reply: bytes) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
@@ -185,13 +198,16 @@
 WHOLE = answer(json.dumps(listing(2, True)).encode())
 
 
-@pytest.mark.parametrize(("replies", "end"), [
-    ([WHOLE], CallEnd.BROKEN),  # and then it falls silent
-    ([WHOLE, answer(b"", "503 Service Unavailable")], CallEnd.BROKEN),
-    ([WHOLE, answer(b"{")], CallEnd.BROKEN),
-    ([], CallEnd.UNANSWERED),
-    ([answer(b"", "503 Service Unavailable")], CallEnd.UNANSWERED),
-])
+@pytest.mark.parametrize(
+    ("replies", "end"),
+    [
+        ([WHOLE], CallEnd.BROKEN),  # and then it falls silent
+        ([WHOLE, answer(b"", "503 Service Unavailable")], CallEnd.BROKEN),
+        ([WHOLE, answer(b"{")], CallEnd.BROKEN),
+        ([], CallEnd.UNANSWERED),
+        ([answer(b"", "503 Service Unavailable")], CallEnd.UNANSWERED),
+    ],
+)
 def test_the_module_hears_how_a_call_to_discovery_ended(replies: list[bytes], end: CallEnd) -> None:
     """calm+brink: all watches that had worked fell silent, and were asked anew 7.4 to 8 s after that."""
 
@@ -244,8 +260,14 @@
 def test_starts_are_told_on_the_modules_clock() -> None:
     reader = Reader(SYSTEM, ("a",), ("m",))
     began = time.time_ns() // 1_000_000 - 3000
-    _, _, rows = reader.read(listing(1, True, instance("s0", ("127.0.0.1", 1), startedAtMs=began),
-                                     instance("s1", ("127.0.0.1", 2), "left")))
+    _, _, rows = reader.read(
+        listing(
+            1,
+            True,
+            instance("s0", ("127.0.0.1", 1), startedAtMs=began),
+            instance("s1", ("127.0.0.1", 2), "left"),
+        )
+    )
     age = time.monotonic_ns() - rows[0].entry.started
     assert 2_900_000_000 < age < 60_000_000_000
     assert rows[1].entry.started == 0 and rows[1].entry.state is ServerState.GONE
--- a/tests/node/test_drain.py
+++ b/tests/node/test_drain.py
@@ -12,8 +12,10 @@
 from tests.node.stubs import Stub, answer, node, read_message, request, run, says, silent, until
 
 READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
-EVENTS = st.lists(st.tuples(st.sampled_from(["standby", "active", "terminate", "look", "busy"]),
-                            st.floats(0, 2)), max_size=40)
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(["standby", "active", "terminate", "look", "busy"]), st.floats(0, 2)),
+    max_size=40,
+)
 
 
 @given(EVENTS, st.booleans())
@@ -37,8 +39,7 @@
             orders = drain.look(now, event == "busy")
             since = ending if ending is not None else draining
             age = -1.0 if since is None else now - since
-            over = over or closed and age >= module.LINGER and (
-                event == "look" or age >= module.LINGER + 1.5)
+            over = over or closed and age >= module.LINGER and (event == "look" or age >= module.LINGER + 1.5)
             closed = ending is not None and (shared or age >= module.LINGER)
             assert orders.close_kept == (age >= module.KEPT) and orders.close_silent == (age >= module.SILENT)
             assert orders.stop_accepting == closed
--- a/tests/node/test_gone.py
+++ b/tests/node/test_gone.py
@@ -73,7 +73,8 @@
 @pytest.mark.parametrize("cancelling", [True, False])
 @pytest.mark.parametrize("leave", [closes, resets])
 def test_an_attempt_that_waits_for_its_connection_is_not_begun_for_a_client_that_left(
-        cancelling: bool, leave: Callable[[socket.socket], None]) -> None:
+    cancelling: bool, leave: Callable[[socket.socket], None]
+) -> None:
     """Where attempts may not be called off it went out when the connection came up, 1.5 s later."""
 
     async def main() -> None:
@@ -125,10 +126,18 @@
     run(main())
 
 
-@pytest.mark.parametrize(("leave", "gone"), [(closes, True), (resets, True), (lambda client: None, False),
-                                             (lambda client: client.sendall(b"more"), False)])
+@pytest.mark.parametrize(
+    ("leave", "gone"),
+    [
+        (closes, True),
+        (resets, True),
+        (lambda client: None, False),
+        (lambda client: client.sendall(b"more"), False),
+    ],
+)
 def test_the_machine_tells_that_the_other_side_hung_up(
-        leave: Callable[[socket.socket], None], gone: bool) -> None:
+    leave: Callable[[socket.socket], None], gone: bool
+) -> None:
     async def main() -> None:
         made: asyncio.Future[asyncio.BaseTransport] = asyncio.get_running_loop().create_future()
 
--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -34,8 +34,9 @@
             registry.put(listing(n + 2, False, *names))
         caller = await balancer.open()
         bad = n % 10 == 0
-        got = await caller.ask(request(("check", "set", "send")[n % 3], rid=f"r{n}",
-                                       deadline="soon" if bad else 4000))
+        got = await caller.ask(
+            request(("check", "set", "send")[n % 3], rid=f"r{n}", deadline="soon" if bad else 4000)
+        )
         assert ("400" if bad else "200") in got.start
         caller.writer.close()
 
@@ -43,9 +44,14 @@
 async def settled(balancer: Node) -> int:
     front = balancer.front
     module = front.driver.balancer
-    await until(lambda: not front.clients and not front.driver.jobs and not module.open
-                and len(module.servers) <= 2 and len(front.driver.pool.upstreams) <= 2
-                and not front.driver.pool.connecting)
+    await until(
+        lambda: not front.clients
+        and not front.driver.jobs
+        and not module.open
+        and len(module.servers) <= 2
+        and len(front.driver.pool.upstreams) <= 2
+        and not front.driver.pool.connecting
+    )
     gc.collect()
     return len(gc.get_objects())
 
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -17,8 +17,9 @@
 
 
 def record(error: bool = False) -> logging.LogRecord:
-    made = logging.LogRecord("dykeshift.engine.driver", logging.ERROR, "x.py", 1, "the module failed in %s",
-                             ("on_list",), None)
+    made = logging.LogRecord(
+        "dykeshift.engine.driver", logging.ERROR, "x.py", 1, "the module failed in %s", ("on_list",), None
+    )
     made.event, made.fields = "module.failed", {"method": "on_list"}
     if error:
         try:
@@ -51,8 +52,11 @@
     path.write_text(json.dumps(config))
     features.write_text('[logs]\nform = "json"\n')
     process = subprocess.Popen(
-        [sys.executable, "-m", "dykeshift.node"], stderr=subprocess.PIPE, text=True,
-        env={**os.environ, "NODE_CONFIG": str(path), "LIFTTRAIL_FEATURES": str(features)})
+        [sys.executable, "-m", "dykeshift.node"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "NODE_CONFIG": str(path), "LIFTTRAIL_FEATURES": str(features)},
+    )
     assert process.stderr is not None
     try:
         until = time.monotonic() + 60
--- a/tests/node/test_one_process.py
+++ b/tests/node/test_one_process.py
@@ -18,11 +18,37 @@
 
 ROOT = Path(__file__).parents[2]
 # What else the daemon could bring: other fronts, the commands and what the extras install.
-OTHERS = {"click", "rich", "msgspec", "structlog", "numpy", "matplotlib", "aiohttp", "hdrh", "tomllib",
-          "dykeshift.mllp", "dykeshift.store", "dykeshift.sim", "dykeshift.fleet", "dykeshift.lab",
-          "dykeshift.load", "dykeshift.standins", "dykeshift.demo", "dykeshift.cli", "dykeshift.benchlink"}
-FORBIDDEN = {"os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system",
-             "subprocess.Popen", "pty.spawn"}
+OTHERS = {
+    "click",
+    "rich",
+    "msgspec",
+    "structlog",
+    "numpy",
+    "matplotlib",
+    "aiohttp",
+    "hdrh",
+    "tomllib",
+    "dykeshift.mllp",
+    "dykeshift.store",
+    "dykeshift.sim",
+    "dykeshift.fleet",
+    "dykeshift.lab",
+    "dykeshift.load",
+    "dykeshift.standins",
+    "dykeshift.demo",
+    "dykeshift.cli",
+    "dykeshift.benchlink",
+}
+FORBIDDEN = {
+    "os.fork",
+    "os.forkpty",
+    "os.exec",
+    "os.posix_spawn",
+    "os.spawn",
+    "os.system",
+    "subprocess.Popen",
+    "pty.spawn",
+}
 # Notes what would start a process, and ends the program once it serves; what is open and mapped by then.
 WATCHED = """
 import asyncio, json, os, runpy, signal, socket, sys
@@ -61,8 +87,15 @@
     config = tmp_path / "config.json"
     config.write_text(json.dumps(configuration(("127.0.0.1", 9))))
     program = WATCHED % (FORBIDDEN, bool(before), before or "pass")
-    ended = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True,
-                           env={**os.environ, "NODE_CONFIG": str(config)}, timeout=60, check=False)
+    ended = subprocess.run(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={**os.environ, "NODE_CONFIG": str(config)},
+        timeout=60,
+        check=False,
+    )
     assert ended.returncode == 0, ended.stderr
     told: dict[str, object] = json.loads(ended.stdout.splitlines()[-1])
     return told
@@ -136,8 +169,11 @@
     (tmp_path / "config.json").write_text(json.dumps(given))
     limited = f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({FEW}, {FEW}))"
     program = f"{limited}\nimport sys\nfrom dykeshift.node.__main__ import main\nsys.exit(main())"
-    return subprocess.Popen([sys.executable, "-c", program], cwd=ROOT,
-                            env={**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")})
+    return subprocess.Popen(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        env={**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")},
+    )
 
 
 def answered(address: tuple[str, int]) -> bytes:
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -41,26 +41,52 @@
     return json.dumps({**configuration(("127.0.0.1", 9)), **changes})
 
 
-@pytest.mark.parametrize("text", [
-    None, "", "{", "[]", "5", "{}", broken(listen="nowhere"), broken(listen="127.0.0.1:99999"),
-    broken(settings={}), broken(settings=None), broken(settings=5), broken(limits=5),
-    broken(limits={"sockets": "many"}), broken(discovery=None),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        None,
+        "",
+        "{",
+        "[]",
+        "5",
+        "{}",
+        broken(listen="nowhere"),
+        broken(listen="127.0.0.1:99999"),
+        broken(settings={}),
+        broken(settings=None),
+        broken(settings=5),
+        broken(limits=5),
+        broken(limits={"sockets": "many"}),
+        broken(discovery=None),
+    ],
+)
 def test_bad_configuration_is_one_line_and_exit_2(text: str | None, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
-    done = subprocess.run(COMMAND, cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)}, timeout=60,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        COMMAND,
+        cwd=ROOT,
+        env={**os.environ, "NODE_CONFIG": str(path)},
+        timeout=60,
+        capture_output=True,
+        text=True,
+    )
     assert done.returncode == 2
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
 
 
-@pytest.mark.parametrize(("limits", "most"), [
-    ({"sockets": 1024, "memory_mb": 192}, 409), ({"sockets": 256, "memory_mb": 192}, 102),
-    ({"sockets": 256, "memory_mb": 32}, 46), ({"sockets": 1024, "memory_mb": 64}, 140), ({}, 409),
-    ({"sockets": 16, "memory_mb": 8}, 4),
-])
+@pytest.mark.parametrize(
+    ("limits", "most"),
+    [
+        ({"sockets": 1024, "memory_mb": 192}, 409),
+        ({"sockets": 256, "memory_mb": 192}, 102),
+        ({"sockets": 256, "memory_mb": 32}, 46),
+        ({"sockets": 1024, "memory_mb": 64}, 140),
+        ({}, 409),
+        ({"sockets": 16, "memory_mb": 8}, 4),
+    ],
+)
 def test_connections_are_bounded_by_descriptors_and_memory(limits: dict[str, int], most: int) -> None:
     assert config.parse({**configuration(("127.0.0.1", 9)), "limits": limits}).connections == most
 
@@ -75,8 +101,14 @@
     with socket.create_server(("127.0.0.1", 0)) as taken:
         path = tmp_path / "config.json"
         path.write_text(broken(listen="127.0.0.1:%d" % taken.getsockname()[1]))
-        done = subprocess.run(COMMAND, cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)}, timeout=60,
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            COMMAND,
+            cwd=ROOT,
+            env={**os.environ, "NODE_CONFIG": str(path)},
+            timeout=60,
+            capture_output=True,
+            text=True,
+        )
     assert done.returncode == 2
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
 
@@ -88,15 +120,16 @@
 
 
 @asynccontextmanager
-async def program(stub: Stub, folder: Path, stderr: int | None = None
-                  ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+async def program(
+    stub: Stub, folder: Path, stderr: int | None = None
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     registry = await Registry().start()
     port, path = free_port(), folder / "config.json"
     known = listing(1, True, instance("s0", stub.address))
     path.write_text(json.dumps({**configuration(registry.address, known), "listen": f"127.0.0.1:{port}"}))
-    process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT,
-                                                   env={**os.environ, "NODE_CONFIG": str(path)},
-                                                   stderr=stderr)
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)}, stderr=stderr
+    )
     try:
         while True:
             try:
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -209,6 +209,7 @@
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         async with node(stub) as balancer:
+
             def refuse(now: int, request: Request) -> list[Action]:
                 return [Refuse(request.id, 120_000_000)]
 
@@ -294,7 +295,8 @@
 
 @pytest.mark.parametrize("method", ["on_request", "on_attempt_end"])
 def test_a_fault_in_the_module_fails_that_request_alone(
-        method: str, caplog: pytest.LogCaptureFixture) -> None:
+    method: str, caplog: pytest.LogCaptureFixture
+) -> None:
     async def main() -> None:
         stub = await Stub(says(answer(b"", "500 Internal Server Error"))).start()
         async with node(stub) as balancer:
@@ -343,60 +345,98 @@
 # ---- not accepted ----
 
 
-@pytest.mark.parametrize("bad", [
-    request(klass="novel"),
-    request(X_Class=""),
-    request(deadline="soon"),
-    request(deadline="-5"),
-    request(deadline="0"),
-    request(deadline="9" * 30),
-    request(deadline=""),
-    request(rid=""),
-    request(rid="x" * 200),
-    request(rid="a b"),
-    request("check", method="POST"),
-    request("send", method="GET"),
-    request("send", method="PUT"),
-    request("check", method="HEAD"),
-    request("send", Idempotency_Key="k"),
-    request("set").replace(b"Idempotency-Key", b"X-Other"),
-    request("check", Idempotency_Key="k"),
-    request("send", X_Cost_Hint="much"),
-    request("check").replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\nhi"),
-    request().replace(b"/api?x=1", b"http://elsewhere/api"),
-    request().replace(b"/api?x=1", b"*"),
-    request().replace(b"Content-Length: 5", b"Content-Length: 99999"),
-    request().replace(b"Content-Length: 5", b"Content-Length: x"),
-    request().replace(b"Content-Length: 5", b"Content-Length: 5\r\nContent-Length: 6"),
-    request().replace(b"Content-Length: 5", b"Content-Length: 5\r\nTransfer-Encoding: chunked"),
-    request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n"
-                      + b"fff0\r\n" + b"x" * 0xfff0 + b"\r\nffff\r\n" + b"x" * 0xffff),
-    request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n"
-                      + b"1;" + b"x" * 10_000 + b"\r\nx\r\n" + (b"1;" + b"x" * 1000 + b"\r\nx\r\n") * 400),
-    request(x_request_id="r2"),
-    request(x_deadline_ms="9"),
-    request(X_Long="x" * 100_000),
-    request().replace(b"\r\n\r\n", b"\r\n" + b"X-More: 1\r\n" * 100 + b"\r\n"),
-    request(Connection="Upgrade", Upgrade="websocket"),
-    b"CONNECT backend.local:80 HTTP/1.1\r\nHost: backend.local\r\n\r\n",
-    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
-    b"GET /api\r\n\r\n",
-    b"NONSENSE\r\n\r\n",
-    # Each of these could hide a second request, or is read in another way by whoever stands behind.
-    *(request().replace(b"Content-Length: 5", framing) for framing in (
-        b"Transfer-Encoding: chunked\r\nContent-Length: 5", b"Content-Length: 5\r\nContent-Length: 5",
-        b"Content-Length: 5, 5", b"Content-Length: +5", b"Content-Length: -5", b"Content-Length: 0x5",
-        b"Content-Length:", b"Content-Length: 5 5", b"Content-Length: " + b"9" * 30,
-        b"Content-Length: 60000000", b"Content-Length:\r\n 5", b"Content-Length : 5",
-        b"Transfer-Encoding: chunked, gzip", b"Transfer-Encoding: gzip", b"Transfer-Encoding: xchunked",
-        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
-        b"Transfer-Encoding: gzip, chunked", b"Transfer-Encoding: identity", b"X-A: 1\r\n folded",
-        b"X-A: 1\nX-B: 2", b"X-A: 1\rX-B: 2", b"X-A: \0")),
-    request().replace(b"\r\n", b"\n"),
-    request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n-1\r\nhello"),
-    request().replace(b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: gzip, chunked\r\n\r\n"
-                      b"5\r\nhello\r\n0\r\n\r\n"),
-], ids=range(61))
+@pytest.mark.parametrize(
+    "bad",
+    [
+        request(klass="novel"),
+        request(X_Class=""),
+        request(deadline="soon"),
+        request(deadline="-5"),
+        request(deadline="0"),
+        request(deadline="9" * 30),
+        request(deadline=""),
+        request(rid=""),
+        request(rid="x" * 200),
+        request(rid="a b"),
+        request("check", method="POST"),
+        request("send", method="GET"),
+        request("send", method="PUT"),
+        request("check", method="HEAD"),
+        request("send", Idempotency_Key="k"),
+        request("set").replace(b"Idempotency-Key", b"X-Other"),
+        request("check", Idempotency_Key="k"),
+        request("send", X_Cost_Hint="much"),
+        request("check").replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\nhi"),
+        request().replace(b"/api?x=1", b"http://elsewhere/api"),
+        request().replace(b"/api?x=1", b"*"),
+        request().replace(b"Content-Length: 5", b"Content-Length: 99999"),
+        request().replace(b"Content-Length: 5", b"Content-Length: x"),
+        request().replace(b"Content-Length: 5", b"Content-Length: 5\r\nContent-Length: 6"),
+        request().replace(b"Content-Length: 5", b"Content-Length: 5\r\nTransfer-Encoding: chunked"),
+        request().replace(
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"fff0\r\n"
+            + b"x" * 0xFFF0
+            + b"\r\nffff\r\n"
+            + b"x" * 0xFFFF,
+        ),
+        request().replace(
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"1;"
+            + b"x" * 10_000
+            + b"\r\nx\r\n"
+            + (b"1;" + b"x" * 1000 + b"\r\nx\r\n") * 400,
+        ),
+        request(x_request_id="r2"),
+        request(x_deadline_ms="9"),
+        request(X_Long="x" * 100_000),
+        request().replace(b"\r\n\r\n", b"\r\n" + b"X-More: 1\r\n" * 100 + b"\r\n"),
+        request(Connection="Upgrade", Upgrade="websocket"),
+        b"CONNECT backend.local:80 HTTP/1.1\r\nHost: backend.local\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        b"GET /api\r\n\r\n",
+        b"NONSENSE\r\n\r\n",
+        # Each of these could hide a second request, or is read in another way by whoever stands behind.
+        *(
+            request().replace(b"Content-Length: 5", framing)
+            for framing in (
+                b"Transfer-Encoding: chunked\r\nContent-Length: 5",
+                b"Content-Length: 5\r\nContent-Length: 5",
+                b"Content-Length: 5, 5",
+                b"Content-Length: +5",
+                b"Content-Length: -5",
+                b"Content-Length: 0x5",
+                b"Content-Length:",
+                b"Content-Length: 5 5",
+                b"Content-Length: " + b"9" * 30,
+                b"Content-Length: 60000000",
+                b"Content-Length:\r\n 5",
+                b"Content-Length : 5",
+                b"Transfer-Encoding: chunked, gzip",
+                b"Transfer-Encoding: gzip",
+                b"Transfer-Encoding: xchunked",
+                b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                b"Transfer-Encoding: gzip, chunked",
+                b"Transfer-Encoding: identity",
+                b"X-A: 1\r\n folded",
+                b"X-A: 1\nX-B: 2",
+                b"X-A: 1\rX-B: 2",
+                b"X-A: \0",
+            )
+        ),
+        request().replace(b"\r\n", b"\n"),
+        request().replace(
+            b"Content-Length: 5\r\n\r\nhello", b"Transfer-Encoding: chunked\r\n\r\n-1\r\nhello"
+        ),
+        request().replace(
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: gzip, chunked\r\n\r\n" b"5\r\nhello\r\n0\r\n\r\n",
+        ),
+    ],
+    ids=range(61),
+)
 def test_bad_input_is_answered_4xx_and_goes_nowhere(bad: bytes) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
@@ -446,7 +486,8 @@
 
 
 def test_a_refusal_of_the_body_reaches_a_client_that_is_still_sending(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(server, "MAX_LONG", 2_000_000)
 
     async def main() -> None:
@@ -475,7 +516,8 @@
 
 @pytest.mark.parametrize("sent", [b"", b"GET /api HTT", request()[:-2]])
 def test_a_client_that_sends_no_whole_request_is_let_go_in_time(
-        sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    sent: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(server, "FIRST", 0.1)
 
     async def main() -> None:
@@ -538,7 +580,8 @@
 
 
 def test_clients_that_ask_once_and_stay_do_not_take_the_room_of_those_that_come_back(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(server, "ONCE", 30.0)  # until all have asked, however slow the machine
 
     async def main() -> None:
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -48,13 +48,24 @@
     assert key in str(caught.value) and "\n" not in str(caught.value)
 
 
-@pytest.mark.parametrize("text", [
-    "", "{", "[]", "null", '{"settings":', '{"listen":"127.0.0.1:1"}', "[" * 200_000,
-    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named()}),
-    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named(CHECK, CHECK)}),
-    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "deadlineNs": float("nan")})}),
-    json.dumps({**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "worth": 1e400})}),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        "null",
+        '{"settings":',
+        '{"listen":"127.0.0.1:1"}',
+        "[" * 200_000,
+        json.dumps({**configuration(("127.0.0.1", 9)), "settings": named()}),
+        json.dumps({**configuration(("127.0.0.1", 9)), "settings": named(CHECK, CHECK)}),
+        json.dumps(
+            {**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "deadlineNs": float("nan")})}
+        ),
+        json.dumps({**configuration(("127.0.0.1", 9)), "settings": named({**CHECK, "worth": 1e400})}),
+    ],
+)
 def test_a_file_that_cannot_be_used_is_one_error(text: str, tmp_path: Any) -> None:
     path = tmp_path / "config.json"
     path.write_text(text)
@@ -63,8 +74,12 @@
     assert "\n" not in str(caught.value)
 
 
-NAMES = st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["pure", "token", "side_effect"]),
-                           st.integers(1, 3)), min_size=1, max_size=3, unique_by=lambda c: c[0])
+NAMES = st.lists(
+    st.tuples(st.sampled_from("abc"), st.sampled_from(["pure", "token", "side_effect"]), st.integers(1, 3)),
+    min_size=1,
+    max_size=3,
+    unique_by=lambda c: c[0],
+)
 
 
 @given(st.lists(NAMES, min_size=1, max_size=6))
@@ -76,7 +91,7 @@
     for file in files[1:]:
         new = read(file)
         merged = succeed(held, new)
-        assert merged.classes[:len(held.classes)] == held.classes
+        assert merged.classes[: len(held.classes)] == held.classes
         current = [c for n, c in enumerate(merged.classes) if n not in merged.retired]
         assert sorted(c.name for c in current) == sorted(c.name for c in new.classes)
         assert set(current) == set(new.classes)
@@ -148,6 +163,10 @@
             stub.writers[0].write(answer(b"late"))
             assert (await read_message(under_way.reader)).body == b"late" and job.closed
             assert {name: tier.success for name, tier in ledger.tiers.items()} == {
-                "check": 2, "set": 0, "send": 0, "fresh": 2}
+                "check": 2,
+                "set": 0,
+                "send": 0,
+                "fresh": 2,
+            }
 
     run(main())
--- a/tests/node/test_tally.py
+++ b/tests/node/test_tally.py
@@ -21,8 +21,16 @@
 
 
 def line(at: str, counts: dict[str, object], **changes: object) -> str:
-    return "0.1 " + json.dumps({"event": "tally", "timestamp": f"2026-01-01T00:00:{at}Z", "seconds": 5.0,
-                                "counts": counts, "state": STATE, **changes})
+    return "0.1 " + json.dumps(
+        {
+            "event": "tally",
+            "timestamp": f"2026-01-01T00:00:{at}Z",
+            "seconds": 5.0,
+            "counts": counts,
+            "state": STATE,
+            **changes,
+        }
+    )
 
 
 def test_every_event_and_action_is_counted_once_and_nothing_is_decided_otherwise() -> None:
@@ -63,8 +71,11 @@
     path.write_text(json.dumps(configuration(("127.0.0.1", 9))))
     features.write_text('[logs]\nform = "json"\n[tally]\nevery_s = 0.1\n')
     process = subprocess.Popen(
-        [sys.executable, "-m", "dykeshift.node"], stderr=subprocess.PIPE, text=True,
-        env={**os.environ, "NODE_CONFIG": str(path), "LIFTTRAIL_FEATURES": str(features)})
+        [sys.executable, "-m", "dykeshift.node"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "NODE_CONFIG": str(path), "LIFTTRAIL_FEATURES": str(features)},
+    )
     assert process.stderr is not None
     try:
         told = ""
@@ -82,12 +93,20 @@
 
 
 def test_counts_are_added_up_by_period_and_told_for_each_first_try(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     logs = []
     for n in range(2):
         path = tmp_path / f"n{n}.log"
-        path.write_text("\n".join(["a line of another kind", line("05", {"requests": 10, "attempts": 12}),
-                                   line("10", {"requests": 10, "attempts": 8 + n, "refused": 2})]))
+        path.write_text(
+            "\n".join(
+                [
+                    "a line of another kind",
+                    line("05", {"requests": 10, "attempts": 12}),
+                    line("10", {"requests": 10, "attempts": 8 + n, "refused": 2}),
+                ]
+            )
+        )
         logs.append(str(path))
     assert main([*logs, "--json"]) == 0
     first, second = json.loads(capsys.readouterr().out)
@@ -95,12 +114,23 @@
     assert (second["from_s"], second["attempts"], second["refused"], second["pool"]) == (5.0, 0.85, 0.2, 10.0)
 
 
-@pytest.mark.parametrize("text", [
-    None, "", "nothing of ours\n",
-    '{"event": "tally"}', '{"event": "tally", ', line("05", {"requests": "many"}),
-    line("05", {}, state={}), line("05", {}, timestamp="yesterday"), line("05", {}, seconds=None)])
-def test_bad_input_is_one_line_and_exit_2(text: str | None, tmp_path: Path,
-                                          capsys: pytest.CaptureFixture[str]) -> None:
+@pytest.mark.parametrize(
+    "text",
+    [
+        None,
+        "",
+        "nothing of ours\n",
+        '{"event": "tally"}',
+        '{"event": "tally", ',
+        line("05", {"requests": "many"}),
+        line("05", {}, state={}),
+        line("05", {}, timestamp="yesterday"),
+        line("05", {}, seconds=None),
+    ],
+)
+def test_bad_input_is_one_line_and_exit_2(
+    text: str | None, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     path = tmp_path / "n0.log"
     if text is not None:
         path.write_text(text)
--- a/tests/node/test_tenants.py
+++ b/tests/node/test_tenants.py
@@ -50,8 +50,9 @@
     assert states(tenants.settle(False, [listed(2, 80, started=3)])) == {2: READY}
 
 
-ROW = st.builds(listed, st.integers(0, 5), st.integers(80, 82), st.integers(0, 9),
-                st.sampled_from(ServerState))
+ROW = st.builds(
+    listed, st.integers(0, 5), st.integers(80, 82), st.integers(0, 9), st.sampled_from(ServerState)
+)
 UPDATES = st.lists(st.tuples(st.booleans(), st.lists(ROW, max_size=5)), max_size=12)
 
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -24,8 +24,9 @@
 
     def __init__(self, pool: Pool, number: int = 1, left: int = 20 * SECOND) -> None:
         self.ends: list[End] = []
-        self.attempt: Attempt = pool.start(number, lambda _: REQUEST, time.monotonic_ns() + left,
-                                           self.ends.append)
+        self.attempt: Attempt = pool.start(
+            number, lambda _: REQUEST, time.monotonic_ns() + left, self.ends.append
+        )
 
     async def end(self) -> End:
         await until(lambda: bool(self.ends))
@@ -33,8 +34,9 @@
         return self.ends[0]
 
 
-def make_pool(address: tuple[str, int], limit: int = 10, connect_timeout: float = 5.0,
-              keepalive: float = 60.0) -> Pool:
+def make_pool(
+    address: tuple[str, int], limit: int = 10, connect_timeout: float = 5.0, keepalive: float = 60.0
+) -> Pool:
     loop = asyncio.get_running_loop()
     pool = Pool(loop, SYSTEM, HttpCarrier(loop, SYSTEM), limit, connect_timeout, keepalive)
     pool.put(1, address, 0, True)
@@ -53,34 +55,47 @@
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"
 
 
-@pytest.mark.parametrize(("handler", "outcome"), [
-    (says(answer(b"body")), Outcome.OK),
-    (says(answer(b"", "500 Internal Server Error")), Outcome.ERROR),
-    (says(answer(b"", "500 Internal Server Error", X_Not_Run="1")), Outcome.ERROR),
-    (says(answer(b"", "404 Not Found")), Outcome.ERROR),
-    (says(answer(b"", "503 Service Unavailable", X_Not_Run="1")), Outcome.FULL),
-    (says(answer(b"", "504 Gateway Timeout", X_Not_Run="1")), Outcome.FULL),
-    (says(answer(b"", "503 Service Unavailable")), Outcome.ERROR),
-    (says(answer(b"", "504 Gateway Timeout")), Outcome.ERROR),
-    (says(answer(b"", "503 Service Unavailable", X_Not_Run="0")), Outcome.ERROR),
-    (resets, Outcome.RESET),
-    (says(b"", close=True), Outcome.RESET),
-    (says(HALF, close=True), Outcome.RESET),
-    (says(b"HTTP/1.1 200 OK\r\n\r\nbody", close=True), Outcome.OK),  # nothing but its end ends it
-    (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", close=True), Outcome.RESET),
-    (says(b"NONSENSE\r\n\r\n"), Outcome.RESET),
-    (says(answer(b"x" * 70_000, "500 Internal Server Error")), Outcome.ERROR),
-    # The connection stays open, and nothing on it would ever end this: not waited for.
-    (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"), Outcome.RESET),
-    *((says(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\nbody"), Outcome.RESET) for framing in (
-        b"Content-Length: 4\r\nTransfer-Encoding: chunked",
-        b"Transfer-Encoding: chunked\r\nContent-Length: 4",
-        b"Content-Length: 4\r\nContent-Length: 5", b"Content-Length: -4", b"Content-Length: +4",
-        b"Content-Length: four", b"Transfer-Encoding: gzip, chunked")),
-    (says(answer(b"body").replace(b"\r\n", b"\n")), Outcome.RESET),
-    (says(b"\x80\x00\xff" * 100), Outcome.RESET),
-    (says(b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 200_000), Outcome.RESET),
-])
+@pytest.mark.parametrize(
+    ("handler", "outcome"),
+    [
+        (says(answer(b"body")), Outcome.OK),
+        (says(answer(b"", "500 Internal Server Error")), Outcome.ERROR),
+        (says(answer(b"", "500 Internal Server Error", X_Not_Run="1")), Outcome.ERROR),
+        (says(answer(b"", "404 Not Found")), Outcome.ERROR),
+        (says(answer(b"", "503 Service Unavailable", X_Not_Run="1")), Outcome.FULL),
+        (says(answer(b"", "504 Gateway Timeout", X_Not_Run="1")), Outcome.FULL),
+        (says(answer(b"", "503 Service Unavailable")), Outcome.ERROR),
+        (says(answer(b"", "504 Gateway Timeout")), Outcome.ERROR),
+        (says(answer(b"", "503 Service Unavailable", X_Not_Run="0")), Outcome.ERROR),
+        (resets, Outcome.RESET),
+        (says(b"", close=True), Outcome.RESET),
+        (says(HALF, close=True), Outcome.RESET),
+        (says(b"HTTP/1.1 200 OK\r\n\r\nbody", close=True), Outcome.OK),  # nothing but its end ends it
+        (
+            says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", close=True),
+            Outcome.RESET,
+        ),
+        (says(b"NONSENSE\r\n\r\n"), Outcome.RESET),
+        (says(answer(b"x" * 70_000, "500 Internal Server Error")), Outcome.ERROR),
+        # The connection stays open, and nothing on it would ever end this: not waited for.
+        (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"), Outcome.RESET),
+        *(
+            (says(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\nbody"), Outcome.RESET)
+            for framing in (
+                b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+                b"Transfer-Encoding: chunked\r\nContent-Length: 4",
+                b"Content-Length: 4\r\nContent-Length: 5",
+                b"Content-Length: -4",
+                b"Content-Length: +4",
+                b"Content-Length: four",
+                b"Transfer-Encoding: gzip, chunked",
+            )
+        ),
+        (says(answer(b"body").replace(b"\r\n", b"\n")), Outcome.RESET),
+        (says(b"\x80\x00\xff" * 100), Outcome.RESET),
+        (says(b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 200_000), Outcome.RESET),
+    ],
+)
 def test_what_comes_back(handler: Handler, outcome: Outcome) -> None:
     async def main() -> None:
         stub = await Stub(handler).start()
@@ -93,10 +108,13 @@
     run(main())
 
 
-@pytest.mark.parametrize("data", [
-    b"HTTP/1.1 100 Continue\r\n\r\n" + answer(b"body"),
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n" + answer(b"body"),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+    ],
+)
 def test_a_whole_answer_in_other_framing(data: bytes) -> None:
     async def main() -> None:
         stub = await Stub(says(data)).start()
@@ -169,10 +187,17 @@
     run(main())
 
 
-@pytest.mark.parametrize(("text", "report"), [
-    ('{"cpu_share":0.5,"failed_ps":2}', LoadReport(utilization=0.5, errors_per_s=2.0)),
-    ('{"novel":1}', None), ("{", None), ("[1]", None), ('{"cpu_share":"high"}', None), ("[" * 9000, None),
-])
+@pytest.mark.parametrize(
+    ("text", "report"),
+    [
+        ('{"cpu_share":0.5,"failed_ps":2}', LoadReport(utilization=0.5, errors_per_s=2.0)),
+        ('{"novel":1}', None),
+        ("{", None),
+        ("[1]", None),
+        ('{"cpu_share":"high"}', None),
+        ("[" * 9000, None),
+    ],
+)
 def test_load_reports(text: str, report: LoadReport | None) -> None:
     async def main() -> None:
         stub = await Stub(says(answer(b"", X_Load=text))).start()
@@ -291,11 +316,13 @@
     run(main())
 
 
-@pytest.mark.parametrize("handler", [resets, says(b"\0" * 64), says(answer(b"", "500 Internal Server Error",
-                                                                             Connection="close"))])
+@pytest.mark.parametrize(
+    "handler", [resets, says(b"\0" * 64), says(answer(b"", "500 Internal Server Error", Connection="close"))]
+)
 def test_the_place_of_a_broken_connection_is_free_for_what_its_end_sends(handler: Handler) -> None:
     """The end of an attempt was told a turn of the loop before its place was free: at the limit what was sent
     again at once could not connect, though nothing else was open."""
+
     async def main() -> None:
         stub = await Stub(handler).start()
         pool = make_pool(stub.address, limit=1)
@@ -432,7 +459,8 @@
 
 @pytest.mark.parametrize("change", [drains, goes, restarts, cancels, expires])
 def test_not_sent_when_things_changed_during_the_connect(
-        change: Callable[[Pool, tuple[str, int], Shot], None]) -> None:
+    change: Callable[[Pool, tuple[str, int], Shot], None],
+) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         pool = make_pool(stub.address)
@@ -498,6 +526,7 @@
 
 def test_what_is_half_written_when_its_time_is_over_is_recalled() -> None:
     """An upstream that does not read: the kernel takes a part of what is written, the rest waits."""
+
     async def main() -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         pool = make_pool(listener.getsockname())
--- a/tests/node/test_versions.py
+++ b/tests/node/test_versions.py
@@ -55,15 +55,20 @@
 async def asked(one: feature.Service, path: str, body: Any = None) -> tuple[int, dict[str, Any]]:
     got: asyncio.Future[tuple[int, dict[str, Any]]] = asyncio.get_running_loop().create_future()
     one.host.offers.orders[b"PUT", path.encode()](
-        json.dumps(body or {}).encode(), lambda status, text: got.set_result((status, json.loads(text))))
+        json.dumps(body or {}).encode(), lambda status, text: got.set_result((status, json.loads(text)))
+    )
     return await got
 
 
 def turned(**bounds: Any) -> dict[str, Any]:
     """The settings with the safe class unsafe."""
-    return {**WORDS, "bounds": {**WORDS["bounds"], **bounds},
-            "services": [{**s, "idempotency": "side_effect"} if s["name"] == "check" else s
-                         for s in WORDS["services"]]}
+    return {
+        **WORDS,
+        "bounds": {**WORDS["bounds"], **bounds},
+        "services": [
+            {**s, "idempotency": "side_effect"} if s["name"] == "check" else s for s in WORDS["services"]
+        ],
+    }
 
 
 def acting(every: list[feature.Service], version: int) -> bool:
@@ -72,8 +77,18 @@
 
 def made(stub: Stub, count: int, **options: Any) -> list[Any]:
     peers = ports(count)
-    return [node(stub, beside=on(**options), name=f"n{n}", peer_listen=peers[n], peers=peers,
-                 settings=WORDS, console="127.0.0.1:0") for n in range(count)]
+    return [
+        node(
+            stub,
+            beside=on(**options),
+            name=f"n{n}",
+            peer_listen=peers[n],
+            peers=peers,
+            settings=WORDS,
+            console="127.0.0.1:0",
+        )
+        for n in range(count)
+    ]
 
 
 def test_settings_and_bans_of_one_are_those_of_all() -> None:
@@ -106,8 +121,19 @@
     async def main() -> None:
         first, second = [await Stub(says(answer(body))).start() for body in (b"first", b"second")]
         peers = ports(2)
-        one, two = (node(first, second, beside=on(), name=f"n{n}", peer_listen=peers[n], peers=peers,
-                         settings=settings(balancers=2), console="127.0.0.1:0") for n in range(2))
+        one, two = (
+            node(
+                first,
+                second,
+                beside=on(),
+                name=f"n{n}",
+                peer_listen=peers[n],
+                peers=peers,
+                settings=settings(balancers=2),
+                console="127.0.0.1:0",
+            )
+            for n in range(2)
+        )
         async with one as a, two as b:
             here, there = service(a), service(b)
             await until(lambda: acting([here, there], 0))
@@ -139,12 +165,23 @@
         some = [await Stub(says(answer(b"s%d" % n))).start() for n in range(4)]
 
         def rows(leaving: int) -> list[dict[str, Any]]:
-            return [instance(f"s{n}", s.address, "leaving" if n < leaving else "active")
-                    for n, s in enumerate(some)]
+            return [
+                instance(f"s{n}", s.address, "leaving" if n < leaving else "active")
+                for n, s in enumerate(some)
+            ]
 
         peers = ports(2)
-        one, two = (node(*some, beside=on(list_s=30.0), name=f"n{n}", peer_listen=peers[n], peers=peers,
-                         settings=settings(balancers=2)) for n in range(2))
+        one, two = (
+            node(
+                *some,
+                beside=on(list_s=30.0),
+                name=f"n{n}",
+                peer_listen=peers[n],
+                peers=peers,
+                settings=settings(balancers=2),
+            )
+            for n in range(2)
+        )
         async with one as a, two as b:
             here, there = service(a), service(b)
             await until(lambda: acting([here, there], 0))
@@ -227,10 +264,13 @@
             ledger = a.front.driver.ledger
             assert (ledger.reloads, ledger.reloads_failed) == (0, 1) and "differs" in here.differs
             if hup == "propose":
-                await until(lambda: acting([here], here.core.book.pages.rules.version)
-                            and here.core.book.pages.rules.version > 1)
-            a.given = replace(a.given, peering=replace(
-                a.given.peering, settings=turned() if hup == "refuse" else WORDS))
+                await until(
+                    lambda: acting([here], here.core.book.pages.rules.version)
+                    and here.core.book.pages.rules.version > 1
+                )
+            a.given = replace(
+                a.given, peering=replace(a.given.peering, settings=turned() if hup == "refuse" else WORDS)
+            )
             a.reload()
             assert ledger.reloads == 1 and here.differs == ""
             for each in a.services:
@@ -254,6 +294,7 @@
 def test_what_was_decided_by_other_rules_is_not_sent(changes: int, outcome: Outcome) -> None:
     """A process that is stopped between decision and send, while a connect comes up, wakes under other
     rules."""
+
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         pool, ends = make_pool(stub.address), list[End]()
@@ -265,10 +306,14 @@
     run(main())
 
 
-@pytest.mark.parametrize("text, said", [
-    ("[versions]\nstage_s = 60.0\nstage_patience_s = 5.0", "no stage"), ("[versions]\nhup = 'ask'", "hup"),
-    ("[versions]\nwords = 1", "words"),
-])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("[versions]\nstage_s = 60.0\nstage_patience_s = 5.0", "no stage"),
+        ("[versions]\nhup = 'ask'", "hup"),
+        ("[versions]\nwords = 1", "words"),
+    ],
+)
 def test_what_can_not_be_used_is_said_in_a_line(tmp_path: Path, text: str, said: str) -> None:
     path = tmp_path / "f.toml"
     path.write_text(text + "\n")
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -21,8 +21,19 @@
 from dykeshift.node.features import Features, Host
 from tests.node.stubs import Node, Stub, answer, configuration, node, run, says, until
 
-KEYS = {"self", "incarnation", "settled", "since_s", "at_least", "at_most", "digest", "periods", "members",
-        "sent", "dropped"}
+KEYS = {
+    "self",
+    "incarnation",
+    "settled",
+    "since_s",
+    "at_least",
+    "at_most",
+    "digest",
+    "periods",
+    "members",
+    "sent",
+    "dropped",
+}
 
 
 def ports(count: int) -> list[str]:
@@ -56,7 +67,9 @@
             told = json.loads(one.host.offers.calls[b"/fleet"]())
             assert told.keys() >= KEYS
             assert [(m["name"], m["number"], m["state"]) for m in told["members"]] == [
-                ("a", 0, "alive"), ("b", 1, "alive")]
+                ("a", 0, "alive"),
+                ("b", 1, "alive"),
+            ]
             assert one.figures()["at_most"] == 2
             two.close()
             await until(lambda: one.view.standing.at_most == 1)
@@ -65,11 +78,15 @@
     run(main())
 
 
-@pytest.mark.parametrize("section, said", [
-    ("lease_s = 1.0\nperiod_s = 0.5", "lease_s is under 40 periods"),
-    ("key = '" + "é" * 20 + "'", "32 bytes"),
-    ("period = 1", "period"), ("datagrams_s = 1.0", "datagrams_s"),
-])
+@pytest.mark.parametrize(
+    "section, said",
+    [
+        ("lease_s = 1.0\nperiod_s = 0.5", "lease_s is under 40 periods"),
+        ("key = '" + "é" * 20 + "'", "32 bytes"),
+        ("period = 1", "period"),
+        ("datagrams_s = 1.0", "datagrams_s"),
+    ],
+)
 def test_what_can_not_be_used_is_said_in_a_line(tmp_path: Path, section: str, said: str) -> None:
     path = tmp_path / "f.toml"
     path.write_text(f"[view]\n{section}\n")
--- a/tests/rig/days.py
+++ b/tests/rig/days.py
@@ -129,23 +129,46 @@
 HISTORIES: dict[str, tuple[int, int, tuple[int, ...], list[tuple[Fault, ...]]]] = {
     "the leader is killed": (5, 3, (), [(Fault("leader"),), (Fault("start", EVERYBODY),)]),
     "the leader stands still, then wakes": (
-        5, 3, (), [(Fault("leader", size=1),), (Fault("continue", EVERYBODY),)]),
+        5,
+        3,
+        (),
+        [(Fault("leader", size=1),), (Fault("continue", EVERYBODY),)],
+    ),
     "a minority is cut off": (5, 5, (), [(Fault("cut", groups=((0, 1), (2, 3, 4))),), (Fault("mend"),)]),
     "all others are cut off from one": (
-        6, 3, (), [(Fault("cut", groups=((0,), (1, 2, 3, 4, 5))),), (Fault("mend"),)]),
+        6,
+        3,
+        (),
+        [(Fault("cut", groups=((0,), (1, 2, 3, 4, 5))),), (Fault("mend"),)],
+    ),
     "two of five voters from nothing at once": (
-        6, 5, (), [(Fault("kill", (0, 1)),), (Fault("start", (0, 1)),)]),
+        6,
+        5,
+        (),
+        [(Fault("kill", (0, 1)),), (Fault("start", (0, 1)),)],
+    ),
     "all at once, with disks": (
-        4, 3, (0, 1, 2, 3), [(Fault("kill", (0, 1, 2, 3)),), (Fault("start", (0, 1, 2, 3)),)]),
+        4,
+        3,
+        (0, 1, 2, 3),
+        [(Fault("kill", (0, 1, 2, 3)),), (Fault("start", (0, 1, 2, 3)),)],
+    ),
     "a spoilt file": (
-        4, 3, (0, 1, 2, 3), [(Fault("kill", (1,)), Fault("spoil", (1,))), (Fault("start", (1,)),)]),
+        4,
+        3,
+        (0, 1, 2, 3),
+        [(Fault("kill", (1,)), Fault("spoil", (1,))), (Fault("start", (1,)),)],
+    ),
     "a third is lost on the way": (5, 3, (), [(WEATHER,), (Fault("weather"),)]),
     "one way between two": (5, 3, (), [(Fault("one-way", (0, 1)),), (Fault("mend"),)]),
     "a voter leaves in order": (6, 3, (), [(Fault("term", (0,)),), (Fault("start", (0,)),)]),
-    "the wall clock an hour back": (
-        5, 3, (), [(Fault("kill", (2,)),), (Fault("wall", (2,), size=-3600.0),)]),
+    "the wall clock an hour back": (5, 3, (), [(Fault("kill", (2,)),), (Fault("wall", (2,), size=-3600.0),)]),
     "three of three voters lost": (
-        7, 3, (), [(Fault("kill", (0, 2, 4)),), (Fault("rescue", (1,)),), (Fault("start", (0, 2, 4)),)]),
+        7,
+        3,
+        (),
+        [(Fault("kill", (0, 2, 4)),), (Fault("rescue", (1,)),), (Fault("start", (0, 2, 4)),)],
+    ),
 }
 
 
@@ -158,31 +181,49 @@
 # Settings in versions: balancers, steps of faults and orders. In the end all act on one version.
 RULED: dict[str, tuple[int, list[tuple[Fault, ...]]]] = {
     "a class turns unsafe while a third is cut off": (
-        6, [(Fault("cut", groups=((0, 1, 2, 3), (4, 5))), UNSAFE), (Fault("mend"), SAFE)]),
+        6,
+        [(Fault("cut", groups=((0, 1, 2, 3), (4, 5))), UNSAFE), (Fault("mend"), SAFE)],
+    ),
     "a ban put on the small side": (
-        5, [(Fault("cut", groups=((0, 1, 2), (3, 4))), order("ban", 4, 2.0)), (Fault("mend"),),
-            (order("unban", 1, 2.0),)]),
+        5,
+        [
+            (Fault("cut", groups=((0, 1, 2), (3, 4))), order("ban", 4, 2.0)),
+            (Fault("mend"),),
+            (order("unban", 1, 2.0),),
+        ],
+    ),
     "whoever proposed dies": (5, [(UNSAFE, Fault("kill", (1,))), (Fault("start", (1,)),)]),
-    "whoever leads dies in the middle": (
-        5, [(UNSAFE, Fault("leader")), (Fault("start", (0, 1, 2, 3, 4)),)]),
+    "whoever leads dies in the middle": (5, [(UNSAFE, Fault("leader")), (Fault("start", (0, 1, 2, 3, 4)),)]),
     "one stands still for longer than C": (
-        5, [(Fault("stop", (3,)), UNSAFE), (Fault("continue", (3,)),), (order("rollback", 0, 1.0),)]),
-    "one comes back from nothing in the middle": (
-        5, [(UNSAFE, Fault("kill", (4,)), Fault("start", (4,)))]),
+        5,
+        [(Fault("stop", (3,)), UNSAFE), (Fault("continue", (3,)),), (order("rollback", 0, 1.0),)],
+    ),
+    "one comes back from nothing in the middle": (5, [(UNSAFE, Fault("kill", (4,)), Fault("start", (4,)))]),
     "a class turns unsafe at a third of loss": (5, [(WEATHER, UNSAFE), (Fault("weather"), SAFE)]),
     "a harmful version is refused": (4, [(order("propose", 1, 3.0),), (UNSAFE,)]),
     "in stages, and out by hand meanwhile": (
-        5, [(order("stage", 1, 1.0, ((2,), (3, 4))), order("ban", 0, 1.0)), (order("unban", 3, 1.0),)]),
+        5,
+        [(order("stage", 1, 1.0, ((2,), (3, 4))), order("ban", 0, 1.0)), (order("unban", 3, 1.0),)],
+    ),
     "most voters are lost, and one goes on alone": (
-        4, [(UNSAFE,), (Fault("kill", (0, 1)),), (order("alone", 2), Fault("start", (0, 1))), (SAFE,)]),
+        4,
+        [(UNSAFE,), (Fault("kill", (0, 1)),), (order("alone", 2), Fault("start", (0, 1))), (SAFE,)],
+    ),
 }
 
 
 def ruled(name: str) -> Plan:
     balancers, faults = RULED[name]
     steps = [Step(rest=False, ruled=True), *(Step(step, 55, False) for step in faults)]
-    return Plan(name, balancers, 0.1, step=(*steps, Step(rest=False, ruled=True)), versions=True,
-                agree_lease_s=3.0, voters=3)
+    return Plan(
+        name,
+        balancers,
+        0.1,
+        step=(*steps, Step(rest=False, ruled=True)),
+        versions=True,
+        agree_lease_s=3.0,
+        voters=3,
+    )
 
 
 assert not RULED.keys() & {*DAYS, *HISTORIES}
@@ -194,8 +235,17 @@
     if name not in HISTORIES:
         return load(HEAD + f'name = "{name}"\n' + DAYS[name])
     balancers, voters, disks, faults = HISTORIES[name]
-    some = [tuple(f if f.who != EVERYBODY else Fault(f.kind, tuple(range(balancers))) for f in step)
-            for step in faults]
+    some = [
+        tuple(f if f.who != EVERYBODY else Fault(f.kind, tuple(range(balancers))) for f in step)
+        for step in faults
+    ]
     steps = [Step(rest=False, level=True), *(Step(step, 30, False) for step in some)]
-    return Plan(name, balancers, 0.2, step=(*steps, Step(rest=False, level=True)), agree=True,
-                voters=cast(Any, voters), disks=disks)
+    return Plan(
+        name,
+        balancers,
+        0.2,
+        step=(*steps, Step(rest=False, level=True)),
+        agree=True,
+        voters=cast(Any, voters),
+        disks=disks,
+    )
--- a/tests/rig/test_history.py
+++ b/tests/rig/test_history.py
@@ -12,22 +12,50 @@
 
 
 def call(kind: str, start: int, end: int, status: int, **more: Any) -> dict[str, Any]:
-    answer = {"version": more.pop("version", 0), "entry": more.pop("read", ""),
-              "reason": more.pop("reason", "")}
-    return {"what": "call", "kind": kind, "start": start, "end": end, "status": status, "answer": answer,
-            **more}
+    answer = {
+        "version": more.pop("version", 0),
+        "entry": more.pop("read", ""),
+        "reason": more.pop("reason", ""),
+    }
+    return {
+        "what": "call",
+        "kind": kind,
+        "start": start,
+        "end": end,
+        "status": status,
+        "answer": answer,
+        **more,
+    }
 
 
 def told(name: str, entry: int, digest: str, at: int = 0, lease: float = 0.0, **more: Any) -> dict[str, Any]:
-    return {"what": "agree", "self": name, "history": "h", "epoch": 1, "entry": entry, "digest": digest,
-            "asked": at, "voters": [0, 1], "place": int(name[1:]), "seated": True,
-            "lease_s": lease, "committed": more.pop("committed", entry), "role": "follower", **more}
+    return {
+        "what": "agree",
+        "self": name,
+        "history": "h",
+        "epoch": 1,
+        "entry": entry,
+        "digest": digest,
+        "asked": at,
+        "voters": [0, 1],
+        "place": int(name[1:]),
+        "seated": True,
+        "lease_s": lease,
+        "committed": more.pop("committed", entry),
+        "role": "follower",
+        **more,
+    }
 
 
 MADE = call("propose", 0, 1 * SECOND, 200, entry="a", expect=0, version=1)
 READ = call("read", 2 * SECOND, 3 * SECOND, 200, version=1, read="a")
-WELL = [MADE, READ, told("n0", 2, "x", 9 * SECOND, 4.0, committed=1), told("n1", 2, "x"),
-        {"what": "level", "why": ""}]
+WELL = [
+    MADE,
+    READ,
+    told("n0", 2, "x", 9 * SECOND, 4.0, committed=1),
+    told("n1", 2, "x"),
+    {"what": "level", "why": ""},
+]
 
 
 def test_a_sound_record_keeps_every_rule() -> None:
@@ -36,14 +64,28 @@
     assert judge([*WELL, lost], 5.0) == []
 
 
-@pytest.mark.parametrize("rule, line", [
-    ("order", call("read", 4 * SECOND, 5 * SECOND, 200, version=0)),
-    ("order", call("propose", 4 * SECOND, 5 * SECOND, 409, entry="b", expect=1, version=1,
-                   reason="version 2 is another change")),
-    ("prefix", told("n2", 2, "y")),
-    ("lease", told("n2", 1, "w", 9 * SECOND, 0.1, committed=0)),
-    ("level", {"what": "level", "why": "they are at two"}),
-])
+@pytest.mark.parametrize(
+    "rule, line",
+    [
+        ("order", call("read", 4 * SECOND, 5 * SECOND, 200, version=0)),
+        (
+            "order",
+            call(
+                "propose",
+                4 * SECOND,
+                5 * SECOND,
+                409,
+                entry="b",
+                expect=1,
+                version=1,
+                reason="version 2 is another change",
+            ),
+        ),
+        ("prefix", told("n2", 2, "y")),
+        ("lease", told("n2", 1, "w", 9 * SECOND, 0.1, committed=0)),
+        ("level", {"what": "level", "why": "they are at two"}),
+    ],
+)
 def test_a_planted_fault_is_found(rule: str, line: dict[str, Any]) -> None:
     assert [found for found, _ in judge([*WELL, line], 5.0)] == [rule]
 
--- a/tests/rig/test_witness.py
+++ b/tests/rig/test_witness.py
@@ -14,10 +14,21 @@
 
 
 def rules(name: str, at: float, version: int, mode: str = "in force", **more: Any) -> dict[str, Any]:
-    line = {"what": "rules", "place": int(name[1:]), "self": name, "asked": int(at * S),
-            "answered": int(at * S), "mode": mode, "version": version, "book": version,
-            "digest": f"d{version}", "history": "h",
-            "epoch": 1, "pending": None, "out": []}
+    line = {
+        "what": "rules",
+        "place": int(name[1:]),
+        "self": name,
+        "asked": int(at * S),
+        "answered": int(at * S),
+        "mode": mode,
+        "version": version,
+        "book": version,
+        "digest": f"d{version}",
+        "history": "h",
+        "epoch": 1,
+        "pending": None,
+        "out": [],
+    }
     return {**line, **more}
 
 
@@ -26,17 +37,40 @@
 
 
 def order(kind: str, start: float, by: str = "n0", server: str = "s9") -> dict[str, Any]:
-    return {"what": "order", "kind": kind, "by": by, "server": server, "status": 200, "start": int(start * S),
-            "end": int((start + 0.1) * S), "answer": None}
+    return {
+        "what": "order",
+        "kind": kind,
+        "by": by,
+        "server": server,
+        "status": 200,
+        "start": int(start * S),
+        "end": int((start + 0.1) * S),
+        "answer": None,
+    }
 
 
 TEXTS = [{"what": "text", "version": v, "kinds": {CLASS: k}} for v, k in ((1, "pure"), (2, "side_effect"))]
-SOUND = [*TEXTS, rules("n0", 1, 1), rules("n1", 1, 1), order("propose", 2), ran("n1", 3, 2),
-         rules("n0", 10, 2), rules("n1", 10.1, 2), ran("n1", 12), order("ban", 13, "n0", "s3"),
-         ran("n1", 13.5, server="s3"), rules("n0", 14, 2, out=["s3"], digest="e"),
-         rules("n1", 18, 2, out=["s3"], digest="e"), ran("n0", 18.5),
-         rules("n0", 19, 2, out=["s3"], digest="e"), order("unban", 20, server="s3"),
-         ran("n0", 21, server="s3"), order("propose", 22), ran("n1", 30, 2), {"what": "ruled", "why": ""}]
+SOUND = [
+    *TEXTS,
+    rules("n0", 1, 1),
+    rules("n1", 1, 1),
+    order("propose", 2),
+    ran("n1", 3, 2),
+    rules("n0", 10, 2),
+    rules("n1", 10.1, 2),
+    ran("n1", 12),
+    order("ban", 13, "n0", "s3"),
+    ran("n1", 13.5, server="s3"),
+    rules("n0", 14, 2, out=["s3"], digest="e"),
+    rules("n1", 18, 2, out=["s3"], digest="e"),
+    ran("n0", 18.5),
+    rules("n0", 19, 2, out=["s3"], digest="e"),
+    order("unban", 20, server="s3"),
+    ran("n0", 21, server="s3"),
+    order("propose", 22),
+    ran("n1", 30, 2),
+    {"what": "ruled", "why": ""},
+]
 SOUND = [{**line, "book": 3} if line.get("digest") == "e" else line for line in SOUND]
 
 
@@ -45,13 +79,16 @@
     assert margins(SOUND) == [7.0]
 
 
-@pytest.mark.parametrize("rule, line", [
-    ("settings", ran("n1", 12, 2)),
-    ("ban", ran("n0", 14, server="s3")),
-    ("ban", ran("n1", 18.5, server="s3")),
-    ("book", rules("n1", 19, 2, digest="f")),
-    ("ruled", {"what": "ruled", "why": "they act on two"}),
-])
+@pytest.mark.parametrize(
+    "rule, line",
+    [
+        ("settings", ran("n1", 12, 2)),
+        ("ban", ran("n0", 14, server="s3")),
+        ("ban", ran("n1", 18.5, server="s3")),
+        ("book", rules("n1", 19, 2, digest="f")),
+        ("ruled", {"what": "ruled", "why": "they act on two"}),
+    ],
+)
 def test_a_planted_fault_is_found(rule: str, line: dict[str, Any]) -> None:
     record = [*SOUND, line, rules("n1", 19.5, 2, book=3, digest="e", out=["s3"])]
     assert {found for found, _ in judge(record, C)} == {rule}
--- a/tests/seeded.py
+++ b/tests/seeded.py
@@ -8,8 +8,12 @@
 import pytest
 
 
-def assert_found(defect: str, seeds: Mapping[str, int], tests: Mapping[str, Callable[[], None]],
-                 broken: Callable[[int], list[Any]]) -> None:
+def assert_found(
+    defect: str,
+    seeds: Mapping[str, int],
+    tests: Mapping[str, Callable[[], None]],
+    broken: Callable[[int], list[Any]],
+) -> None:
     """`broken`: what a seed's day breaks, with the defect in place."""
     if defect in seeds:
         assert broken(seeds[defect])
