--- a/tests/sim/mllp_mutants.py
+++ b/tests/sim/mllp_mutants.py
@@ -37,8 +37,13 @@
 
 def _reject_failures() -> list[Patch]:
     def final(self: front.MllpFront, identity: Any, header: Any, due: int, end: terms.Final) -> None:
-        original(self, identity, header, due,
-                 replace(end, how=terms.How.REFUSED) if end.how is terms.How.FAILED else end)
+        original(
+            self,
+            identity,
+            header,
+            due,
+            replace(end, how=terms.How.REFUSED) if end.how is terms.How.FAILED else end,
+        )
 
     original = front.MllpFront._final
     return [(front.MllpFront, "_final", final)]
@@ -79,8 +84,11 @@
             data_received(self, data)
 
     original, data_received = link.Link._complete, carrier.MllpLink.data_received
-    return [(carrier.Dialogue, "hear", hear), (carrier.MllpLink, "data_received", received),
-            (link.Link, "_complete", complete)]
+    return [
+        (carrier.Dialogue, "hear", hear),
+        (carrier.MllpLink, "data_received", received),
+        (link.Link, "_complete", complete),
+    ]
 
 
 def _error_proves() -> list[Patch]:
@@ -113,8 +121,9 @@
 
 
 def _wait_for_the_disk() -> list[Patch]:
-    def answered(self: journal.Journal, identity: Any, made: Any, answer: bytes, then: Any = None,
-                 within: float = 0.0) -> None:
+    def answered(
+        self: journal.Journal, identity: Any, made: Any, answer: bytes, then: Any = None, within: float = 0.0
+    ) -> None:
         original(self, identity, made, answer, then, 60.0)
 
     original = journal.Journal.answered
@@ -133,22 +142,42 @@
     return [(front.Line, "data_received", received)]
 
 
-MLLP_MUTANTS = [Mutant(name, where, rules, patches, WITH_MLLP) for name, where, rules, patches in (
-    ("forgets what it answered", "mllp/memory", AGAIN, _forget_answers),
-    ("sends what the journal does not have", "mllp/journal", AGAIN, _send_unjournalled),
-    ("takes a start without a journal for a first one", "mllp/memory", AGAIN, _no_horizon),
-    ("rejects what failed", "mllp/front", (referee.REFUSED_RUN,), _reject_failures),
-    ("answers a frame twice", "mllp/front", (referee.TWICE_ANSWERED,), _answer_frames_twice),
-    ("answers frames as it comes, not in their order", "mllp/session", (referee.TWICE_ANSWERED,),
-     _out_of_order),
-    ("trusts a connection that answered out of step", "mllp/carrier", (referee.WRONG_ANSWER,),
-     _trust_out_of_step),
-    ("takes an AE for a proof", "mllp/carrier", (referee.UNSAFE_AGAIN, referee.REFUSED_RUN), _error_proves),
-    ("answers only the first who waits", "mllp/memory", (referee.LOST,), _forget_waiters),
-    ("hangs up on a drain", "mllp/front", (referee.LOST,), _hang_up_on_drain),
-    ("takes acceptance for the end", "mllp/carrier", (referee.WRONG_ANSWER, referee.TWICE_ANSWERED),
-     _accepted_is_done),
-    ("lets an answer wait for the disk", "mllp/journal", (referee.LOST,), _wait_for_the_disk),
-    ("never begins a failed journal anew", "mllp/journal", (referee.DEAF,), _stay_failed),
-    ("counts a message's time from its reading", "mllp/front", (referee.LOST,), _from_reading),
-)]
+MLLP_MUTANTS = [
+    Mutant(name, where, rules, patches, WITH_MLLP)
+    for name, where, rules, patches in (
+        ("forgets what it answered", "mllp/memory", AGAIN, _forget_answers),
+        ("sends what the journal does not have", "mllp/journal", AGAIN, _send_unjournalled),
+        ("takes a start without a journal for a first one", "mllp/memory", AGAIN, _no_horizon),
+        ("rejects what failed", "mllp/front", (referee.REFUSED_RUN,), _reject_failures),
+        ("answers a frame twice", "mllp/front", (referee.TWICE_ANSWERED,), _answer_frames_twice),
+        (
+            "answers frames as it comes, not in their order",
+            "mllp/session",
+            (referee.TWICE_ANSWERED,),
+            _out_of_order,
+        ),
+        (
+            "trusts a connection that answered out of step",
+            "mllp/carrier",
+            (referee.WRONG_ANSWER,),
+            _trust_out_of_step,
+        ),
+        (
+            "takes an AE for a proof",
+            "mllp/carrier",
+            (referee.UNSAFE_AGAIN, referee.REFUSED_RUN),
+            _error_proves,
+        ),
+        ("answers only the first who waits", "mllp/memory", (referee.LOST,), _forget_waiters),
+        ("hangs up on a drain", "mllp/front", (referee.LOST,), _hang_up_on_drain),
+        (
+            "takes acceptance for the end",
+            "mllp/carrier",
+            (referee.WRONG_ANSWER, referee.TWICE_ANSWERED),
+            _accepted_is_done,
+        ),
+        ("lets an answer wait for the disk", "mllp/journal", (referee.LOST,), _wait_for_the_disk),
+        ("never begins a failed journal anew", "mllp/journal", (referee.DEAF,), _stay_failed),
+        ("counts a message's time from its reading", "mllp/front", (referee.LOST,), _from_reading),
+    )
+]
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -52,6 +52,7 @@
 
 # ---- the defects ----
 
+
 def _answer_twice() -> list[Patch]:
     def answer(self: server.Client, reply: server.Reply) -> None:
         if self.transport is not None and self.busy and reply.status == 200:
@@ -76,9 +77,12 @@
 
 def _forget_drain() -> list[Patch]:
     """The draining are taken for ready, by module and pool alike."""
+
     def on_list(self: module.Balancer, now: int, update: Any) -> Any:
-        entries = tuple(replace(e, state=ServerState.READY) if e.state is ServerState.DRAINING else e
-                        for e in update.entries)
+        entries = tuple(
+            replace(e, state=ServerState.READY) if e.state is ServerState.DRAINING else e
+            for e in update.entries
+        )
         return original(self, now, replace(update, entries=entries))
 
     def put(self: upstream.Pool, number: int, address: Any, started: int, ready: bool) -> None:
@@ -95,6 +99,7 @@
 
 def _cut_what_has_begun() -> list[Patch]:
     """A long answer is passed on for a moment, and then its client is hung up on."""
+
     def begin(self: server.Client, answer: bodies.Answer) -> None:
         original(self, answer)
         self.front.loop.call_later(0.01, self.cut)
@@ -105,6 +110,7 @@
 
 def _keep_for_the_gone() -> list[Patch]:
     """What waits for a connection goes out though its client has gone, where nothing may be called off."""
+
     def client_gone(self: driver.Driver, request_id: str) -> None:
         self._keep_back = lambda job: None  # type: ignore[method-assign]
         try:
@@ -118,6 +124,7 @@
 
 def _pause_as_long_as_it_waited() -> list[Patch]:
     """A failed watch pauses four times what it waited, whatever ended it."""
+
     def ask_later(self: module.Balancer, now: int, end: CallEnd) -> None:
         self.watching = False
         pause = min(4 * (now - self.asked) + 300_000_000, 5_000_000_000)
@@ -128,6 +135,7 @@
 
 def _ignore_missing() -> list[Patch]:
     """Who is missing from a whole list stays."""
+
     def apply(self: driver.Driver, kind: ListKind, listed: Any) -> bool:
         return original(self, ListKind.DELTA if kind is ListKind.FULL else kind, listed)
 
@@ -179,8 +187,10 @@
             item.klass = klass
 
     original = module.Balancer._allowed
-    return [(module.Balancer, "_allowed", allowed),
-            (module.Balancer, "_group", lambda self, anchor, scope: list(self.ready))]
+    return [
+        (module.Balancer, "_allowed", allowed),
+        (module.Balancer, "_group", lambda self, anchor, scope: list(self.ready)),
+    ]
 
 
 def _any_time() -> list[Patch]:
@@ -194,6 +204,7 @@
 
 def _no_cold_budget() -> list[Patch]:
     """The emptiest server first, with no budget while it is cold: what least-connections does."""
+
     def draw(self: module.Balancer, now: int, item: module.Open) -> list[module.Server]:
         tried = {attempt.server.entry.id for attempt in item.attempts}
         new = [s for s in self.pool if self._cold(now, s) and s.entry.id not in tried]
@@ -226,6 +237,7 @@
 
 def _leak_connection() -> list[Patch]:
     """A connection that is lost while it is idle stays counted."""
+
     def close_idle(self: upstream.Pool, known: upstream.Upstream) -> None:
         known.idle.clear()
 
@@ -259,12 +271,16 @@
         self.begin()
 
     original = link.Link._complete
-    return [(link.Link, "_complete", complete), (link.Link, "alive", alive),
-            (connection.Connection, "on_message_begin", begin)]
+    return [
+        (link.Link, "_complete", complete),
+        (link.Link, "alive", alive),
+        (connection.Connection, "on_message_begin", begin),
+    ]
 
 
 def _mixed_answers() -> list[Patch]:
     """An answer's body is the one before it."""
+
     def finish(self: Any, job: driver.Job, final: terms.Final) -> None:
         if final.how is terms.How.SERVED:
             before = self.__dict__.get("before", final.answer)
@@ -284,6 +300,7 @@
 
 def _watch_no_more() -> list[Patch]:
     """A watch that has failed is not begun anew."""
+
     def failed(self: module.Balancer, now: int, update: Any) -> Any:
         return [] if update.kind is ListKind.FAILED else original(self, now, update)
 
@@ -292,8 +309,10 @@
 
 
 def _stay_at_old_discovery() -> list[Patch]:
-    return [(discovery.Discovery, "move", lambda self, address: None),
-            (reload.Reload, "__call__", lambda self: None)]
+    return [
+        (discovery.Discovery, "move", lambda self, address: None),
+        (reload.Reload, "__call__", lambda self: None),
+    ]
 
 
 def _send_after_answer() -> list[Patch]:
@@ -306,6 +325,7 @@
 
 def _stay_for_good() -> list[Patch]:
     """A copy that may not be called off and is never answered has no end."""
+
     def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
         original(self, job, final)
         if job.guard is not None:
@@ -372,6 +392,7 @@
 
 def _fail_silently() -> list[Patch]:
     """What the module says failed is not told to the client."""
+
     def do(self: driver.Driver, actions: Any, stamp: int = 0) -> None:
         original(self, [a for a in actions if not isinstance(a, Fail)], stamp)
 
@@ -391,8 +412,13 @@
     Mutant("begins for clients whose close is unread", "driver", (referee.GONE,), _begin_for_nobody),
     Mutant("cuts answers that have begun", "server", (referee.LOST,), _cut_what_has_begun),
     Mutant("keeps what waits for clients that have gone", "driver", (referee.GONE,), _keep_for_the_gone),
-    Mutant("asks discovery anew after long pauses", "rules", (referee.DRAIN,), _pause_as_long_as_it_waited,
-           WATCHES),
+    Mutant(
+        "asks discovery anew after long pauses",
+        "rules",
+        (referee.DRAIN,),
+        _pause_as_long_as_it_waited,
+        WATCHES,
+    ),
     Mutant("keeps who is missing from a whole list", "driver", (referee.DRAIN,), _ignore_missing),
     Mutant("takes a reset for a proof", "upstream", UNPROVED, _reset_proves),
     Mutant("takes a time-out for a proof", "rules", UNPROVED, _timeout_proves),
@@ -401,10 +427,18 @@
     Mutant("tries unsafe requests twice", "rules", (referee.UNSAFE_AGAIN,), _copy_unsafe),
     Mutant("repeats keyed requests in any rack", "rules", (referee.KEYED_ASTRAY,), _any_rack),
     Mutant("repeats keyed requests at any time", "rules", (referee.KEYED_ASTRAY,), _any_time),
-    Mutant("trusts the racks of a list from before", "rules", (referee.KEYED_ASTRAY, referee.EFFECT_TWICE),
-           _trust_old_racks),
-    Mutant("believes in two senders at one address", "tenants", (referee.KEYED_ASTRAY, referee.EFFECT_TWICE),
-           _two_at_one_address),
+    Mutant(
+        "trusts the racks of a list from before",
+        "rules",
+        (referee.KEYED_ASTRAY, referee.EFFECT_TWICE),
+        _trust_old_racks,
+    ),
+    Mutant(
+        "believes in two senders at one address",
+        "tenants",
+        (referee.KEYED_ASTRAY, referee.EFFECT_TWICE),
+        _two_at_one_address,
+    ),
     Mutant("sends to the newest first, cold or not", "rules", (referee.COLD,), _no_cold_budget),
     Mutant("refuses whatever it gives up", "rules", (referee.REFUSED_RUN,), _refuse_all),
     Mutant("makes a fourth attempt", "rules", (referee.ATTEMPTS,), _fourth_attempt),
@@ -416,11 +450,19 @@
     Mutant("does not hear that a client has gone", "rules", (referee.LEAK, referee.FAULT), _leak_in_module),
     Mutant("counts answered connections wrong", "server", (referee.LEAK,), _count_wrong),
     Mutant("keeps copies that are never answered", "driver", (referee.LEAK,), _stay_for_good),
-    Mutant("reuses connections that brought too much", "connection", (referee.WRONG_ANSWER, referee.FAULT),
-           _reuse_anything),
+    Mutant(
+        "reuses connections that brought too much",
+        "connection",
+        (referee.WRONG_ANSWER, referee.FAULT),
+        _reuse_anything,
+    ),
     Mutant("serves the answer before", "driver", (referee.WRONG_ANSWER,), _mixed_answers),
-    Mutant("sends what waited for a connect after the answer", "driver", (referee.SENT_AFTER,),
-           _send_after_answer),
+    Mutant(
+        "sends what waited for a connect after the answer",
+        "driver",
+        (referee.SENT_AFTER,),
+        _send_after_answer,
+    ),
     Mutant("never watches again after a failure", "rules", (referee.DEAF,), _watch_no_more),
     Mutant("stays at the old discovery", "reload", (referee.DEAF, referee.DRAIN), _stay_at_old_discovery),
     Mutant("keeps a crowd in mind that has gone", "rules", (referee.DEAF,), _crowd_for_good),
--- a/tests/sim/ops_mutants.py
+++ b/tests/sim/ops_mutants.py
@@ -41,6 +41,7 @@
 
 def _ban_only_in_the_pool() -> list[Patch]:
     """The pool turns everything away, and the module goes on sending."""
+
     def on_ban(self: module.Balancer, now: int, number: int) -> Any:
         return []
 
@@ -52,6 +53,7 @@
 
 def _ban_taken_for_leaving() -> list[Patch]:
     """A ban ends when the list says that its upstream drains: the two are taken for one."""
+
     def on_list(self: module.Balancer, now: int, update: Any) -> Any:
         for entry in update.entries:
             self.banned.pop(entry.id, None)
@@ -91,6 +93,7 @@
 
 def _class_looked_up_anew() -> list[Patch]:
     """Requests under way get the terms that their class has by now."""
+
     def on_settings(self: module.Balancer, now: int, settings: Any, narrower: Any = None) -> Any:
         acts = original(self, now, settings, narrower)
         named = {c.name: c for n, c in enumerate(settings.classes) if n not in settings.retired}
@@ -104,6 +107,7 @@
 
 def _half_a_file() -> list[Patch]:
     """The old classes are let go of before the new ones have been read."""
+
     def call(self: reload.Reload) -> None:
         self.reader.know((), frozenset())
         original(self)
@@ -114,6 +118,7 @@
 
 def _counted_when_begun() -> list[Patch]:
     """An attempt counts when it is begun, not when its last byte is written."""
+
     def start(self: upstream.Pool, *args: Any, **kwargs: Any) -> Any:
         self.ledger.attempts += 1
         return original(self, *args, **kwargs)
@@ -140,24 +145,52 @@
 
 
 OPERATORS_MUTANTS = [
-    Mutant("forgets a ban on a new list", "rules, pool", (referee.BAN,), _ban_forgotten_on_a_list,
-           WITH_OPERATORS),
-    Mutant("says yes before the ban is in force", "desk", (referee.BAN,), _yes_before_the_ban,
-           WITH_OPERATORS),
+    Mutant(
+        "forgets a ban on a new list", "rules, pool", (referee.BAN,), _ban_forgotten_on_a_list, WITH_OPERATORS
+    ),
+    Mutant(
+        "says yes before the ban is in force", "desk", (referee.BAN,), _yes_before_the_ban, WITH_OPERATORS
+    ),
     Mutant("notes a ban and goes on", "rules, pool", (referee.BAN,), _ban_only_in_the_pool, WITH_OPERATORS),
-    Mutant("ends a ban when the list tells of its upstream", "rules, pool", (referee.BAN,),
-           _ban_taken_for_leaving, WITH_OPERATORS),
-    Mutant("closes connections with requests in a drain", "server", (referee.LOST,), _drain_closes_busy,
-           WITH_OPERATORS),
-    Mutant("keeps idle connections in a standby", "drain", (referee.DRAINED,), _drain_keeps_idle,
-           WITH_OPERATORS),
+    Mutant(
+        "ends a ban when the list tells of its upstream",
+        "rules, pool",
+        (referee.BAN,),
+        _ban_taken_for_leaving,
+        WITH_OPERATORS,
+    ),
+    Mutant(
+        "closes connections with requests in a drain",
+        "server",
+        (referee.LOST,),
+        _drain_closes_busy,
+        WITH_OPERATORS,
+    ),
+    Mutant(
+        "keeps idle connections in a standby", "drain", (referee.DRAINED,), _drain_keeps_idle, WITH_OPERATORS
+    ),
     Mutant("is never active again", "drain", (referee.DEAF,), _never_active_again, WITH_OPERATORS),
-    Mutant("looks a class up anew after new settings", "rules", (referee.UNSAFE_AGAIN, referee.REFUSED_RUN),
-           _class_looked_up_anew, WITH_OPERATORS),
+    Mutant(
+        "looks a class up anew after new settings",
+        "rules",
+        (referee.UNSAFE_AGAIN, referee.REFUSED_RUN),
+        _class_looked_up_anew,
+        WITH_OPERATORS,
+    ),
     Mutant("takes half a file", "reload", (referee.REJECTED,), _half_a_file, WITH_OPERATORS),
-    Mutant("counts attempts that are only begun", "upstream", (referee.FIGURES,), _counted_when_begun,
-           WITH_OPERATORS),
-    Mutant("counts refusals as failures", "ledger", (referee.FIGURES,), _refusals_counted_as_failures,
-           WITH_OPERATORS),
+    Mutant(
+        "counts attempts that are only begun",
+        "upstream",
+        (referee.FIGURES,),
+        _counted_when_begun,
+        WITH_OPERATORS,
+    ),
+    Mutant(
+        "counts refusals as failures",
+        "ledger",
+        (referee.FIGURES,),
+        _refusals_counted_as_failures,
+        WITH_OPERATORS,
+    ),
     Mutant("counts the served twice", "ledger", (referee.FIGURES,), _served_counted_twice, WITH_OPERATORS),
 ]
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -60,8 +60,9 @@
     script = "import sys\nfrom dykeshift.sim.runner import play_seed\nprint(play_seed(sys.argv[1]).digest)"
     for number, (seed, digest) in enumerate(here.items()):
         env = {**os.environ, "PYTHONHASHSEED": str(number * 1000 + 1)}
-        done = subprocess.run([sys.executable, "-c", script, seed], env=env, capture_output=True, text=True,
-                              check=True)
+        done = subprocess.run(
+            [sys.executable, "-c", script, seed], env=env, capture_output=True, text=True, check=True
+        )
         assert done.stdout.strip() == digest
 
 
@@ -73,8 +74,12 @@
 
 def test_shrinking_keeps_the_rule_broken_and_drops_what_has_no_part_in_it() -> None:
     asks = tuple(Ask(0.5 + n / 10, n % 3, 1.0, 20) for n in range(12))
-    scenario = Scenario("s", Options(balancers=1, senders=3),
-                        asks, (Fault("slow", 0.2, 1.0, 1, 3.0), Fault("drain", 1.0, 2.0, 1)))
+    scenario = Scenario(
+        "s",
+        Options(balancers=1, senders=3),
+        asks,
+        (Fault("slow", 0.2, 1.0, 1, 3.0), Fault("drain", 1.0, 2.0, 1)),
+    )
     with BY_NAME["serves the answer before"].applied():
         found = Shrinker(scenario, None, 60).run()
         again = play(load(found.scenario.dump()))
@@ -86,6 +91,7 @@
 
 # ---- the hard cases, each as a day of its own; the seeds draw every order of one instant ----
 
+
 def hard(name: str, faults: tuple[Fault, ...], asks: tuple[Ask, ...], **options: object) -> None:
     fleet = Options(**{"grid_us": 1000, "callback_us": 0, **options})  # type: ignore[arg-type]
     for seed in range(6):
@@ -97,8 +103,18 @@
 
 
 def test_a_balancer_returns_with_a_list_minutes_old_whose_addresses_have_other_tenants() -> None:
-    hard("stale", (Fault("lose", 0.5, 4.0, 900, 0.5), Fault("kill-balancer", 1.0, 0.3, 0, 1.0),
-                   Fault("discovery-slow", 1.0, 2.0, 0, 1.5)), STREAM, balancers=1, racks=3, senders=6)
+    hard(
+        "stale",
+        (
+            Fault("lose", 0.5, 4.0, 900, 0.5),
+            Fault("kill-balancer", 1.0, 0.3, 0, 1.0),
+            Fault("discovery-slow", 1.0, 2.0, 0, 1.5),
+        ),
+        STREAM,
+        balancers=1,
+        racks=3,
+        senders=6,
+    )
 
 
 def test_a_reset_between_the_last_body_byte_and_its_acknowledgement() -> None:
@@ -106,8 +122,9 @@
 
 
 def test_a_cancel_crosses_the_answer() -> None:
-    asks = tuple(Ask(round(0.3 + n * 0.02, 3), 0, 0.5, 20, leaves=0.02 + 0.001 * (n % 12))
-                 for n in range(150))
+    asks = tuple(
+        Ask(round(0.3 + n * 0.02, 3), 0, 0.5, 20, leaves=0.02 + 0.001 * (n % 12)) for n in range(150)
+    )
     hard("cancel", (), asks)
 
 
--- a/tests/sim/test_net.py
+++ b/tests/sim/test_net.py
@@ -181,6 +181,7 @@
                 async with asyncio.timeout(wait):
                     await small.client.loop.create_connection(lambda: Notes(small.client.loop), *SERVER)
                     raise TimeoutError
+
         small.do(small.client, go())
         left = len(small.client.sockets)
         assert left <= 1  # one that was up when the time-out struck is the program's own to close
@@ -207,7 +208,8 @@
 
     async def send() -> None:
         transport, _ = await small.client.loop.create_datagram_endpoint(
-            Datagrams, local_addr=("10.9.0.1", 7946), remote_addr=SERVER)
+            Datagrams, local_addr=("10.9.0.1", 7946), remote_addr=SERVER
+        )
         for n in range(100):
             transport.sendto(b"%d" % n)
 
--- a/tests/sim/test_referee.py
+++ b/tests/sim/test_referee.py
@@ -16,8 +16,15 @@
     def ask(self, rid: str = "r", kind: str = "unsafe", seconds: float = 1.0) -> None:
         self.asked(self.now, rid, rid, kind, "n0", self.now + int(seconds * SECOND))
 
-    def send(self, rid: str = "r", sender: str = "s0", cell: int = 0, at: int = 0, connection: int = 1,
-             blind: bool = False) -> None:
+    def send(
+        self,
+        rid: str = "r",
+        sender: str = "s0",
+        cell: int = 0,
+        at: int = 0,
+        connection: int = 1,
+        blind: bool = False,
+    ) -> None:
         self.written(at, rid, "n0", sender, cell, connection, 10.0, blind)
 
     def broken_rules(self) -> list[str]:
@@ -33,8 +40,11 @@
 
 
 def test_no_answer_is_lost_unless_the_client_left_before_its_time_or_something_excuses_it() -> None:
-    for at, excused, want in ((SECOND // 2, False, []), (SECOND + 300 * MS, False, [rules.LOST]),
-                              (SECOND + 300 * MS, True, [])):
+    for at, excused, want in (
+        (SECOND // 2, False, []),
+        (SECOND + 300 * MS, False, [rules.LOST]),
+        (SECOND + 300 * MS, True, []),
+    ):
         court = Court(excused)
         court.ask()
         court.gone(at, "r")
@@ -61,8 +71,12 @@
 
 
 def test_only_what_a_sender_made_for_this_request_serves_it() -> None:
-    for body, want in (("s0 did r\n", []), ("s0 did other\n", [rules.WRONG_ANSWER]),
-                       ("s9 did r\n", [rules.WRONG_ANSWER]), ("", [rules.WRONG_ANSWER])):
+    for body, want in (
+        ("s0 did r\n", []),
+        ("s0 did other\n", [rules.WRONG_ANSWER]),
+        ("s9 did r\n", [rules.WRONG_ANSWER]),
+        ("", [rules.WRONG_ANSWER]),
+    ):
         court = Court()
         court.ask()
         court.send()
@@ -72,8 +86,11 @@
 
 
 def test_an_unsafe_request_goes_again_only_where_the_first_is_proved_not_to_have_run() -> None:
-    for kind, proved, want in (("unsafe", True, []), ("unsafe", False, [rules.UNSAFE_AGAIN]),
-                               ("safe", False, [])):
+    for kind, proved, want in (
+        ("unsafe", True, []),
+        ("unsafe", False, [rules.UNSAFE_AGAIN]),
+        ("safe", False, []),
+    ):
         court = Court()
         court.ask(kind=kind)
         court.send(connection=1)
@@ -94,8 +111,12 @@
 
 def test_a_keyed_request_stays_in_its_rack_and_window() -> None:
     window = Terms().window
-    for cell, at, blind, want in ((0, window, False, []), (1, 10, False, [rules.KEYED_ASTRAY]),
-                                  (0, window + 51 * MS, False, [rules.KEYED_ASTRAY]), (1, 10, True, [])):
+    for cell, at, blind, want in (
+        (0, window, False, []),
+        (1, 10, False, [rules.KEYED_ASTRAY]),
+        (0, window + 51 * MS, False, [rules.KEYED_ASTRAY]),
+        (1, 10, True, []),
+    ):
         court = Court()
         court.ask(kind="keyed", seconds=60)
         court.send()
@@ -104,8 +125,12 @@
 
 
 def test_a_refusal_is_true_only_where_nothing_may_have_run() -> None:
-    for kind, sent, want in (("unsafe", False, []), ("unsafe", True, [rules.REFUSED_RUN]),
-                             ("keyed", True, [rules.REFUSED_RUN]), ("safe", True, [])):
+    for kind, sent, want in (
+        ("unsafe", False, []),
+        ("unsafe", True, [rules.REFUSED_RUN]),
+        ("keyed", True, [rules.REFUSED_RUN]),
+        ("safe", True, []),
+    ):
         court = Court()
         court.ask(kind=kind)
         if sent:
@@ -115,8 +140,12 @@
 
 
 def test_an_effect_happens_once_for_each_errand_whatever_its_tries_are_called() -> None:
-    for kind, repeat, want in (("unsafe", False, [rules.EFFECT_TWICE]), ("keyed", True, []),
-                               ("keyed", False, [rules.EFFECT_TWICE]), ("safe", False, [])):
+    for kind, repeat, want in (
+        ("unsafe", False, [rules.EFFECT_TWICE]),
+        ("keyed", True, []),
+        ("keyed", False, [rules.EFFECT_TWICE]),
+        ("safe", False, []),
+    ):
         court = Court()
         for rid in ("e-0", "e-1"):
             court.asked(0, rid, "e", kind, "n0", SECOND)
--- a/tests/sim/test_scenario.py
+++ b/tests/sim/test_scenario.py
@@ -41,13 +41,16 @@
     assert less.faults == scenario.faults[1:] and less.asks == scenario.asks[:1] + scenario.asks[3:]
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"version": 9}, "version"),
-    ({"faults": [{"kind": "earthquake", "at": 1.0}]}, "earthquake"),
-    ({"faults": [{"at": 1.0}]}, "TypeError"),
-    ({"asks": [{"at": 0.1, "klass": 7, "deadline": 1.0, "cost": 3}]}, "class"),
-    ({"options": {"wings": 2}}, "wings"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"version": 9}, "version"),
+        ({"faults": [{"kind": "earthquake", "at": 1.0}]}, "earthquake"),
+        ({"faults": [{"at": 1.0}]}, "TypeError"),
+        ({"asks": [{"at": 0.1, "klass": 7, "deadline": 1.0, "cost": 3}]}, "class"),
+        ({"options": {"wings": 2}}, "wings"),
+    ],
+)
 def test_what_cannot_be_used_is_said(change: dict[str, object], said: str) -> None:
     raw = {**json.loads(Scenario("1").dump()), **change}
     with pytest.raises(ScenarioError, match=said) as caught:
--- a/tests/sim/test_views.py
+++ b/tests/sim/test_views.py
@@ -22,10 +22,13 @@
     assert play(day).digest == play(day).digest
 
 
-@pytest.mark.parametrize("defect, seed", [
-    ("at_most lowered at suspicion", "0+view"),
-    ("incarnation not raised against an accusation", "1+view"),
-])
+@pytest.mark.parametrize(
+    "defect, seed",
+    [
+        ("at_most lowered at suspicion", "0+view"),
+        ("incarnation not raised against an accusation", "1+view"),
+    ],
+)
 def test_the_day_finds_the_defect(defect: str, seed: str, monkeypatch: pytest.MonkeyPatch) -> None:
     DEFECTS[defect](monkeypatch)
     assert VIEW in play(draw(seed), stop_at_first=True).rules
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -54,14 +54,22 @@
 class Small:
     """One server and one client process, each on a host of its own."""
 
-    def __init__(self, flavour: Flavour = PLAIN, seed: str = "test", backlog: int = 100, listen: bool = True,
-                 keep_open: bool = False) -> None:
+    def __init__(
+        self,
+        flavour: Flavour = PLAIN,
+        seed: str = "test",
+        backlog: int = 100,
+        listen: bool = True,
+        keep_open: bool = False,
+    ) -> None:
         self.world = World(seed, flavour)
         self.net = Network(self.world, Weather())
         self.server_host = self.net.host(SERVER[0], "a")
         self.client_host = self.net.host("10.9.0.1", "a")
-        self.server, self.client = self.process("server", self.server_host), self.process("client",
-                                                                                         self.client_host)
+        self.server, self.client = (
+            self.process("server", self.server_host),
+            self.process("client", self.client_host),
+        )
         self.accepted: list[Notes] = []
         self.keep_open, self.backlog = keep_open, backlog
         if listen:
@@ -94,7 +102,8 @@
     def connect(self, keep_open: bool = False) -> Notes:
         async def go() -> Notes:
             _, notes = await self.client.loop.create_connection(
-                lambda: Notes(self.client.loop, keep_open), *SERVER)
+                lambda: Notes(self.client.loop, keep_open), *SERVER
+            )
             return notes  # type: ignore[no-any-return]
 
         return self.do(self.client, go(), 0.1)  # type: ignore[no-any-return]
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -31,7 +31,7 @@
     stream = CHUNKED + b"\r\n" + chunks + render("x", {})
     reader, got = Messages(), list[Message]()
     for at in range(0, len(stream), size):
-        got += reader.feed(stream[at:at + size])
+        got += reader.feed(stream[at : at + size])
     assert [m.body for m in got] == [b"".join(pieces), b""] and reader.idle()
 
 
@@ -40,18 +40,25 @@
     stream = b"".join(render("HTTP/1.1 200 OK", {"X-N": str(n)}, body) for n, body in enumerate(bodies))
     reader, got = Messages(), list[Message]()
     for at in range(0, len(stream), size):
-        got += reader.feed(stream[at:at + size])
+        got += reader.feed(stream[at : at + size])
     assert [m.body for m in got] == bodies and reader.idle()
     assert [m.headers["x-n"] for m in got] == [str(n) for n in range(len(bodies))]
 
 
-@pytest.mark.parametrize("bad", [
-    b"\x00\xff\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
-    b"GET / HTTP/1.1\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
-    CHUNKED + b"\r\n-1\r\n", CHUNKED + b"\r\n2\r\nabcd\r\n", CHUNKED + b"\r\nffffffff\r\n",
-    CHUNKED + b"\r\nContent-Length: 2\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\x00\xff\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+        b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        CHUNKED + b"\r\n-1\r\n",
+        CHUNKED + b"\r\n2\r\nabcd\r\n",
+        CHUNKED + b"\r\nffffffff\r\n",
+        CHUNKED + b"\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
+    ],
+)
 def test_what_cannot_be_read_is_said(bad: bytes) -> None:
     with pytest.raises(Unreadable):
         Messages().feed(bad)
@@ -59,6 +66,7 @@
 
 # ---- senders ----
 
+
 class Seen:
     """Witness and account in one."""
 
@@ -106,8 +114,12 @@
 
 async def ask(to: tuple[str, int], rid: str, cost: int = 1, **headers: str) -> Callable[[], Any]:
     reader, writer = await asyncio.open_connection(*to)
-    writer.write(render(f"POST /api?errand={rid}&kind=sms-send&cost={cost} HTTP/1.1",
-                        {"X-Request-Id": rid, **{k.replace("_", "-"): v for k, v in headers.items()}}))
+    writer.write(
+        render(
+            f"POST /api?errand={rid}&kind=sms-send&cost={cost} HTTP/1.1",
+            {"X-Request-Id": rid, **{k.replace("_", "-"): v for k, v in headers.items()}},
+        )
+    )
 
     async def answer() -> Message:
         got = Messages()
@@ -184,8 +196,14 @@
     run(main())
 
 
-@pytest.mark.parametrize(("mood", "outcome"), [
-    (Mood(error_share=1.0), "500"), (Mood(reset_share=1.0), "reset"), (Mood(garble_share=1.0), "unreadable")])
+@pytest.mark.parametrize(
+    ("mood", "outcome"),
+    [
+        (Mood(error_share=1.0), "500"),
+        (Mood(reset_share=1.0), "reset"),
+        (Mood(garble_share=1.0), "unreadable"),
+    ],
+)
 def test_moods(mood: Mood, outcome: str) -> None:
     async def main() -> None:
         async with serving(sender(Seen(), mood=mood)) as to:
@@ -201,6 +219,7 @@
 
 # ---- discovery ----
 
+
 def test_a_watch_waits_and_tells_changes_and_an_unknown_version_gets_the_whole_list() -> None:
     async def main() -> None:
         registry = Registry(Random(1))
@@ -237,6 +256,7 @@
 
 # ---- clients ----
 
+
 async def errand(kind: str, replies: list[bytes], retries: int = 2) -> list[str]:
     """What a client does when a balancer answers like this, one connection after another."""
     seen, ended = Seen(), list[str]()
@@ -263,9 +283,17 @@
 OK, REFUSED, FAILED = (render(f"HTTP/1.1 {s} X", {"Connection": "close"}) for s in (200, 503, 500))
 
 
-@pytest.mark.parametrize(("kind", "replies", "tries"), [
-    ("safe", [FAILED, REFUSED, OK], 3), ("unsafe", [REFUSED, OK], 2), ("unsafe", [FAILED, OK], 1),
-    ("keyed", [FAILED, OK], 1), ("unsafe", [b"", OK], 1), ("safe", [b"", OK], 2)])
+@pytest.mark.parametrize(
+    ("kind", "replies", "tries"),
+    [
+        ("safe", [FAILED, REFUSED, OK], 3),
+        ("unsafe", [REFUSED, OK], 2),
+        ("unsafe", [FAILED, OK], 1),
+        ("keyed", [FAILED, OK], 1),
+        ("unsafe", [b"", OK], 1),
+        ("safe", [b"", OK], 2),
+    ],
+)
 def test_clients_retry_only_where_it_is_allowed(kind: str, replies: list[bytes], tries: int) -> None:
     async def main() -> None:
         events = await errand(kind, list(replies))
--- a/tests/store/test_log.py
+++ b/tests/store/test_log.py
@@ -32,9 +32,9 @@
     whole = image(payloads)
     cut = data.draw(st.integers(0, len(whole)))
     found = scan(whole[:cut], KIND)
-    assert found.payloads == payloads[:len(found.payloads)] and not found.holes
+    assert found.payloads == payloads[: len(found.payloads)] and not found.holes
     assert found.end + found.torn == cut or cut < FILE_HEAD
-    assert scan(whole[:found.end], KIND).payloads == found.payloads
+    assert scan(whole[: found.end], KIND).payloads == found.payloads
 
 
 @given(st.lists(st.binary(min_size=4, max_size=30), min_size=3, max_size=6), st.data())
@@ -46,7 +46,7 @@
     whole = bytearray(image(payloads))
     whole[at] ^= 0xFF
     found = scan(bytes(whole), KIND)
-    assert found.payloads == payloads[:spoilt] + payloads[spoilt + 1:]
+    assert found.payloads == payloads[:spoilt] + payloads[spoilt + 1 :]
     assert found.holes == [(begin, begin + len(encode(payloads[spoilt])))]
 
 
@@ -60,8 +60,9 @@
         assert found.end <= len(text) or found.end == FILE_HEAD
 
 
-@pytest.mark.parametrize(("head", "said"), [
-    (b"GARBAGE!", "no log"), (b"LTLOG\x02t1", "version 2"), (b"LTLOG\x01zz", "b'zz'")])
+@pytest.mark.parametrize(
+    ("head", "said"), [(b"GARBAGE!", "no log"), (b"LTLOG\x02t1", "version 2"), (b"LTLOG\x01zz", "b'zz'")]
+)
 def test_another_file_or_a_newer_format_is_left_alone(head: bytes, said: str) -> None:
     disk = Disk()
     disk.seen["log"] = disk.kept["log"] = head + b"precious"
@@ -133,15 +134,22 @@
         Log(Directory(Path("/no/such/folder")), "log", KIND).open()
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("append"), st.binary(max_size=30)), st.tuples(st.just("commit"), st.just(b"")),
-    st.tuples(st.just("compact"), st.just(b"")), st.tuples(st.just("cut"), st.just(b""))), max_size=30)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("append"), st.binary(max_size=30)),
+        st.tuples(st.just("commit"), st.just(b"")),
+        st.tuples(st.just("compact"), st.just(b"")),
+        st.tuples(st.just("cut"), st.just(b"")),
+    ),
+    max_size=30,
+)
 
 
 @settings(max_examples=200, deadline=None)
 @given(STEPS, st.integers(0, 1000))
 def test_through_any_power_cuts_what_was_committed_is_there_in_order(
-        steps: list[tuple[str, bytes]], seed: int) -> None:
+    steps: list[tuple[str, bytes]], seed: int
+) -> None:
     disk = Disk(seed)
     log = Log(disk, "log", KIND)
     log.open()
@@ -160,8 +168,8 @@
             disk.power_cut()
             log = Log(disk, "log", KIND)
             found = log.open().payloads
-            assert found[:len(committed)] == committed
-            assert found[len(committed):] == pending[:len(found) - len(committed)]
+            assert found[: len(committed)] == committed
+            assert found[len(committed) :] == pending[: len(found) - len(committed)]
             committed, pending = found, []
 
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -28,9 +28,11 @@
     made.play(made.balancer.on_ban(made.now, 1))
     assert sent_to(made) == {0, 2}
     for kind, entries in (
-            (ListKind.FULL, [entry(0), entry(1), entry(2)]),
-            (ListKind.DELTA, [entry(1, ServerState.GONE)]), (ListKind.DELTA, [entry(1)]),
-            (ListKind.DELTA, [entry(1, started=made.now)])):  # it restarted meanwhile
+        (ListKind.FULL, [entry(0), entry(1), entry(2)]),
+        (ListKind.DELTA, [entry(1, ServerState.GONE)]),
+        (ListKind.DELTA, [entry(1)]),
+        (ListKind.DELTA, [entry(1, started=made.now)]),
+    ):  # it restarted meanwhile
         made.announce(kind, *entries)
         assert sent_to(made) == {0, 2}
     made.play(made.balancer.on_ban(made.now, 1))  # once more: it is one ban
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -76,8 +76,9 @@
     world.settle()
     if k.idempotency is Idempotency.KEYED and k.scope is not Scope.ALL and bad not in NOT_RUN:
         assert seen.final == "Fail"
-    assert {type(a) for a in world.actions if getattr(a, "request_id", "") == rid and
-            isinstance(a, Refuse | Fail)} == {Refuse if seen.final == "Refuse" else Fail}
+    assert {
+        type(a) for a in world.actions if getattr(a, "request_id", "") == rid and isinstance(a, Refuse | Fail)
+    } == {Refuse if seen.final == "Refuse" else Fail}
 
 
 def test_no_server_is_answered_in_time_and_honestly() -> None:
@@ -210,15 +211,19 @@
     return found
 
 
-@pytest.mark.parametrize(("end", "waited", "least", "most"), [
-    (CallEnd.BROKEN, 2 * S, 2 * S, 3520 * MS),
-    (CallEnd.UNREACHED, S, 1200 * MS, 3 * S),
-    (CallEnd.UNANSWERED, 0, 600 * MS, 2420 * MS),  # turned away at once: it left no work
-    (CallEnd.UNANSWERED, 2 * S, 3 * S, 5420 * MS),
-    (CallEnd.UNANSWERED, 3 * S, 3 * S, 5420 * MS),
-])
+@pytest.mark.parametrize(
+    ("end", "waited", "least", "most"),
+    [
+        (CallEnd.BROKEN, 2 * S, 2 * S, 3520 * MS),
+        (CallEnd.UNREACHED, S, 1200 * MS, 3 * S),
+        (CallEnd.UNANSWERED, 0, 600 * MS, 2420 * MS),  # turned away at once: it left no work
+        (CallEnd.UNANSWERED, 2 * S, 3 * S, 5420 * MS),
+        (CallEnd.UNANSWERED, 3 * S, 3 * S, 5420 * MS),
+    ],
+)
 def test_discovery_is_asked_again_before_what_it_has_counts_as_told(
-        end: CallEnd, waited: int, least: int, most: int) -> None:
+    end: CallEnd, waited: int, least: int, most: int
+) -> None:
     """Sends to servers leaving, 0.3 to 0.4 s after six: a broken watch was begun anew after 7.4 to 8 s."""
     found = [pause for seed in range(40) for pause in pauses(end, waited, 4, seed)]
     assert least <= min(found) and max(found) <= most
@@ -264,9 +269,14 @@
     world.settle()
 
 
-@pytest.mark.parametrize(("limit", "admit", "least"), [
-    (0, 1.0, 0), (750 * MS, 1.0, 1), (30 * MS, 0.1, 30 * MS),
-])
+@pytest.mark.parametrize(
+    ("limit", "admit", "least"),
+    [
+        (0, 1.0, 0),
+        (750 * MS, 1.0, 1),
+        (30 * MS, 0.1, 30 * MS),
+    ],
+)
 def test_a_refusal_says_when_to_come_back_within_the_limit(limit: int, admit: float, least: int) -> None:
     world = World(make_settings(retry_advice_limit=limit))
     world.balancer.admit = admit
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -392,7 +392,8 @@
 
 @pytest.mark.parametrize(("latency", "least", "most"), [(30, 9, 12), (250, 0, 8)])
 def test_a_near_server_counts_as_idle_behind_a_few_while_it_is_quick(
-        latency: int, least: int, most: int) -> None:
+    latency: int, least: int, most: int
+) -> None:
     """Crossing rooms has a price: two of three attempts paid it while near servers had cores free."""
     world = fleet(8, balancers=1)  # four of them in this room
     for _ in range(80):
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -25,20 +25,28 @@
     assert code == 0 and "known to be red: test_a.py::test_red | a cause | 40" in said and "1 xfailed" in said
 
 
-@pytest.mark.parametrize(("listed", "other"), [
-    (None, True),  # no file, no exception
-    ("test_a.py::test_red | a cause | 40\n", False),  # another fails
-    ("test_a.py::test_red | a cause | 40\ntest_a.py::test_green | a cause | 40\n", True),  # one passes
-])
+@pytest.mark.parametrize(
+    ("listed", "other"),
+    [
+        (None, True),  # no file, no exception
+        ("test_a.py::test_red | a cause | 40\n", False),  # another fails
+        ("test_a.py::test_red | a cause | 40\ntest_a.py::test_green | a cause | 40\n", True),  # one passes
+    ],
+)
 def test_all_else_fails_the_run(pytester: pytest.Pytester, listed: str | None, other: bool) -> None:
     assert outcome(pytester, listed, other)[0] == 1
 
 
-@pytest.mark.parametrize("listed", [
-    "test_a.py::test_red\n", "test_a.py::test_red | a cause |\n", "test_b.py::test_red | a cause | 40\n",
-    "".join(f"test_a.py::test_{n} | a cause | 40\n" for n in range(4)),
-    "test_a.py::test_red | a cause | 40\n" * 2,
-])
+@pytest.mark.parametrize(
+    "listed",
+    [
+        "test_a.py::test_red\n",
+        "test_a.py::test_red | a cause |\n",
+        "test_b.py::test_red | a cause | 40\n",
+        "".join(f"test_a.py::test_{n} | a cause | 40\n" for n in range(4)),
+        "test_a.py::test_red | a cause | 40\n" * 2,
+    ],
+)
 def test_a_list_that_cannot_be_used_ends_the_run(pytester: pytest.Pytester, listed: str) -> None:
     code, said = outcome(pytester, listed)
     assert code == 4 and "KNOWN-RED.txt" in said
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -22,8 +22,11 @@
         self.world = World(make_settings(**self.changes))
         self.world.announce(ListKind.CACHED, *(entry(n) for n in range(6)))
 
-    @rule(klass=st.integers(0, len(CLASSES) - 1), patience=st.sampled_from([None, 1 * MS, 30 * MS, 150 * MS]),
-          hint=st.sampled_from([0, 20 * MS]))
+    @rule(
+        klass=st.integers(0, len(CLASSES) - 1),
+        patience=st.sampled_from([None, 1 * MS, 30 * MS, 150 * MS]),
+        hint=st.sampled_from([0, 20 * MS]),
+    )
     def submit(self, klass: int, patience: int | None, hint: int) -> None:
         self.world.submit(klass, patience, hint)
 
@@ -53,8 +56,10 @@
     @rule(present=st.sets(st.integers(0, 7)), state=STATES)
     def snapshot(self, present: set[int], state: ServerState) -> None:
         keep = dict(self.world.list)
-        rows = [entry(n, state if n == 3 else ServerState.READY, keep[n].started if n in keep else 0)
-                for n in sorted(present)]
+        rows = [
+            entry(n, state if n == 3 else ServerState.READY, keep[n].started if n in keep else 0)
+            for n in sorted(present)
+        ]
         self.world.announce(ListKind.FULL, *rows)
 
     @rule()
@@ -77,8 +82,14 @@
     changes = {"ask_discovery": True, "copies_allowed": False, "step": 2 * MS}
 
 
-LIMITS = settings(derandomize=True, database=None, max_examples=150, stateful_step_count=40, deadline=None,
-                  suppress_health_check=list(HealthCheck))
+LIMITS = settings(
+    derandomize=True,
+    database=None,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
 TestRules = Rules.TestCase
 TestRules.settings = LIMITS
 TestRulesAsking = RulesAsking.TestCase
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,21 +18,48 @@
 
 def settings(**changes: Any) -> dict[str, Any]:
     values: dict[str, Any] = {
-        "az": 0, "balancers": 2, "discovery": "push", "stepNs": 5000000, "somethingNew": {"x": [1]},
+        "az": 0,
+        "balancers": 2,
+        "discovery": "push",
+        "stepNs": 5000000,
+        "somethingNew": {"x": [1]},
         "bounds": {"cancelling": True, "maxAttempts": 3, "secondCopies": True, "newLimit": 1},
-        "obligations": {"answerSlackNs": 20000000, "askEveryNs": 10000000000, "coldFrom": 0.12,
-                        "coldNs": 24000000000, "drainGraceNs": 250000000, "fallNs": 1500000000,
-                        "tipMultiple": 2.5},
-        "services": [{"name": "s", "goalTimeNs": 180000000, "deadlineNs": 440000000, "worth": 2.0,
-                      "idempotency": "pure", "group": "all", "windowNs": 0, "lateShare": 0.0}],
+        "obligations": {
+            "answerSlackNs": 20000000,
+            "askEveryNs": 10000000000,
+            "coldFrom": 0.12,
+            "coldNs": 24000000000,
+            "drainGraceNs": 250000000,
+            "fallNs": 1500000000,
+            "tipMultiple": 2.5,
+        },
+        "services": [
+            {
+                "name": "s",
+                "goalTimeNs": 180000000,
+                "deadlineNs": 440000000,
+                "worth": 2.0,
+                "idempotency": "pure",
+                "group": "all",
+                "windowNs": 0,
+                "lateShare": 0.0,
+            }
+        ],
     }
     values.update(changes)
     return values
 
 
 def run(text: str, **env: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "dykeshift.benchlink"], input=text, capture_output=True,
-                          text=True, cwd=ROOT, timeout=60, env={**os.environ, **env})
+    return subprocess.run(
+        [sys.executable, "-m", "dykeshift.benchlink"],
+        input=text,
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        timeout=60,
+        env={**os.environ, **env},
+    )
 
 
 def batch(n: int, now: int, *lines: str) -> str:
@@ -40,8 +67,12 @@
 
 
 def configure(i: int = 0, seed: int = 7, **changes: Any) -> list[str]:
-    return [f"CONFIGURE\t{i}\t{seed}\t{json.dumps(settings(**changes))}",
-            f"ANNOUNCE\t{i}\t1\tdisk\t2", "M\t0\t0\tlive\t1\t11\t-\t0", "M\t0\t0\tlive\t1\t12\t-\t0"]
+    return [
+        f"CONFIGURE\t{i}\t{seed}\t{json.dumps(settings(**changes))}",
+        f"ANNOUNCE\t{i}\t1\tdisk\t2",
+        "M\t0\t0\tlive\t1\t11\t-\t0",
+        "M\t0\t0\tlive\t1\t12\t-\t0",
+    ]
 
 
 def submit(i: int, rid: str, deadline: int) -> str:
@@ -62,30 +93,36 @@
 def test_restart_in_one_batch_and_unknown_report_fields() -> None:
     first = run(batch(1, 0, *configure()) + batch(2, 10, submit(0, "c:a", 440000000)))
     server = next(x for x in first.stdout.splitlines() if x.startswith("PLACE")).split("\t")[3]
-    done = run(batch(1, 0, *configure()) + batch(2, 10, submit(0, "c:a", 440000000))
-               + batch(3, 50000000, f"ANSWER\t0\tc:a\t0\t{server}\tdone\t49000000\t1\tcpu_share:0.5,novel:3")
-               + batch(4, 60000000, "SHUTDOWN\t0", *configure(seed=8), submit(0, "c:b", 500000000))
-               + batch(5, 61000000, "GONE\t0\tc:a", "REMINDER\t0\tr:c:a"))
+    done = run(
+        batch(1, 0, *configure())
+        + batch(2, 10, submit(0, "c:a", 440000000))
+        + batch(3, 50000000, f"ANSWER\t0\tc:a\t0\t{server}\tdone\t49000000\t1\tcpu_share:0.5,novel:3")
+        + batch(4, 60000000, "SHUTDOWN\t0", *configure(seed=8), submit(0, "c:b", 500000000))
+        + batch(5, 61000000, "GONE\t0\tc:a", "REMINDER\t0\tr:c:a")
+    )
     assert done.returncode == 0, done.stderr
     assert sum(x.startswith("PLACE\t0\tc:b") for x in done.stdout.splitlines()) in (1, 2)
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("HELLO\n", "line 1: expected SYNC"),
-    ("SYNC\tx\t1\nEND\n", "line 1: expected SYNC"),
-    (batch(1, 0, "NOVEL\t1"), "line 2: unknown event 'NOVEL'"),
-    (batch(1, 0, "GONE\t1"), "line 2: GONE has 1 fields, expected 2"),
-    (batch(1, 0, *configure(), "GONE\tx\tc:a"), "expects a number"),
-    (batch(1, 0, "GONE\t4\tc:a"), "instance 4 has no CONFIGURE"),
-    (batch(1, 0, *configure(), "ANSWER\t0\tc:a\t0\t11\tsplendid\t5\t1\t-"), "how is 'splendid'"),
-    (batch(1, 0, *configure(), "SUBMIT\t0\tc:a\t0\t0\t0\t9\t-\t5\t-"), "no class of the settings"),
-    (batch(1, 0, *configure())[:-4], "cut short"),
-    ("SYNC\t0\t1\nANNOUNCE\t0\t1\tdisk\t2\nM\t0\t0\tlive\t1\t11\t-\t0\nEND\n", "expected a list entry"),
-    (batch(1, 0, "CONFIGURE\t0\t1\t{"), "not JSON"),
-    (batch(1, 0, "CONFIGURE\t0\t1\t{}"), "settings lack bounds"),
-    (batch(1, 0, *configure(services=[{"goalTimeNs": 1}])), "services[0].deadlineNs"),
-    (batch(1, 0, *configure(balancers="many")), "wrong kind"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("HELLO\n", "line 1: expected SYNC"),
+        ("SYNC\tx\t1\nEND\n", "line 1: expected SYNC"),
+        (batch(1, 0, "NOVEL\t1"), "line 2: unknown event 'NOVEL'"),
+        (batch(1, 0, "GONE\t1"), "line 2: GONE has 1 fields, expected 2"),
+        (batch(1, 0, *configure(), "GONE\tx\tc:a"), "expects a number"),
+        (batch(1, 0, "GONE\t4\tc:a"), "instance 4 has no CONFIGURE"),
+        (batch(1, 0, *configure(), "ANSWER\t0\tc:a\t0\t11\tsplendid\t5\t1\t-"), "how is 'splendid'"),
+        (batch(1, 0, *configure(), "SUBMIT\t0\tc:a\t0\t0\t0\t9\t-\t5\t-"), "no class of the settings"),
+        (batch(1, 0, *configure())[:-4], "cut short"),
+        ("SYNC\t0\t1\nANNOUNCE\t0\t1\tdisk\t2\nM\t0\t0\tlive\t1\t11\t-\t0\nEND\n", "expected a list entry"),
+        (batch(1, 0, "CONFIGURE\t0\t1\t{"), "not JSON"),
+        (batch(1, 0, "CONFIGURE\t0\t1\t{}"), "settings lack bounds"),
+        (batch(1, 0, *configure(services=[{"goalTimeNs": 1}])), "services[0].deadlineNs"),
+        (batch(1, 0, *configure(balancers="many")), "wrong kind"),
+    ],
+)
 def test_malformed_input_gets_one_plain_line(text: str, says: str) -> None:
     done = run(text)
     assert done.returncode != 0
--- a/tests/test_word.py
+++ b/tests/test_word.py
@@ -97,14 +97,19 @@
     assert met[1] > 2 * met[0]
 
 
-@pytest.mark.parametrize("one, other, kind", [
-    ((SAFE, Scope.ALL), (SAFE, Scope.ALL), SAFE), ((SAFE, Scope.ALL), (UNSAFE, Scope.ALL), UNSAFE),
-    ((SAFE, Scope.ALL), (KEYED, Scope.ALL), UNSAFE), ((KEYED, Scope.ALL), (KEYED, Scope.CELL), KEYED),
-    ((KEYED, Scope.ZONE), (KEYED, Scope.CELL), UNSAFE),
-])
-def test_narrower_terms_are_those_that_both_allow(one: tuple[Idempotency, Scope],
-                                                  other: tuple[Idempotency, Scope],
-                                                  kind: Idempotency) -> None:
+@pytest.mark.parametrize(
+    "one, other, kind",
+    [
+        ((SAFE, Scope.ALL), (SAFE, Scope.ALL), SAFE),
+        ((SAFE, Scope.ALL), (UNSAFE, Scope.ALL), UNSAFE),
+        ((SAFE, Scope.ALL), (KEYED, Scope.ALL), UNSAFE),
+        ((KEYED, Scope.ALL), (KEYED, Scope.CELL), KEYED),
+        ((KEYED, Scope.ZONE), (KEYED, Scope.CELL), UNSAFE),
+    ],
+)
+def test_narrower_terms_are_those_that_both_allow(
+    one: tuple[Idempotency, Scope], other: tuple[Idempotency, Scope], kind: Idempotency
+) -> None:
     a, b = klass(*one), replace(klass(*other), window=7)
     found = narrower(a, b)
     assert found.idempotency is kind is narrower(b, a).idempotency
--- a/tests/versions/defects.py
+++ b/tests/versions/defects.py
@@ -20,8 +20,9 @@
     return lambda patch: patch.setattr(owner, name, wrong)
 
 
-def _looks_at_the_book_alone(self: force.InForce, now: int, lease_left: int, heard: Any = (),
-                             why: str = "") -> int:
+def _looks_at_the_book_alone(
+    self: force.InForce, now: int, lease_left: int, heard: Any = (), why: str = ""
+) -> int:
     return _look(self, now, 1 if self.leased else lease_left, heard, why)
 
 
@@ -43,8 +44,9 @@
         self._end(change.version, "halted", change.reason)
 
 
-def _waits_for_answers_only(self: guide.Guide, now: int, facts: guide.Facts,
-                            pending: Pending) -> Change | None:
+def _waits_for_answers_only(
+    self: guide.Guide, now: int, facts: guide.Facts, pending: Pending
+) -> Change | None:
     """The middle is over once all in reach have said that they are in it."""
     said = [m.report for n, m in self.members.items() if n in facts.alive]
     if any(report.version < pending.since for report in said):
@@ -143,9 +145,11 @@
     "a peer's list may empty one": _patch(lists.Lists, "on_word", _takes_any_word),
     "an older list counts": _patch(lists.Lists, "on_word", _takes_older_words),
     "a test that does not bear looking": lambda patch: patch.setattr(
-        "dykeshift.versions.trial.Trial.worse", property(_naive)),
+        "dykeshift.versions.trial.Trial.worse", property(_naive)
+    ),
     "yes to another proposal of that number": lambda patch: [
-        patch.setattr(where, "mark", _one_mark) for where in (core, guide)][0],
+        patch.setattr(where, "mark", _one_mark) for where in (core, guide)
+    ][0],
     "own checks left out": _patch(core, "objection", _any_settings),
     "bans lost with a snapshot": _patch(book.Book, "restore", _forgets_bans),
     "one's own part in what all share": _patch(own, "share", _shares_all),
--- a/tests/versions/test_parts.py
+++ b/tests/versions/test_parts.py
@@ -53,11 +53,18 @@
 
 # ---- the book ----
 
+
 def test_a_proposal_goes_through_its_phases_and_nothing_else_moves_it() -> None:
     made = book(*SETTLED, proposal(), Middle(3))
     assert made.pages.pending is not None and made.pages.pending.phase is Phase.MIDDLE
-    late: list[changes.Change] = [Middle(3), Refuse(3, "late"), Force(2), Drop(3), Halt(9, ""),
-                                  proposal(FREE)]
+    late: list[changes.Change] = [
+        Middle(3),
+        Refuse(3, "late"),
+        Force(2),
+        Drop(3),
+        Halt(9, ""),
+        proposal(FREE),
+    ]
     for n, strange in enumerate(late):
         before = replace_version(made)
         made.apply(5 + n, pack(strange))
@@ -105,9 +112,32 @@
 
 
 @settings(derandomize=True, database=None, deadline=None)
-@given(st.lists(st.one_of(st.binary(max_size=40), st.sampled_from([
-    pack(c) for c in (proposal(), proposal(dry=True), Middle(1), Force(1), Force(1, 3), Halt(1, "x"), Drop(1),
-                      Refuse(1, ""), Ban("a"), Unban("a"), Lists(closed=("b",)))])), max_size=12))
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=40),
+            st.sampled_from(
+                [
+                    pack(c)
+                    for c in (
+                        proposal(),
+                        proposal(dry=True),
+                        Middle(1),
+                        Force(1),
+                        Force(1, 3),
+                        Halt(1, "x"),
+                        Drop(1),
+                        Refuse(1, ""),
+                        Ban("a"),
+                        Unban("a"),
+                        Lists(closed=("b",)),
+                    )
+                ]
+            ),
+        ),
+        max_size=12,
+    )
+)
 def test_any_entries_at_all_leave_a_book_that_goes_on(entries: list[bytes]) -> None:
     made, other = Book(), Book()
     for n, body in enumerate(entries, 1):
@@ -119,6 +149,7 @@
 
 # ---- what may be acted on ----
 
+
 def test_without_a_lease_it_is_in_doubt_from_the_first_look_on() -> None:
     force = in_force(book(*SETTLED))
     first = force.look(10, lease_left=5)
@@ -153,8 +184,9 @@
     assert [in_force_acts(made, n) for n in (2, 3, 4)] == ["in force", "in force", "middle"]
     force = in_force(made, 4)
     force.look(1, 1)
-    assert force.forms()["status-check"] == {live(Own(worded()).read(t))["status-check"].idempotency
-                                             for t in (SAFE, UNSAFE)}
+    assert force.forms()["status-check"] == {
+        live(Own(worded()).read(t))["status-check"].idempotency for t in (SAFE, UNSAFE)
+    }
 
 
 def test_what_it_cannot_read_puts_it_in_doubt() -> None:
@@ -175,15 +207,19 @@
 
 # ---- who would have to act on it ----
 
-@pytest.mark.parametrize("text, sight, said", [
-    (UNSAFE, Sight(), ""),
-    ("{", Sight(), "no JSON"),
-    (FEWER, Sight(inflight={"status-check": 2}), "close it"),
-    (share(worded(None, {"sms-send": {"deadlineNs": 1000}})), Sight(usual={"sms-send": 5e6}), "deadline"),
-    (share(worded(None, None, maxAttempts=4)), Sight(), "more than the 3"),
-    (share(worded(None, None, maxAttempts=1)), Sight(attempts=2), "has had 2"),
-    (share(worded({"balancers": 2})), Sight(at_work=3), "3 are at work"),
-])
+
+@pytest.mark.parametrize(
+    "text, sight, said",
+    [
+        (UNSAFE, Sight(), ""),
+        ("{", Sight(), "no JSON"),
+        (FEWER, Sight(inflight={"status-check": 2}), "close it"),
+        (share(worded(None, {"sms-send": {"deadlineNs": 1000}})), Sight(usual={"sms-send": 5e6}), "deadline"),
+        (share(worded(None, None, maxAttempts=4)), Sight(), "more than the 3"),
+        (share(worded(None, None, maxAttempts=1)), Sight(attempts=2), "has had 2"),
+        (share(worded({"balancers": 2})), Sight(at_work=3), "3 are at work"),
+    ],
+)
 def test_each_harmful_proposal_is_refused_with_its_reason(text: str, sight: Sight, said: str) -> None:
     own = Own(worded())
     why = objection(text, own, own.settings, frozenset(), sight)
@@ -204,14 +240,27 @@
 
 def guide(made: Book) -> Guide:
     own = Own(worded())
-    return Guide(Options(), made, lambda p: contradicts(own.read(made.pages.rules.settings),
-                                                        own.read(p.rules.settings)))
+    return Guide(
+        Options(),
+        made,
+        lambda p: contradicts(own.read(made.pages.rules.settings), own.read(p.rules.settings)),
+    )
 
 
 def report(made: Book, number: int, verdict: Verdict = Verdict.YES, **more: Any) -> Report:
     pending = made.pages.pending
-    base = Report(1, 7, number, 1, made.pages.version, core.mark(pending.rules) if pending else 0, verdict,
-                  "in force", 0, 0)
+    base = Report(
+        1,
+        7,
+        number,
+        1,
+        made.pages.version,
+        core.mark(pending.rules) if pending else 0,
+        verdict,
+        "in force",
+        0,
+        0,
+    )
     return replace(base, **more)
 
 
@@ -303,8 +352,10 @@
     for _ in range(200):
         trial, halted = Trial(), False
         for _ in range(200):
-            trial.add((20, sum(rng.random() < 0.05 for _ in range(20))),
-                      (60, sum(rng.random() < 0.05 for _ in range(60))))
+            trial.add(
+                (20, sum(rng.random() < 0.05 for _ in range(20))),
+                (60, sum(rng.random() < 0.05 for _ in range(60))),
+            )
             halted = halted or trial.worse
         wrong += halted
     assert wrong <= 1
@@ -312,6 +363,7 @@
 
 # ---- lists ----
 
+
 def told(running: int = 10, generation: int = 5) -> Told:
     lists = Told(15 * SECOND)
     lists.on_own(0, generation, frozenset(range(running)), frozenset(range(running)))
@@ -356,9 +408,13 @@
 SEAL = Seal("fleet", b"key")
 
 
-@pytest.mark.parametrize("message", [
-    Report(1, 2, 3, 4, 5, 6, Verdict.NO, "doubtful", 7, 8, "warum" * 40),
-    Leaving(1, 2, 3, 1 << 40, (1, 1 << 60))])
+@pytest.mark.parametrize(
+    "message",
+    [
+        Report(1, 2, 3, 4, 5, 6, Verdict.NO, "doubtful", 7, 8, "warum" * 40),
+        Leaving(1, 2, 3, 1 << 40, (1, 1 << 60)),
+    ],
+)
 def test_a_datagram_says_what_was_put_into_it(message: Report | Leaving) -> None:
     data = encode(message, SEAL)
     assert len(data) <= 256
--- a/tests/versions/test_ruled.py
+++ b/tests/versions/test_ruled.py
@@ -46,8 +46,11 @@
 
 
 def in_force_at(day: Ruled, version: int) -> set[int]:
-    return {s.number for s in day.up() if mode(day, s.number) == "in force"
-            and s.view.ruled.acts.version == version}
+    return {
+        s.number
+        for s in day.up()
+        if mode(day, s.number) == "in force" and s.view.ruled.acts.version == version
+    }
 
 
 def test_a_class_turns_unsafe_while_a_third_is_cut_off() -> None:
--- a/tests/versions/test_terms.py
+++ b/tests/versions/test_terms.py
@@ -17,19 +17,37 @@
 from tests.harness import CLASSES, MS, S, World, entry, make_settings
 from tests.test_properties import LIMITS, Rules
 
-ALWAYS = settings(derandomize=True, database=None, max_examples=200, deadline=None,
-                  suppress_health_check=[HealthCheck.too_slow])
+ALWAYS = settings(
+    derandomize=True,
+    database=None,
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
 FEWER = settings(LIMITS, max_examples=60)
-CLASS = st.builds(RequestClass, name=st.sampled_from("abc"), aim=st.just(100 * MS), deadline=st.just(S),
-                  worth=st.sampled_from([1.0, 2.0]), late_share=st.just(0.0),
-                  idempotency=st.sampled_from(list(Idempotency)), scope=st.sampled_from(list(Scope)),
-                  window=st.sampled_from([1, 2, 3]))
+CLASS = st.builds(
+    RequestClass,
+    name=st.sampled_from("abc"),
+    aim=st.just(100 * MS),
+    deadline=st.just(S),
+    worth=st.sampled_from([1.0, 2.0]),
+    late_share=st.just(0.0),
+    idempotency=st.sampled_from(list(Idempotency)),
+    scope=st.sampled_from(list(Scope)),
+    window=st.sampled_from([1, 2, 3]),
+)
 SETTINGS = st.builds(
-    make_settings, classes=st.lists(CLASS, min_size=1, max_size=3, unique_by=lambda c: c.name).map(tuple),
-    balancers=st.sampled_from([4, 8]), attempt_limit=st.sampled_from([1, 2, 3]), copies_allowed=st.booleans(),
-    cancel_allowed=st.booleans(), cold_share=st.sampled_from([0.1, 0.2]),
-    cold_time=st.sampled_from([S, 2 * S]), overload_multiple=st.sampled_from([2.0, 3.0]),
-    overload_window=st.sampled_from([S, 2 * S]))
+    make_settings,
+    classes=st.lists(CLASS, min_size=1, max_size=3, unique_by=lambda c: c.name).map(tuple),
+    balancers=st.sampled_from([4, 8]),
+    attempt_limit=st.sampled_from([1, 2, 3]),
+    copies_allowed=st.booleans(),
+    cancel_allowed=st.booleans(),
+    cold_share=st.sampled_from([0.1, 0.2]),
+    cold_time=st.sampled_from([S, 2 * S]),
+    overload_multiple=st.sampled_from([2.0, 3.0]),
+    overload_window=st.sampled_from([S, 2 * S]),
+)
 
 
 def test_every_field_has_been_judged() -> None:
@@ -38,10 +56,25 @@
 
 def guarded(one: Settings) -> Any:
     """What must not depend on the order of two."""
-    return ([getattr(one, f) for f in ("balancers", "attempt_limit", "copies_allowed", "cancel_allowed",
-                                       "cold_share", "cold_time", "overload_multiple", "overload_window")],
-            {(c.name, c.idempotency, c.idempotency is Idempotency.KEYED and (c.scope, c.window))
-             for c in live(one).values()})
+    return (
+        [
+            getattr(one, f)
+            for f in (
+                "balancers",
+                "attempt_limit",
+                "copies_allowed",
+                "cancel_allowed",
+                "cold_share",
+                "cold_time",
+                "overload_multiple",
+                "overload_window",
+            )
+        ],
+        {
+            (c.name, c.idempotency, c.idempotency is Idempotency.KEYED and (c.scope, c.window))
+            for c in live(one).values()
+        },
+    )
 
 
 @ALWAYS
@@ -58,8 +91,12 @@
 
 def test_what_differs_is_named() -> None:
     one = make_settings()
-    other = replace(one, attempt_limit=2, fairness=0.5,
-                    classes=(replace(CLASSES[0], idempotency=Idempotency.UNSAFE, worth=9.0), *CLASSES[1:]))
+    other = replace(
+        one,
+        attempt_limit=2,
+        fairness=0.5,
+        classes=(replace(CLASSES[0], idempotency=Idempotency.UNSAFE, worth=9.0), *CLASSES[1:]),
+    )
     assert differences(one, other) == ["attempt_limit", "read.idempotency"]
     assert differences(one, other, FREE) == ["fairness", "read.worth"]
     assert not contradicts(one, replace(one, fairness=0.5)) and not contradicts(one, replace(one, zone=3))
@@ -67,10 +104,20 @@
 
 
 # Classes that come as other kinds in another version, each beside each.
-TURNED = tuple(replace(c, idempotency=k, scope=s, window=w) for c, (k, s, w) in zip(CLASSES, (
-    (Idempotency.UNSAFE, Scope.ALL, 0), (Idempotency.KEYED, Scope.ZONE, 100 * MS),
-    (Idempotency.SAFE, Scope.ALL, 0), (Idempotency.KEYED, Scope.CELL, 900 * MS),
-    (Idempotency.KEYED, Scope.ALL, 200 * MS)), strict=True))
+TURNED = tuple(
+    replace(c, idempotency=k, scope=s, window=w)
+    for c, (k, s, w) in zip(
+        CLASSES,
+        (
+            (Idempotency.UNSAFE, Scope.ALL, 0),
+            (Idempotency.KEYED, Scope.ZONE, 100 * MS),
+            (Idempotency.SAFE, Scope.ALL, 0),
+            (Idempotency.KEYED, Scope.CELL, 900 * MS),
+            (Idempotency.KEYED, Scope.ALL, 200 * MS),
+        ),
+        strict=True,
+    )
+)
 FIRST = make_settings(attempt_limit=3, copies_allowed=True)
 SECOND = make_settings(classes=TURNED, attempt_limit=2, copies_allowed=False)
 
@@ -100,8 +147,9 @@
 class Doubtful(Middle):
     """In doubt on the first version while the second one holds in truth: no repeat, whatever it believes."""
 
-    truth = make_settings(classes=tuple(replace(c, idempotency=Idempotency.UNSAFE) for c in CLASSES),
-                          copies_allowed=False)
+    truth = make_settings(
+        classes=tuple(replace(c, idempotency=Idempotency.UNSAFE) for c in CLASSES), copies_allowed=False
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -115,6 +163,7 @@
     def word(self, doubtful: bool = True, out: set[int] = frozenset()) -> None:  # type: ignore[assignment]
         super().word(True, set(out))
 
+
 TestMiddle = Middle.TestCase
 TestMiddle.settings = FEWER
 TestMiddleBySecond = MiddleBySecond.TestCase
@@ -122,6 +171,7 @@
 TestDoubtful = Doubtful.TestCase
 TestDoubtful.settings = FEWER
 
+
 def test_the_harness_finds_a_balancer_that_acts_on_the_bolder_version() -> None:
     class Bold(MiddleBySecond):
         def __init__(self) -> None:
--- a/tests/view/defects.py
+++ b/tests/view/defects.py
@@ -22,7 +22,6 @@
     """Hears what is said of it and lets it stand."""
 
 
-
 def _any_datagram(self: table.Member, incarnation: int, seq: int) -> bool:
     return True
 
@@ -65,7 +64,6 @@
     return 0
 
 
-
 DEFECTS: dict[str, Undo] = {
     "incarnation not raised against an accusation": _patch(View, "_hear_of_self", _no_contradiction),
     "datagrams that are played again count": _patch(table.Member, "fresh", _any_datagram),
--- a/tests/view/test_defects.py
+++ b/tests/view/test_defects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
@@ -21,14 +22,16 @@
     "suspicion without time to contradict": 0,
 }
 TESTS: dict[str, Callable[[], None]] = {
-    "given up without a majority":
-        test_view.test_seven_in_ten_killed_at_once_are_not_counted_out_by_the_three,
-    "datagrams that are played again count":
-        test_view.test_what_is_played_again_does_nothing_not_even_to_who_starts_anew,
-    "who stood still does not notice":
-        test_view.test_a_nap_is_no_silence_of_the_others,
-    "who hears no answers accuses":
-        lambda: test_view.test_one_that_hears_all_and_is_heard_by_none_and_the_other_way_round(False),
+    "given up without a majority": (
+        test_view.test_seven_in_ten_killed_at_once_are_not_counted_out_by_the_three
+    ),
+    "datagrams that are played again count": (
+        test_view.test_what_is_played_again_does_nothing_not_even_to_who_starts_anew
+    ),
+    "who stood still does not notice": test_view.test_a_nap_is_no_silence_of_the_others,
+    "who hears no answers accuses": partial(
+        test_view.test_one_that_hears_all_and_is_heard_by_none_and_the_other_way_round, False
+    ),
 }
 
 
--- a/tests/view/test_view.py
+++ b/tests/view/test_view.py
@@ -134,7 +134,7 @@
     world, watch = started("roll", 40)
     world.groups = [frozenset(range(12)), frozenset(range(12, 40))]
     for tenth in range(10):
-        for spot in world.spots[4 * tenth:4 * tenth + 4]:
+        for spot in world.spots[4 * tenth : 4 * tenth + 4]:
             befall(world, "leave", spot, world.rng)
             world.after(0.5, world.start, spot)
         world.run(2)
--- a/tests/view/test_wire.py
+++ b/tests/view/test_wire.py
@@ -11,15 +11,34 @@
 
 OURS = Seal("fleet", b"key")
 NAMES = st.text(min_size=1, max_size=16)
-ENTRIES = st.builds(Entry, NAMES, st.integers(0, 2**64 - 1), st.integers(1, 2**32 - 1),
-                    st.sampled_from(State), st.integers(0, 65535), st.integers(0, 65535), st.integers(0, 255),
-                    st.integers(0, 2**32 - 1), st.integers(0, 65535))
+ENTRIES = st.builds(
+    Entry,
+    NAMES,
+    st.integers(0, 2**64 - 1),
+    st.integers(1, 2**32 - 1),
+    st.sampled_from(State),
+    st.integers(0, 65535),
+    st.integers(0, 65535),
+    st.integers(0, 255),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 65535),
+)
 MESSAGES = st.builds(
-    Message, st.sampled_from(Kind), NAMES, st.integers(1, 2**32 - 1), st.integers(0, 2**64 - 1),
-    st.integers(0, 2**32 - 1), st.integers(0, 2**64 - 1), st.integers(0, 255), st.integers(0, 2**32 - 1),
-    st.integers(0, 2**32 - 1), st.just("") | NAMES, st.just((0, 0)),
+    Message,
+    st.sampled_from(Kind),
+    NAMES,
+    st.integers(1, 2**32 - 1),
+    st.integers(0, 2**64 - 1),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 2**64 - 1),
+    st.integers(0, 255),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 2**32 - 1),
+    st.just("") | NAMES,
+    st.just((0, 0)),
     st.just(()) | st.lists(st.integers(0, 2**32 - 1), min_size=BUCKETS, max_size=BUCKETS).map(tuple),
-    st.lists(ENTRIES, max_size=1))
+    st.lists(ENTRIES, max_size=1),
+)
 
 
 @given(MESSAGES)
@@ -27,7 +46,7 @@
     data = encode(message, OURS)
     assert len(data) <= MOST
     read = decode(data, OURS)
-    assert message.entries[:len(read.entries)] == read.entries
+    assert message.entries[: len(read.entries)] == read.entries
     message.entries = read.entries  # those that had room
     assert read == message
 
@@ -35,7 +54,7 @@
 @given(st.binary(max_size=300), st.booleans())
 def test_any_bytes_end_in_a_message_or_in_one_of_the_reasons(data: bytes, sealed: bool) -> None:
     if sealed and len(data) > 4:  # past the seal: the fields themselves are at fault
-        data = bytes((1, data[1])) + OURS.tag.to_bytes(2, "big") + data[4:MOST - SEAL]
+        data = bytes((1, data[1])) + OURS.tag.to_bytes(2, "big") + data[4 : MOST - SEAL]
         data += OURS.of(data)
     try:
         decode(data, OURS)
@@ -49,9 +68,13 @@
     def sealed(body: bytes) -> bytes:
         return body + OURS.of(body)
 
-    cases = {"size": data[:20], "version": b"\x02" + data[1:], "fleet": encode(
-        Message(Kind.PING, "n1", 1, 2, 3, 4), Seal("other", b"key")), "seal": data[:-1] + b"\x00",
-        "form": sealed(bytes((1, 99)) + data[2:-SEAL])}
+    cases = {
+        "size": data[:20],
+        "version": b"\x02" + data[1:],
+        "fleet": encode(Message(Kind.PING, "n1", 1, 2, 3, 4), Seal("other", b"key")),
+        "seal": data[:-1] + b"\x00",
+        "form": sealed(bytes((1, 99)) + data[2:-SEAL]),
+    }
     for reason, bad in cases.items():
         with pytest.raises(Bad, match=reason):
             decode(bad, OURS)
--- a/tests/view/world.py
+++ b/tests/view/world.py
@@ -24,13 +24,17 @@
         world, view = self.world, spot.view
         standing = view.standing
         if standing.at_most < len(world.spots):
-            holding = {s.view.me.name for s in world.spots
-                       if s.alive and not s.stopped and s.view.standing.holds}
+            holding = {
+                s.view.me.name for s in world.spots if s.alive and not s.stopped and s.view.standing.holds
+            }
             if standing.at_most < len(holding):
                 self._say(spot, f"at most {standing.at_most}, {len(holding)} hold the lease")
         if standing.at_least > 1:
-            lately = {s.view.me.name for s in world.spots if s.lives and (
-                s.alive and not s.stopped or world.now - max(s.died, s.stopped_at) < self.lag)}
+            lately = {
+                s.view.me.name
+                for s in world.spots
+                if s.lives and (s.alive and not s.stopped or world.now - max(s.died, s.stopped_at) < self.lag)
+            }
             if standing.at_least > len(lately):
                 self._say(spot, f"at least {standing.at_least}, {len(lately)} ran lately")
         age = (world.now - spot.born) / SECOND
@@ -55,8 +59,10 @@
 def settle(world: World, seconds: float = 60) -> None:
     """All that reach one another have one view; the failure says who has not."""
     if not world.run(seconds, world.settled):
-        states = [(s.name, s.view.settled, s.view.standing.at_least, s.view.digest(s.clock())[:6])
-                  for s in world.living()]
+        states = [
+            (s.name, s.view.settled, s.view.standing.at_least, s.view.digest(s.clock())[:6])
+            for s in world.living()
+        ]
         raise AssertionError(f"not settled at {world.now / SECOND:.1f} s: {states}")
 
 
@@ -85,8 +91,9 @@
 
 def trouble(world: World, rng: Random) -> None:
     some = rng.sample(world.spots, rng.randint(1, max(1, len(world.spots) * 7 // 10)))
-    kind = rng.choice(["kill", "restart", "stop", "resume", "cut", "mend", "one-way", "weather", "leave",
-                       "wall"])
+    kind = rng.choice(
+        ["kill", "restart", "stop", "resume", "cut", "mend", "one-way", "weather", "leave", "wall"]
+    )
     if kind == "cut":
         order = rng.sample(range(len(world.spots)), len(world.spots))
         at = rng.randint(1, len(order) - 1)
