Names: exceptions of store, MLLP, stand-ins, console, simulation and model end in Error

Change: Failed, Foreign, both Unreadable, Unstable, Stuck, NothingBroken, DecisionFault and console's No are now LogError, LogFormatError, MessageError, UnstableError, LivelockError, NoViolationError, DecisionError and CallError. No alias stays; behaviour is the same.

--- a/benchmarks/mllp_fuzz.py
+++ b/benchmarks/mllp_fuzz.py
@@ -49,13 +49,13 @@
             frame(built)
             assert acks.parse(built).control_id == got.header.control_id
         MAPPING.ask(identity, got)
-    except (message.Unreadable, ValueError) as exc:
+    except (message.MessageError, ValueError) as exc:
         if isinstance(exc, ValueError) and "block character" not in str(exc):
             raise
     try:
         dialogue = Dialogue(b"MSH|^~\\&|||||||ADT|1|P|2.5.1")
         dialogue.hear(content)
-    except message.Unreadable:
+    except message.MessageError:
         pass
 
 
--- a/dykeshift/benchlink.py
+++ b/dykeshift/benchlink.py
@@ -160,10 +160,10 @@
         try:
             return method(*args)
         except Exception as exc:
-            raise DecisionFault(f"{type(exc).__name__}: {exc}") from exc
+            raise DecisionError(f"{type(exc).__name__}: {exc}") from exc
 
 
-class DecisionFault(Exception):
+class DecisionError(Exception):
     """The decision code itself failed."""
 
 
@@ -206,7 +206,7 @@
                     entries.append(_split(row, where))
                 number = where
                 _encode(int(parts[1]), link.event(now, parts, entries), out)
-            except DecisionFault as fault:
+            except DecisionError as fault:
                 out.append(f"BUG\t{parts[1]}\t{fault}\n".replace("\r", " "))
             except Malformed as exc:
                 text = str(exc)
--- a/dykeshift/cli/mllp.py
+++ b/dykeshift/cli/mllp.py
@@ -172,7 +172,7 @@
 @JSON
 def journal(directory: str, as_json: bool) -> int:
     """Say what a journal holds and what of it is damaged (then it ends with 1). Nothing is changed."""
-    from dykeshift.store.records import Foreign, scan
+    from dykeshift.store.records import LogFormatError, scan
 
     try:
         from dykeshift.mllp.journal import KIND, STEM, replay
@@ -204,7 +204,7 @@
         report = replay(found, memory, 0)
     except OSError as exc:
         raise Usage(f"lifttrail mllp journal: cannot read {directory}: {exc.strerror}") from None
-    except Foreign as exc:
+    except LogFormatError as exc:
         raise Usage(f"lifttrail mllp journal: {path.name}: {exc}") from None
     if as_json:
         print(json.dumps({"files": rows, "answers": report.answered, "unanswered": report.unanswered}))
--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -198,7 +198,7 @@
 def shrink(scenario: str, rule: str | None, budget: int, out: str | None, as_json: bool) -> int:
     """Find the smallest scenario that breaks the same rule."""
     from dykeshift.sim.referee import RULES
-    from dykeshift.sim.shrink import NothingBroken, Shrinker
+    from dykeshift.sim.shrink import NoViolationError, Shrinker
 
     if rule is not None and rule not in RULES:
         raise Usage(f"lifttrail sim: there is no rule {rule!r}; the rules are {', '.join(RULES)}")
@@ -209,7 +209,7 @@
     try:
         with Progress(budget, "days") as progress:
             found = Shrinker(_load(scenario), rule, budget, seen).run()
-    except NothingBroken:
+    except NoViolationError:
         raise Usage(f"lifttrail sim: {scenario} breaks no rule: nothing to shrink") from None
     text = found.scenario.dump()
     if out:
--- a/dykeshift/console/calls.py
+++ b/dykeshift/console/calls.py
@@ -40,7 +40,7 @@
         """False: the process is ending."""
 
 
-class No(Exception):
+class CallError(Exception):
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
@@ -66,14 +66,14 @@
 def _enter(desk: Desk, body: bytes) -> Answer:
     name = name_of(body)
     if not desk.enter(name):
-        raise No(404, "no upstream of that name was ever listed")
+        raise CallError(404, "no upstream of that name was ever listed")
     return _said("out by hand")
 
 
 def _exit(desk: Desk, body: bytes) -> Answer:
     name = name_of(body)
     if not desk.exit(name):
-        raise No(404, "no upstream of that name was ever listed")
+        raise CallError(404, "no upstream of that name was ever listed")
     return _said("back")
 
 
@@ -84,7 +84,7 @@
 
 def _active(desk: Desk, body: bytes) -> Answer:
     if not desk.active():
-        raise No(409, "the process is ending")
+        raise CallError(409, "the process is ending")
     return _said("serving")
 
 
@@ -96,10 +96,10 @@
     try:
         given = json.loads(body)
     except (ValueError, RecursionError):
-        raise No(400, "the body is no JSON") from None
+        raise CallError(400, "the body is no JSON") from None
     name = given.get("name") if isinstance(given, dict) else None
     if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME:
-        raise No(400, 'the body is no object with a "name" of 1 to 256 characters')
+        raise CallError(400, 'the body is no object with a "name" of 1 to 256 characters')
     return name
 
 
@@ -134,7 +134,7 @@
         return Answer(405, b"the method of this call is " + wanted + b"\n", allow=wanted)
     try:
         return call(desk, body)
-    except No as exc:
+    except CallError as exc:
         return refusal(exc.status, str(exc))
     except OSError as exc:
         return refusal(500, f"it could not be written down, and nothing has changed: {exc.strerror}")
--- a/dykeshift/fleet/theory.py
+++ b/dykeshift/fleet/theory.py
@@ -17,7 +17,7 @@
 from dykeshift.fleet.laws import Size, Slowdown
 
 
-class Unstable(ValueError):
+class UnstableError(ValueError):
     """There is no steady state: lambda times E[R(1)] is 1 or more (Theorem 2)."""
 
 
@@ -33,7 +33,9 @@
         if self.d < 1 or self.rate <= 0:
             raise ValueError("d is at least 1 and the rate is positive")
         if self.rate * self.run(1) >= 1:
-            raise Unstable(f"{self.rate * self.run(1):.3f} of a server's time is asked for by single copies")
+            raise UnstableError(
+                f"{self.rate * self.run(1):.3f} of a server's time is asked for by single copies"
+            )
 
     # ---- runtimes ----
 
--- a/dykeshift/mllp/acks.py
+++ b/dykeshift/mllp/acks.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from dykeshift.mllp.message import Header, Separators, Unreadable, escape, read, segments
+from dykeshift.mllp.message import Header, MessageError, Separators, escape, read, segments
 
 ACCEPTED, SEQUENCE, MISSING, BAD_TYPE = 0, 100, 101, 102
 NO_TYPE, NO_EVENT, NO_PROCESSING, NO_VERSION = 200, 201, 202, 203
@@ -116,15 +116,15 @@
 
 
 def parse(content: bytes) -> Ack:
-    """An acknowledgement; Unreadable where it is none."""
+    """An acknowledgement; MessageError where it is none."""
     message = read(content)
     fields = message.segment(b"MSA")
     if fields is None or len(fields) < 3:
-        raise Unreadable(MISSING, "no MSA segment with a code and a control id", "MSA^1")
+        raise MessageError(MISSING, "no MSA segment with a code and a control id", "MSA^1")
     try:
         code = Code(fields[1].decode("latin-1"))
     except ValueError:
-        raise Unreadable(103, f"MSA-1 is {fields[1][:10]!r}", "MSA^1^1") from None
+        raise MessageError(103, f"MSA-1 is {fields[1][:10]!r}", "MSA^1^1") from None
     text = fields[3].decode("latin-1") if len(fields) > 3 else ""
     return Ack(code, fields[2], text)
 
--- a/dykeshift/mllp/bridge.py
+++ b/dykeshift/mllp/bridge.py
@@ -21,7 +21,7 @@
     try:
         header = message.read(bytes(body)).header
         require_certain_answer(header)
-    except message.Unreadable as exc:
+    except message.MessageError as exc:
         return f"the body is no HL7 message that can be carried: {exc.text}"
     if klass.idempotency is Idempotency.KEYED and header.control_id != key:
         return "the idempotency key is not the message's control id (MSH-10)"
--- a/dykeshift/mllp/carrier.py
+++ b/dykeshift/mllp/carrier.py
@@ -62,13 +62,13 @@
         self.accepted = False
 
     def hear(self, content: bytes) -> MllpAnswer | None:
-        """The answer, or None where more must come; Unreadable where this is out of step."""
+        """The answer, or None where more must come; MessageError where this is out of step."""
         ack = acks.parse(content)
         if ack.control_id != self.control_id:
-            raise message.Unreadable(acks.SEQUENCE, "MSA-2 is that of another message", "MSA^1^2")
+            raise message.MessageError(acks.SEQUENCE, "MSA-2 is that of another message", "MSA^1^2")
         if ack.code.accept_level:
             if not self.accepts or self.accepted:
-                raise message.Unreadable(acks.SEQUENCE, "an accept acknowledgement that none asked for")
+                raise message.MessageError(acks.SEQUENCE, "an accept acknowledgement that none asked for")
             self.accepted = True
             if ack.code is Code.CA and self.awaits_application:
                 return None
@@ -107,7 +107,7 @@
                 break
             try:
                 settled = self.dialogue.hear(event.content)
-            except message.Unreadable:
+            except message.MessageError:
                 self.stray = True
                 break
             if settled is not None:
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -122,7 +122,7 @@
             header = got.header
             identity = identify(header.raw(3), header.raw(4), header.control_id, slot.content)
             asked = self.mapping.ask(identity, got)
-        except message.Unreadable as exc:
+        except message.MessageError as exc:
             self._say(line, slot, header, Code.AR, Problem(exc.code, exc.text, exc.location))
             return
         ruling = self.memory.arrive(self.clock.time_ns(), identity, made(header), (line, slot))
--- a/dykeshift/mllp/journal.py
+++ b/dykeshift/mllp/journal.py
@@ -24,8 +24,8 @@
 
 from dykeshift.clock import Clock
 from dykeshift.mllp.memory import Identity, Memory
-from dykeshift.store.log import Failed
-from dykeshift.store.records import Foreign
+from dykeshift.store.log import LogError
+from dykeshift.store.records import LogFormatError
 from dykeshift.store.segments import Found, Segments
 from dykeshift.store.worker import Worker
 
@@ -85,7 +85,7 @@
 
 
 def replay(found: Iterable[Found], memory: Memory[Any], now: int) -> Report:
-    """Fold the records into a memory; Foreign where one is of a later version than this program."""
+    """Fold the records into a memory; LogFormatError where one is of a later version than this program."""
     latest: dict[tuple[bytes, bytes, bytes], Sent | Answered] = {}
     torn = lost = 0
     for one in found:
@@ -94,7 +94,7 @@
             try:
                 record = decode(payload)
             except msgspec.MsgspecError as exc:
-                raise Foreign(
+                raise LogFormatError(
                     f"journal file {one.number} holds a record that this version can't read: {exc}"
                 ) from None
             last = max(last, record.at)
@@ -152,7 +152,7 @@
         self.recovering: asyncio.TimerHandle | None = None
 
     def recover(self) -> Report:
-        """Read all files into the memory, at the start; Failed, Foreign or OSError say why it can't be."""
+        """Read all files into the memory at the start. Raises LogError, LogFormatError or OSError."""
         now = self.clock.time_ns()
         found = self.segments.open()
         report = replay(found, self.memory, now)
@@ -243,7 +243,7 @@
         self._write()
 
     def _fail(self, error: BaseException) -> None:
-        if not isinstance(error, Failed | OSError):
+        if not isinstance(error, LogError | OSError):
             log.error(
                 "the journal failed: %s: %s",
                 type(error).__name__,
--- a/dykeshift/mllp/mapping.py
+++ b/dykeshift/mllp/mapping.py
@@ -14,7 +14,7 @@
 from dykeshift.interface import Idempotency, RequestClass, Scope
 from dykeshift.mllp import acks
 from dykeshift.mllp.memory import Identity
-from dykeshift.mllp.message import Header, Message, Unreadable
+from dykeshift.mllp.message import Header, Message, MessageError
 
 MEDIA_TYPE = b"application/hl7-v2"
 _PATH = re.compile(r"[A-Z][A-Z0-9]{2}-[1-9][0-9]?(\.[1-9][0-9]?)?\Z")
@@ -94,17 +94,17 @@
             raise MappingError(f"{rule.trigger} is mapped twice")
 
     def choose(self, header: Header) -> Rule:
-        """The rule of a message; Unreadable with the code of table 0357 where there is none."""
+        """The rule of a message; MessageError with the code of table 0357 where there is none."""
         code = header.component(9, 1).decode("latin-1")
         rule = self.rules.get(header.trigger) or self.rules.get(code)
         if rule is not None:
             return rule
         if any(known.partition("^")[0] == code for known in self.rules):
-            raise Unreadable(acks.NO_EVENT, f"no mapping for {header.trigger}", "MSH^1^9^1^2")
-        raise Unreadable(acks.NO_TYPE, f"no mapping for {code}", "MSH^1^9^1^1")
+            raise MessageError(acks.NO_EVENT, f"no mapping for {header.trigger}", "MSH^1^9^1^2")
+        raise MessageError(acks.NO_TYPE, f"no mapping for {code}", "MSH^1^9^1^1")
 
     def ask(self, identity: Identity, message: Message) -> Asked:
-        """What the driver is asked for; Unreadable where the mapping has no place for the message."""
+        """What the driver is asked for; MessageError where the mapping has no place for the message."""
         rule = self.choose(message.header)
         klass = self.classes[rule.klass]
         if self.to_mllp:
@@ -124,7 +124,9 @@
         value = message.value(rule.key)
         if not value:
             name, _, field = rule.key.partition("-")
-            raise Unreadable(acks.MISSING, f"{rule.key} is missing", f"{name}^1^{field.replace('.', '^1^')}")
+            raise MessageError(
+                acks.MISSING, f"{rule.key} is missing", f"{name}^1^{field.replace('.', '^1^')}"
+            )
         header = message.header
         text = b"\x00".join((header.raw(3), header.raw(4), rule.key.encode(), value))
         return hashlib.blake2b(text, digest_size=16, person=b"lifttrail-field").hexdigest()
@@ -138,7 +140,7 @@
         and header.raw(16) != b"AL"
         and (header.raw(15), header.raw(16)) not in ((b"AL", b"NE"), (b"AL", b""))
     ):
-        raise Unreadable(
+        raise MessageError(
             103, "MSH-16 is AL, or MSH-15 is AL and MSH-16 is NE: else no answer need come", "MSH^1^16"
         )
 
--- a/dykeshift/mllp/message.py
+++ b/dykeshift/mllp/message.py
@@ -16,7 +16,7 @@
 _ESCAPES = {b"F": 0, b"S": 1, b"R": 2, b"E": 3, b"T": 4}
 
 
-class Unreadable(Exception):
+class MessageError(Exception):
     """The message cannot be routed. `code` is of table 0357, `location` says where, as ERR-2 has it."""
 
     def __init__(self, code: int, text: str, location: str = "") -> None:
@@ -112,14 +112,14 @@
 
 
 def read(content: bytes) -> Message:
-    """A message whose header can be read; Unreadable otherwise."""
+    """A message whose header can be read; MessageError otherwise."""
     head = content[: MAX_HEADER + 1]
     for end in (b"\r", b"\n"):
         head = head.partition(end)[0]
     if head[:3] != b"MSH":
-        raise Unreadable(100, "the first segment is not MSH", "MSH^1")
+        raise MessageError(100, "the first segment is not MSH", "MSH^1")
     if len(head) > MAX_HEADER:
-        raise Unreadable(102, f"the MSH segment is longer than {MAX_HEADER} bytes", "MSH^1")
+        raise MessageError(102, f"the MSH segment is longer than {MAX_HEADER} bytes", "MSH^1")
     separators = _separators(head)
     rest = head[4:].split(separators.field)
     header = Header(separators, (separators.field, *rest))
@@ -135,16 +135,16 @@
     present = [s for s in signs if s]
     odd = [s for s in present if not 0x21 <= s[0] <= 0x7E or s.isalnum()]
     if len(marks) < 3 or len(marks) > 5 or odd or len(set(present)) < len(present):
-        raise Unreadable(102, "MSH-1 and MSH-2 name no usable separators", "MSH^1^2")
+        raise MessageError(102, "MSH-1 and MSH-2 name no usable separators", "MSH^1^2")
     return Separators(*signs)
 
 
 def _require(header: Header) -> None:
     for number, what in ((9, "message type"), (10, "control id")):
         if not header.raw(number):
-            raise Unreadable(101, f"MSH-{number} ({what}) is missing", f"MSH^1^{number}")
+            raise MessageError(101, f"MSH-{number} ({what}) is missing", f"MSH^1^{number}")
     if len(header.control_id) > MAX_CONTROL_ID:
-        raise Unreadable(102, f"MSH-10 is longer than {MAX_CONTROL_ID} characters", "MSH^1^10")
+        raise MessageError(102, f"MSH-10 is longer than {MAX_CONTROL_ID} characters", "MSH^1^10")
 
 
 def unescape(text: bytes, separators: Separators) -> bytes:
--- a/dykeshift/node/agree.py
+++ b/dykeshift/node/agree.py
@@ -22,8 +22,8 @@
 from dykeshift.engine.config import ConfigError
 from dykeshift.interface import Settings
 from dykeshift.node.quiet import Still, carrier, connections, objection
-from dykeshift.store.log import Failed, Log, Recovered
-from dykeshift.store.records import Foreign
+from dykeshift.store.log import Log, LogError, Recovered
+from dykeshift.store.records import LogFormatError
 from dykeshift.view.wire import NOBODY, State
 
 if TYPE_CHECKING:
@@ -338,7 +338,7 @@
             )
             file.compact([])
             return file, None
-    except (Failed, Foreign) as exc:
+    except (LogError, LogFormatError) as exc:
         raise ConfigError(f"[agree] cannot use {folder}/{FILE}: {exc}") from None
 
 
--- a/dykeshift/node/book.py
+++ b/dykeshift/node/book.py
@@ -12,8 +12,7 @@
 
 from dykeshift.agree.core import No
 from dykeshift.agree.proposals import COMMITTED, REFUSED, Answer
-from dykeshift.console.calls import No as Refused
-from dykeshift.console.calls import name_of
+from dykeshift.console.calls import CallError, name_of
 from dykeshift.engine.discovery import number_of
 from dykeshift.settings import SettingsError
 from dykeshift.versions.book import Pending, Rules
@@ -346,7 +345,7 @@
     """The server that a call names; empty, and answered, where it names none."""
     try:
         return name_of(body)
-    except Refused as exc:
+    except CallError as exc:
         done(exc.status, _json({"reason": str(exc)}))
         return ""
 
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -18,8 +18,8 @@
 from dykeshift.mllp.journal import KIND, STEM, Journal
 from dykeshift.mllp.mapping import Mapping, Rule
 from dykeshift.mllp.memory import Bounds, Memory
-from dykeshift.store.log import Failed
-from dykeshift.store.records import Foreign
+from dykeshift.store.log import LogError
+from dykeshift.store.records import LogFormatError
 from dykeshift.store.segments import Segments
 
 if TYPE_CHECKING:
@@ -180,7 +180,7 @@
         raise ConfigError(f"the journal {path!r} is in use by another process") from None
     except OSError as exc:
         raise ConfigError(f"the journal {path!r} can't be used: {exc.strerror}") from None
-    except (Failed, Foreign) as exc:
+    except (LogError, LogFormatError) as exc:
         raise ConfigError(f"the journal {path!r} can't be used: {exc}") from None
     (log.warning if report.lost else log.info)("journal %s: %s", path, report)
     return journal
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -18,7 +18,7 @@
 from dykeshift.sim.faults import Faults
 from dykeshift.mllp.memory import identify
 from dykeshift.sim.installation import DEADLINES, MLLP_PORT, Node, Post
-from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Line, Process, Stuck, World
+from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Line, LivelockError, Process, World
 from dykeshift.sim.loop import Program
 from dykeshift.sim.net import Cut, Endpoint, Network, Weather
 from dykeshift.sim.operators import Duty
@@ -408,7 +408,7 @@
         logger.addHandler(handler)
         try:
             self._play(stop_at_first)
-        except Stuck as exc:
+        except LivelockError as exc:
             self.referee.breach(rules.FAULT, self.world.now, str(exc))
         finally:
             logger.removeHandler(handler)
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -27,7 +27,7 @@
 from dykeshift.standins.mllp_sender import MllpLink
 from dykeshift.standins.registry import Instance
 from dykeshift.standins.sender import Link, Mood, Sender, Shape, Witness
-from dykeshift.store.log import Failed
+from dykeshift.store.log import LogError
 from dykeshift.view.core import View
 
 
@@ -144,7 +144,7 @@
 
     def close(self) -> None:
         for work in self.under_way:
-            with contextlib.suppress(Failed, OSError):
+            with contextlib.suppress(LogError, OSError):
                 work()
         self.under_way = []
 
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -31,7 +31,7 @@
 UNIX_EPOCH = 1_790_000_000 * SECOND  # the true Unix time at that instant
 
 
-class Stuck(Exception):
+class LivelockError(Exception):
     """More happened within one virtual instant than any sound program could cause."""
 
 
@@ -122,7 +122,7 @@
             here = here + 1 if when == instant else 0
             instant = self.now = when
             if here > 100_000:
-                raise Stuck(f"100,000 events at one instant, {(when - EPOCH) / SECOND:.6f} s")
+                raise LivelockError(f"100,000 events at one instant, {(when - EPOCH) / SECOND:.6f} s")
             self.steps += 1
             event.run(*event.args)
             for watch in self.watchers:
--- a/dykeshift/sim/shrink.py
+++ b/dykeshift/sim/shrink.py
@@ -19,7 +19,7 @@
     plays: int
 
 
-class NothingBroken(Exception):
+class NoViolationError(Exception):
     """The scenario breaks no rule, so there is nothing to shrink."""
 
 
@@ -38,7 +38,7 @@
 
     def run(self) -> Shrunk:
         if not self._breaks(self.best):
-            raise NothingBroken
+            raise NoViolationError
         self._drop_the_rest()
         size = -1
         while size != len(self.best.faults) + len(self.best.asks) and self.plays < self.budget:
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -10,7 +10,7 @@
 from dykeshift.sim.net import Endpoint
 from dykeshift.sim.scene import Scene
 from dykeshift.standins import hl7
-from dykeshift.standins.messages import Message, Messages, Unreadable
+from dykeshift.standins.messages import Message, MessageError, Messages
 
 
 class Wire:
@@ -89,7 +89,7 @@
             for answer in self.answers.feed(data):
                 if answer.status in (503, 504) and answer.headers.get("x-not-run") == "1":
                     self.day.referee.disproved(self.number, self.rid)
-        except (Unreadable, ValueError, IndexError):
+        except (MessageError, ValueError, IndexError):
             self.answers = Messages()
 
     def list(self, node: Node, data: bytes) -> None:
@@ -97,7 +97,7 @@
             for answer in self.answers.feed(data):
                 if answer.status == 200:
                     self._told(node, json.loads(answer.body))
-        except (Unreadable, ValueError):
+        except (MessageError, ValueError):
             self.answers = Messages()
 
     def _told(self, node: Node, rows: dict[str, Any]) -> None:
--- a/dykeshift/standins/client.py
+++ b/dykeshift/standins/client.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from dykeshift.standins.messages import Message, Messages, Unreadable, render
+from dykeshift.standins.messages import Message, MessageError, Messages, render
 
 Address = tuple[str, int]
 
@@ -101,7 +101,7 @@
         try:
             for message in self.messages.feed(data):
                 self._set(message.status)
-        except (Unreadable, ValueError, IndexError):
+        except (MessageError, ValueError, IndexError):
             self._set(0)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -132,7 +132,7 @@
         trial = self.trial
         try:
             got = self.messages.feed(data)
-        except Unreadable:
+        except MessageError:
             self.crowd.account.extra(self.to, data)
             self.close()
             return
--- a/dykeshift/standins/messages.py
+++ b/dykeshift/standins/messages.py
@@ -15,7 +15,7 @@
 _SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}(?:;[ -~]*)?")
 
 
-class Unreadable(ValueError):
+class MessageError(ValueError):
     """What came is no message that the protocol page allows."""
 
 
@@ -57,7 +57,7 @@
         self.chunked = False
 
     def feed(self, data: bytes) -> list[Message]:
-        """The messages that have become whole; Unreadable if there is no making sense of it."""
+        """The messages that have become whole; MessageError if there is no making sense of it."""
         self.buffer += data
         whole = list[Message]()
         while True:
@@ -83,14 +83,14 @@
         while (at := self.buffer.find(b"\r\n")) >= 0:
             words = bytes(self.buffer[:at])
             if not _SIZE.fullmatch(words):
-                raise Unreadable(f"no chunk: {words[:60]!r}")
+                raise MessageError(f"no chunk: {words[:60]!r}")
             size = int(words.partition(b";")[0], 16)
             if len(head.body) + size > self.bound:
-                raise Unreadable("a body out of bounds")
+                raise MessageError("a body out of bounds")
             if len(self.buffer) < at + 2 + size + 2:
                 return False
             if self.buffer[at + 2 + size : at + 2 + size + 2] != b"\r\n":
-                raise Unreadable("a chunk that does not end")
+                raise MessageError("a chunk that does not end")
             head.body += bytes(self.buffer[at + 2 : at + 2 + size])
             del self.buffer[: at + 2 + size + 2]
             if not size:
@@ -101,21 +101,21 @@
         at = self.buffer.find(b"\r\n\r\n")
         if at < 0:
             if len(self.buffer) > self.bound:
-                raise Unreadable("a head without end")
+                raise MessageError("a head without end")
             return False
         head = bytes(self.buffer[:at])
         if not _HEAD.fullmatch(head):
-            raise Unreadable(f"no head of a message: {head[:60]!r}")
+            raise MessageError(f"no head of a message: {head[:60]!r}")
         del self.buffer[: at + 4]
         found = _LENGTH.search(head)
         length = found[1] if found is not None else b"0"
         coding = _CODING.search(head)
         spoken = coding is None or coding[1].lower() == b"chunked" and found is None
         if not length.isdigit() or not spoken:
-            raise Unreadable("a framing that stand-ins do not speak")
+            raise MessageError("a framing that stand-ins do not speak")
         self.length, self.chunked = int(length), coding is not None
         if self.length > self.bound:
-            raise Unreadable("a body out of bounds")
+            raise MessageError("a body out of bounds")
         self.head = Message(head.decode("ascii"))
         return True
 
--- a/dykeshift/standins/operator.py
+++ b/dykeshift/standins/operator.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from dykeshift.standins.messages import Messages, Unreadable
+from dykeshift.standins.messages import MessageError, Messages
 
 AGAIN = 0.2  # seconds until a call that was not answered is made once more
 WAIT = 1.0  # seconds that an answer is waited for
@@ -31,7 +31,7 @@
     def data_received(self, data: bytes) -> None:
         try:
             got = self.messages.feed(data)
-        except Unreadable:
+        except MessageError:
             self.end(self.failed)
             return
         if got:
--- a/dykeshift/standins/registry.py
+++ b/dykeshift/standins/registry.py
@@ -15,7 +15,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from dykeshift.standins.messages import Message, Messages, Unreadable, render
+from dykeshift.standins.messages import Message, MessageError, Messages, render
 
 HISTORY = 200  # versions that changes are kept for; a watch from before them gets the whole list
 
@@ -164,7 +164,7 @@
         try:
             for request in self.messages.feed(data):
                 self._ask(request)
-        except (Unreadable, ValueError):
+        except (MessageError, ValueError):
             self.abort()
 
     def _ask(self, request: Message) -> None:
--- a/dykeshift/store/log.py
+++ b/dykeshift/store/log.py
@@ -18,7 +18,7 @@
 from dykeshift.store.records import FILE_HEAD, Scan, encode, file_head, scan
 
 
-class Failed(Exception):
+class LogError(Exception):
     """The log can take nothing more; the text says why, in one line."""
 
 
@@ -47,8 +47,8 @@
     def open(self) -> Recovered:
         """Read what is there, cut a torn tail off, be ready to append.
 
-        Foreign where the file is another's or newer; Failed where it cannot be read or written. Neither
-        changes the file.
+        Raises LogFormatError where the file is another's or newer, LogError where it cannot be read or
+        written. Neither changes the file.
         """
         try:
             data = self.files.read(self.name)
@@ -67,9 +67,9 @@
         self._pending.append(encode(payload))
 
     def commit(self) -> int:
-        """Write and sync what was appended; how many payloads. Failed: none of them may count as kept."""
+        """Write and sync what was appended; how many payloads. LogError: none of them may count as kept."""
         if self.failed is not None or self._handle is None:
-            raise Failed(self.failed or "the log is not open")
+            raise LogError(self.failed or "the log is not open")
         batch, self._pending = self._pending, []
         if not batch:
             return 0
@@ -85,7 +85,7 @@
     def compact(self, payloads: list[bytes]) -> None:
         """The log holds these and nothing else from now on."""
         if self.failed is not None or self._handle is None:
-            raise Failed(self.failed or "the log is not open")
+            raise LogError(self.failed or "the log is not open")
         data = file_head(self.kind) + b"".join(encode(payload) for payload in payloads)
         try:
             self.files.replace(self.name, data)
@@ -100,6 +100,6 @@
             self._handle.close()
             self._handle = None
 
-    def _fail(self, what: str, exc: OSError) -> Failed:
+    def _fail(self, what: str, exc: OSError) -> LogError:
         self.failed = f"{what} {self.name}: {exc.strerror or exc}"
-        return Failed(self.failed)
+        return LogError(self.failed)
--- a/dykeshift/store/records.py
+++ b/dykeshift/store/records.py
@@ -27,7 +27,7 @@
 FILE_HEAD = len(MAGIC) + 3
 
 
-class Foreign(Exception):
+class LogFormatError(Exception):
     """The file is no log of this kind, or of a version that this program does not read."""
 
 
@@ -59,18 +59,18 @@
 
 
 def scan(data: bytes, kind: bytes) -> Scan:
-    """Read a whole file; Foreign where it is none of ours."""
+    """Read a whole file; LogFormatError where it is none of ours."""
     found = Scan()
     head = file_head(kind)
     if len(data) <= FILE_HEAD and data != head:
         found.end, found.torn = 0, len(data)  # spoilt while it was made: no record was ever behind it
         return found
     if data[: len(MAGIC)] != MAGIC:
-        raise Foreign("it is no log file")
+        raise LogFormatError("it is no log file")
     if data[len(MAGIC)] != VERSION:
-        raise Foreign(f"its format is version {data[len(MAGIC)]}, this program reads {VERSION}")
+        raise LogFormatError(f"its format is version {data[len(MAGIC)]}, this program reads {VERSION}")
     if data[len(MAGIC) + 1 : FILE_HEAD] != kind:
-        raise Foreign(f"it holds {data[len(MAGIC) + 1:FILE_HEAD]!r}, not {kind!r}")
+        raise LogFormatError(f"it holds {data[len(MAGIC) + 1:FILE_HEAD]!r}, not {kind!r}")
     at = FILE_HEAD
     while at < len(data):
         payload = _record(data, at)
--- a/dykeshift/store/segments.py
+++ b/dykeshift/store/segments.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Segments:
-    """Raises Failed and Foreign as Log does; OSError where the directory cannot be read."""
+    """Raises LogError and LogFormatError as Log does; OSError where the directory cannot be read."""
 
     files: Files
     stem: str
@@ -68,7 +68,7 @@
         self.numbers.append(self.number)
 
     def write(self, payloads: list[bytes]) -> None:
-        """Append and sync as one; Failed: none of them may count as kept."""
+        """Append and sync as one; LogError: none of them may count as kept."""
         assert self.log is not None, "it is not open"
         for payload in payloads:
             self.log.append(payload)
--- a/tests/fleet/test_theory.py
+++ b/tests/fleet/test_theory.py
@@ -6,7 +6,7 @@
 
 from dykeshift.fleet.laws import DOLLY, NONE, Constant, Hyperexponential
 from dykeshift.fleet.sx import Setting, play
-from dykeshift.fleet.theory import Riq, Unstable
+from dykeshift.fleet.theory import Riq, UnstableError
 
 EXPONENTIAL = Hyperexponential((1.0,), (1.0,))
 VARIED = Hyperexponential.balanced(1 / 4.7, 10.0)  # the paper's X: mean 1/4.7, squared variation 10
@@ -46,7 +46,7 @@
 
 
 def test_what_has_no_steady_state_is_said() -> None:
-    with pytest.raises(Unstable, match="1.05"):
+    with pytest.raises(UnstableError, match="1.05"):
         Riq(1.05, 3, EXPONENTIAL, NONE)
 
 
--- a/tests/mllp/test_carrier.py
+++ b/tests/mllp/test_carrier.py
@@ -11,7 +11,7 @@
 from dykeshift.mllp.acks import Code
 from dykeshift.mllp.carrier import Dialogue
 from dykeshift.mllp.framing import frame
-from dykeshift.mllp.message import Unreadable
+from dykeshift.mllp.message import MessageError
 from dykeshift.standins import hl7
 from tests.mllp.test_front import message, place
 from tests.node.stubs import Message, Stub, request, run, until
@@ -165,7 +165,7 @@
     for tail in (content, b"MSH|^~\\&|\rMSA|CA|m1\r", b"MSH|^~\\&|||||||ACK|1\rMSA|AA|m1\r"):
         try:
             answer = dialogue.hear(tail)
-        except Unreadable:
+        except MessageError:
             continue
         assert answer is None or answer.ack.control_id == b"m1"
 
--- a/tests/mllp/test_journal.py
+++ b/tests/mllp/test_journal.py
@@ -16,7 +16,7 @@
 from dykeshift.mllp.memory import Bounds, Identity, Memory, Verdict, identify
 from dykeshift.standins.disk import Disk
 from dykeshift.store.log import Recovered
-from dykeshift.store.records import Foreign
+from dykeshift.store.records import LogFormatError
 from dykeshift.store.segments import Found, Segments
 
 S = 1_000_000_000
@@ -213,7 +213,7 @@
 
 
 def test_a_record_of_a_later_version_stops_the_start() -> None:
-    with pytest.raises(Foreign, match="this version can't read"):
+    with pytest.raises(LogFormatError, match="this version can't read"):
         replay([Found(7, Recovered([b"\x92\x63\x01"], 0, [], 20))], Memory[int](0, complete=True), 1)
 
 
--- a/tests/mllp/test_message.py
+++ b/tests/mllp/test_message.py
@@ -8,7 +8,7 @@
 
 from dykeshift.mllp import acks
 from dykeshift.mllp.acks import Code, Problem
-from dykeshift.mllp.message import Separators, Unreadable, escape, read, unescape
+from dykeshift.mllp.message import MessageError, Separators, escape, read, unescape
 
 SIU = (
     b"MSH|^~\\&|CLINIC|DORNOD|LIFTTRAIL|CHOIBALSAN|20261201093000||SIU^S12^SIU_S12|MSG00001|P|2.5.1"
@@ -60,7 +60,7 @@
     ],
 )
 def test_what_cannot_be_routed_is_told_with_its_code(content: bytes, code: int) -> None:
-    with pytest.raises(Unreadable) as caught:
+    with pytest.raises(MessageError) as caught:
         read(content)
     assert caught.value.code == code and caught.value.text
 
@@ -70,7 +70,7 @@
     for data in (content, b"MSH" + content, b"MSH|^~\\&|" + content, header() + content):
         try:
             message = read(data)
-        except Unreadable:
+        except MessageError:
             continue
         for path in ("SCH-1.1", "PID-3", "MSH-9.2"):
             message.value(path)
@@ -128,5 +128,5 @@
 
 @pytest.mark.parametrize("content", [SIU, header() + b"MSA|AA\r", header() + b"MSA|ZZ|1\r", b"MSA|AA|1\r"])
 def test_what_is_no_acknowledgement_is_told(content: bytes) -> None:
-    with pytest.raises(Unreadable):
+    with pytest.raises(MessageError):
         acks.parse(content)
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -12,7 +12,7 @@
 from dykeshift.sim.day import play
 from dykeshift.sim.runner import play_all
 from dykeshift.sim.scenario import Ask, Fault, Options, Scenario, draw, load
-from dykeshift.sim.shrink import NothingBroken, Shrinker
+from dykeshift.sim.shrink import NoViolationError, Shrinker
 from tests.sim.mutants import BY_NAME, caught
 
 KEPT_IN = Path(__file__).parent / "kept"
@@ -85,7 +85,7 @@
         again = play(load(found.scenario.dump()))
     assert found.rule == "wrong-answer" == again.breaches[0].rule
     assert not found.scenario.faults and len(found.scenario.asks) == 2 and found.plays <= 60
-    with pytest.raises(NothingBroken):
+    with pytest.raises(NoViolationError):
         Shrinker(scenario, None, 60).run()
 
 
--- a/tests/sim/test_loop.py
+++ b/tests/sim/test_loop.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Stuck, VirtualClock, World
+from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, LivelockError, VirtualClock, World
 from dykeshift.sim.loop import Program
 from tests.sim.world import PLAIN
 
@@ -184,7 +184,7 @@
         one.loop.call_later(0, again)
 
     one.loop.call_soon(again)
-    with pytest.raises(Stuck):
+    with pytest.raises(LivelockError):
         one.world.run(EPOCH + SECOND)
 
 
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from dykeshift.standins.client import Crowd, Errand, Front
-from dykeshift.standins.messages import Message, Messages, Unreadable, render
+from dykeshift.standins.messages import Message, MessageError, Messages, render
 from dykeshift.standins.registry import Instance, Registry
 from dykeshift.standins.sender import Mood, Rack, Sender, Shape
 from tests.node.stubs import run, until
@@ -60,7 +60,7 @@
     ],
 )
 def test_what_cannot_be_read_is_said(bad: bytes) -> None:
-    with pytest.raises(Unreadable):
+    with pytest.raises(MessageError):
         Messages().feed(bad)
 
 
@@ -211,7 +211,7 @@
             if outcome == "500":
                 assert (await answer()).status == 500
                 return
-            with pytest.raises((ConnectionResetError, Unreadable, TimeoutError)):
+            with pytest.raises((ConnectionResetError, MessageError, TimeoutError)):
                 await asyncio.wait_for(answer(), 0.5)
 
     run(main())
--- a/tests/store/test_log.py
+++ b/tests/store/test_log.py
@@ -10,8 +10,8 @@
 
 from dykeshift.standins.disk import Disk
 from dykeshift.store.files import Directory
-from dykeshift.store.log import Failed, Log
-from dykeshift.store.records import FILE_HEAD, MARK, Foreign, encode, file_head, scan
+from dykeshift.store.log import Log, LogError
+from dykeshift.store.records import FILE_HEAD, MARK, LogFormatError, encode, file_head, scan
 
 KIND = b"t1"
 PAYLOADS = st.lists(st.binary(max_size=40), max_size=8)
@@ -55,7 +55,7 @@
     for text in (data, file_head(KIND) + data):
         try:
             found = scan(text, KIND)
-        except Foreign:
+        except LogFormatError:
             continue
         assert found.end <= len(text) or found.end == FILE_HEAD
 
@@ -66,7 +66,7 @@
 def test_another_file_or_a_newer_format_is_left_alone(head: bytes, said: str) -> None:
     disk = Disk()
     disk.seen["log"] = disk.kept["log"] = head + b"precious"
-    with pytest.raises(Foreign, match=said):
+    with pytest.raises(LogFormatError, match=said):
         Log(disk, "log", KIND).open()
     assert disk.seen["log"] == head + b"precious"
 
@@ -113,13 +113,13 @@
     disk.room = 40 if trouble == "full" else None
     disk.read_only, disk.sync_fails = trouble == "read-only", trouble == "sync"
     log.append(b"lost" * 10)
-    with pytest.raises(Failed, match="cannot write log: "):
+    with pytest.raises(LogError, match="cannot write log: "):
         log.commit()
     disk.room, disk.read_only, disk.sync_fails = None, False, False
     log.append(b"after")
-    with pytest.raises(Failed):
+    with pytest.raises(LogError):
         log.commit()
-    with pytest.raises(Failed):
+    with pytest.raises(LogError):
         log.compact([])
     again = Log(disk, "log", KIND)
     assert again.open().payloads[:1] == [b"kept"]
@@ -128,9 +128,9 @@
 def test_a_directory_that_cannot_be_written_fails_at_the_start() -> None:
     disk = Disk()
     disk.read_only = True
-    with pytest.raises(Failed, match="cannot open log: Read-only"):
+    with pytest.raises(LogError, match="cannot open log: Read-only"):
         Log(disk, "log", KIND).open()
-    with pytest.raises(Failed):
+    with pytest.raises(LogError):
         Log(Directory(Path("/no/such/folder")), "log", KIND).open()
 
 
