--- a/dykeshift/console/calls.py
+++ b/dykeshift/console/calls.py
@@ -21,7 +21,8 @@
 class Desk(Protocol):
     """Who carries the calls out. OSError: it can't, and nothing has changed."""
 
-    def figures(self) -> dict[str, Any]: ...
+    def figures(self) -> dict[str, Any]:
+        """Every figure of the status call, by name, ready for JSON."""
 
     def ask(self, path: bytes) -> bytes | None:
         """What a feature answers there, as JSON; None: there is none that does."""
@@ -32,15 +33,19 @@
     def enter(self, name: str) -> bool:
         """Ban an upstream; False: none of that name was ever listed."""
 
-    def exit(self, name: str) -> bool: ...
+    def exit(self, name: str) -> bool:
+        """Lift the ban of an upstream. Returns False when no upstream of that name was ever listed."""
 
-    def standby(self) -> None: ...
+    def standby(self) -> None:
+        """Refuse new requests until `active`; those under way are finished."""
 
     def active(self) -> bool:
         """False: the process is ending."""
 
 
 class CallError(Exception):
+    """A call that is refused: `status` is the HTTP status, the text is one line for the operator."""
+
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
@@ -48,6 +53,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
+    """An HTTP answer before it is encoded; `allow` is the Allow header of a 405, empty otherwise."""
+
     status: int
     body: bytes
     kind: bytes = b"text/plain"
@@ -93,6 +100,7 @@
 
 
 def name_of(body: bytes) -> str:
+    """The upstream's name in a call's JSON body. Raises CallError 400 when there is none."""
     try:
         given = json.loads(body)
     except (ValueError, RecursionError):
@@ -153,10 +161,12 @@
 
 
 def refusal(status: int, text: str) -> Answer:
+    """A plain-text answer that says why nothing was done."""
     return Answer(status, text.encode() + b"\n")
 
 
 def render(answer: Answer, reason: bytes) -> bytes:
+    """The answer as HTTP/1.1 bytes, with `reason` as its reason phrase; the connection closes behind it."""
     lines = [
         b"HTTP/1.1 %d %s" % (answer.status, reason),
         b"Content-Type: " + answer.kind,
--- a/dykeshift/console/shell.py
+++ b/dykeshift/console/shell.py
@@ -17,6 +17,8 @@
 
 
 class Console:
+    """Accepts operators' calls and hands each to the desk; `most` callers are connected at once."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, desk: Desk, most: int) -> None:
         """`most`: callers at once; their descriptors are set aside."""
         self.loop, self.desk, self.most = loop, desk, most
@@ -24,6 +26,7 @@
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: tuple[str, int]) -> None:
+        """Bind `address` (host, port) and accept callers. Raises OSError when it cannot be bound."""
         self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
 
     def admit(self, caller: Caller) -> None:
@@ -37,9 +40,11 @@
         """Operators are answered to the end."""
 
     def busy(self) -> bool:
+        """Whether calls hold up the process's end: they never do."""
         return False
 
     def close(self) -> None:
+        """Stop listening and drop the callers that have no answer yet."""
         if self.server is not None:
             self.server.close()
         for caller in list(self.callers):
@@ -48,6 +53,8 @@
 
 
 class Caller(Gatherer, asyncio.Protocol):
+    """The connection of one caller: it reads one request, answers it and closes, within `HOLD` seconds."""
+
     __slots__ = ("console", "transport", "parser", "target", "answered", "asked", "whole", "timer")
 
     def __init__(self, console: Console) -> None:
@@ -60,6 +67,7 @@
         self.timer = console.loop.call_later(HOLD, self.abort)
 
     def abort(self) -> None:
+        """Reset the connection and leave the count of callers at once."""
         self.console.callers.pop(self, None)
         if self.transport is not None:
             self.transport.abort()
@@ -67,10 +75,12 @@
     # ---- callbacks of the transport ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the caller in, which may drop an older one."""
         self.transport = cast(asyncio.Transport, transport)
         self.console.admit(self)
 
     def data_received(self, data: bytes) -> None:
+        """Parse the next bytes; answer once the request is whole or cannot be accepted."""
         if self.answered or self.asked or self.parser is None:
             return
         try:
@@ -86,9 +96,11 @@
             self._respond(method)
 
     def eof_received(self) -> bool:
+        """Keep the connection open, so that a half-closed caller still gets its answer."""
         return True  # who has sent its call and closed that way still gets its answer
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Leave the count of callers and stop the timer."""
         self.console.callers.pop(self, None)
         self.timer.cancel()
         self.transport = self.parser = None
@@ -96,10 +108,12 @@
     # ---- callbacks of the parser ----
 
     def on_url(self, url: bytes) -> None:
+        """Collect the request target; called by the parser, perhaps in pieces."""
         if not self.whole:
             self.target += url
 
     def on_headers_complete(self) -> None:
+        """Check the headers and send `100 Continue` to a caller that waits for it."""
         if self.whole:
             return
         super().on_headers_complete()
@@ -107,10 +121,12 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        """Collect the body; bytes behind a complete request are ignored."""
         if not self.whole:
             super().on_body(data)
 
     def on_message_complete(self) -> None:
+        """Note that the request is complete; `data_received` answers it."""
         self.whole = True
 
     def _respond(self, method: bytes) -> None:
--- a/dykeshift/mllp/acks.py
+++ b/dykeshift/mllp/acks.py
@@ -33,6 +33,8 @@
 
 
 class Code(Enum):
+    """Acknowledgement codes of MSA-1 (table 0008)."""
+
     AA = "AA"  # application accept: it was done
     AE = "AE"  # application error: it failed, or nobody can say
     AR = "AR"  # application reject: it was not done, for reasons of the message or of the moment
@@ -42,10 +44,12 @@
 
     @property
     def accept_level(self) -> bool:
+        """Whether it is an accept acknowledgement (CA, CE, CR) of enhanced mode."""
         return self.value[0] == "C"
 
     @property
     def good(self) -> bool:
+        """Whether it accepts: AA or CA."""
         return self.value[1] == "A"
 
 
--- a/dykeshift/mllp/carrier.py
+++ b/dykeshift/mllp/carrier.py
@@ -94,11 +94,13 @@
         self.dialogue: Dialogue | None = None
 
     def send(self, data: Message, exchange: Exchange) -> None:
+        """Write one framed message and expect its acknowledgement."""
         assert isinstance(data, bytes)
         self.dialogue = Dialogue(data[1:-2])
         super().send(data, exchange)
 
     def data_received(self, data: bytes) -> None:
+        """Feed the bytes to the deframer; settle the exchange, or mark the connection as out of step."""
         self.fed += len(data)
         settled: MllpAnswer | None = None
         for event in self.deframer.feed(0, data):
@@ -121,15 +123,20 @@
 
 
 class MllpCarrier:
+    """Opens MLLP connections to upstreams and tells what an acknowledgement proves."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, max_frame: int) -> None:
         self.loop, self.clock, self.max_frame = loop, clock, max_frame
 
     def connection(self, on_idle: Callable[[Any], None], on_lost: Callable[[Any], None]) -> MllpLink:
+        """A connection that is not opened yet; the pool calls back when it is idle or lost."""
         return MllpLink(self.loop, self.clock, on_idle, on_lost, self.max_frame)
 
     def words(self, asked: Asked) -> Callable[[int], bytes]:
+        """The bytes of an attempt: the framed message, whatever time is left."""
         framed = frame(asked.body)
         return lambda _: framed
 
     def end(self, answer: MllpAnswer) -> End:
+        """The outcome that an acknowledgement proves, by the table above."""
         return End(_OUTCOMES[answer.ack.code], None, answer)
--- a/dykeshift/mllp/framing.py
+++ b/dykeshift/mllp/framing.py
@@ -34,12 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
+    """The content of one whole block."""
+
     content: bytes
     began: int = 0  # when it began, on the feeder's clock
 
 
 @dataclass(frozen=True, slots=True)
 class Broken:
+    """A block, or noise between blocks, that was dropped."""
+
     flaw: Flaw
 
 
@@ -62,6 +66,7 @@
         self.began: int | None = None  # when the block that is under way began, on the feeder's clock
 
     def feed(self, now: int, data: bytes) -> list[Frame | Broken]:
+        """Take the next bytes, received at `now` (nanoseconds); frames and flaws in stream order."""
         out: list[Frame | Broken] = []
         at = 0
         while at < len(data):
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -74,6 +74,7 @@
         self.draining = False
 
     def connect(self) -> Line:
+        """The protocol of a new connection."""
         return Line(self)
 
     def admit(self, line: Line) -> bool:
@@ -98,11 +99,13 @@
         return bool(self.memory.open or self.lines)
 
     def close(self) -> None:
+        """Stop the sweep and close the journal."""
         self.sweeper.cancel()
         if self.journal is not None:
             self.journal.close()
 
     def sweep(self) -> None:
+        """Drop connections that linger or whose block takes too long; runs again every `SWEEP` seconds."""
         self.arrivals.tick()
         for line in list(self.lines):
             lingers = line.closing and self.loop.time() - line.closing > LINGER
@@ -113,6 +116,7 @@
     # ---- one message ----
 
     def handle(self, line: Line, slot: Slot) -> None:
+        """Route one message: submit it, or answer it from the memory, or reject it with its reason."""
         header = None
         if acks.is_ack(slot.content):
             line.answer(slot, b"")  # acknowledgements are not acknowledged, or two systems never end
@@ -248,6 +252,7 @@
         self.closing = 0.0  # since when: all is answered, and what still comes is dropped
 
     def connection_made(self, transport: Any) -> None:
+        """Register the connection, or reset it when the front drains or is full."""
         self.transport = transport
         if self.front.draining or not self.front.admit(self):
             transport.abort()
@@ -259,18 +264,22 @@
         return not self.session.finished
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection; its messages stay in work."""
         self.front.lines.pop(self, None)
         self.transport = None
 
     def pause_writing(self) -> None:
+        """Stop reading while the client does not read its answers."""
         self.choked = True
         self.settle()
 
     def resume_writing(self) -> None:
+        """Read again once the client has read its answers."""
         self.choked = False
         self.settle()
 
     def data_received(self, data: bytes) -> None:
+        """Cut the bytes into messages and handle those that are whole."""
         if self.closing or self.transport is None:
             return
         self.front.lines[self] = self.front.lines.pop(self, None)  # the latest heard stands last
@@ -283,6 +292,7 @@
         self.settle()
 
     def answer(self, slot: Slot, part: bytes, last: bool = True) -> None:
+        """Queue an answer, or a part of one, and write what may leave in order."""
         out, taken = self.session.answer(slot, part, last)
         if out and self.transport is not None:
             self.since = self.front.loop.time()
@@ -318,6 +328,7 @@
         return not waits and not self.choked and not self.front.clock.has_input(self.transport)
 
     def abort(self) -> None:
+        """Reset the connection."""
         # Out of the count at once: its end is told later.
         self.front.lines.pop(self, None)
         if self.transport is not None:
--- a/dykeshift/mllp/journal.py
+++ b/dykeshift/mllp/journal.py
@@ -37,6 +37,8 @@
 
 
 class Sent(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A message is about to be sent to an upstream."""
+
     name: tuple[bytes, bytes, bytes]  # MSH-3, MSH-4, MSH-10
     digest: bytes
     made: int | None
@@ -44,6 +46,8 @@
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A message got its final answer: the acknowledgement code and the acknowledgement as sent."""
+
     name: tuple[bytes, bytes, bytes]
     digest: bytes
     made: int | None
@@ -52,11 +56,15 @@
 
 
 class Withdrawn(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A message has certainly not run; a resend is taken as new."""
+
     name: tuple[bytes, bytes, bytes]
     at: int
 
 
 class Horizon(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The memory has forgotten everything up to `until` (Unix nanoseconds)."""
+
     until: int
     at: int
 
@@ -126,6 +134,7 @@
         self.timer = loop.call_later(within, self.tell, False)
 
     def tell(self, lasts: bool) -> None:
+        """Report once whether the record lasts, and stop the timer."""
         then, self.then = self.then, None
         self.timer.cancel()
         if then is not None:
@@ -165,6 +174,7 @@
     # ---- records ----
 
     def sent(self, identity: Identity, made: int | None, then: Callable[[bool], None], within: float) -> None:
+        """Write a SENT record; `then` hears whether it lasts, after `within` seconds at the latest."""
         record = Sent(identity.name, identity.digest, made, self.clock.time_ns())
         self._keep(record, Kept(self.loop, then, within))
 
@@ -176,10 +186,13 @@
         then: Callable[[bool], None] | None = None,
         within: float = ANSWER_WITHIN,
     ) -> None:
+        """Write an ANSWERED record; `then`, if given, hears whether it lasts, after `within` seconds at the
+        latest."""
         record = Answered(identity.name, identity.digest, made, self.clock.time_ns(), answer)
         self._keep(record, Kept(self.loop, then, within) if then is not None else None)
 
     def withdrawn(self, identity: Identity) -> None:
+        """Write a WITHDRAWN record; nobody waits for it."""
         self._keep(Withdrawn(identity.name, self.clock.time_ns()), None)
 
     def _keep(self, record: Record, kept: Kept | None) -> None:
--- a/dykeshift/mllp/mapping.py
+++ b/dykeshift/mllp/mapping.py
@@ -28,6 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Rule:
+    """What the messages of one trigger become. Raises MappingError when a field is unusable."""
+
     trigger: str  # `SIU^S12`, or `SIU` for all its events
     klass: int
     deadline: int  # nanoseconds
@@ -60,6 +62,7 @@
     streams: bool = False
 
     def message(self, left: int) -> bytes:
+        """The HTTP request, with `left` nanoseconds until its deadline."""
         return b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (self.head, max(1, left // 1_000_000), self.body)
 
 
--- a/dykeshift/mllp/memory.py
+++ b/dykeshift/mllp/memory.py
@@ -39,6 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
+    """What makes two sends one message; `digest` is the SHA-256 of the content."""
+
     application: bytes  # MSH-3
     facility: bytes  # MSH-4
     control_id: bytes  # MSH-10
@@ -56,10 +58,13 @@
 
 
 def identify(application: bytes, facility: bytes, control_id: bytes, content: bytes) -> Identity:
+    """The identity of a message with these header fields and this content."""
     return Identity(application, facility, control_id, hashlib.sha256(content).digest())
 
 
 class Verdict(Enum):
+    """What is to be done with a message that arrives."""
+
     NEW = auto()  # take it, send it
     WAIT = auto()  # the first is in work: this one gets the same answer
     REPLAY = auto()  # answered before: the answer is `answer`
@@ -69,12 +74,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Ruling:
+    """The verdict on an arriving message, and the remembered answer where it is REPLAY."""
+
     verdict: Verdict
     answer: bytes = b""
 
 
 @dataclass(slots=True)
 class Entry(Generic[W]):
+    """What is remembered of one message, and who waits for its answer."""
+
     identity: Identity
     made: int | None  # when the message was made, by its own MSH-7; Unix nanoseconds
     seen: int
@@ -85,6 +94,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
+    """How much is remembered, and for how long."""
+
     age: int = 7 * 24 * 3600 * 1_000_000_000  # nanoseconds
     entries: int = 100_000
     bytes: int = 64 << 20
--- a/dykeshift/mllp/message.py
+++ b/dykeshift/mllp/message.py
@@ -35,6 +35,7 @@
     subcomponent: bytes = b"&"
 
     def encoding(self) -> bytes:
+        """MSH-2, the encoding characters."""
         return self.component + self.repetition + self.escape + self.subcomponent
 
 
@@ -46,14 +47,17 @@
     fields: tuple[bytes, ...]  # from MSH-1 on; MSH-1 is the field separator itself
 
     def raw(self, number: int) -> bytes:
+        """The bytes of field MSH-`number`, empty where it is missing."""
         return self.fields[number - 1] if number <= len(self.fields) else b""
 
     def component(self, number: int, part: int) -> bytes:
+        """Component `part` (from 1) of field MSH-`number`, empty where it is missing."""
         parts = self.raw(number).split(self.separators.component)
         return parts[part - 1] if part <= len(parts) else b""
 
     @property
     def control_id(self) -> bytes:
+        """MSH-10, the message control id."""
         return self.raw(10)
 
     @cached_property
@@ -70,11 +74,14 @@
 
 @dataclass(frozen=True)
 class Message:
+    """A message with a readable header; its other segments are split when first asked for."""
+
     content: bytes
     header: Header
 
     @cached_property
     def lines(self) -> list[bytes]:
+        """The segments, without their carriage returns."""
         return segments(self.content)
 
     def segment(self, name: bytes, number: int = 1) -> tuple[bytes, ...] | None:
--- a/dykeshift/mllp/session.py
+++ b/dykeshift/mllp/session.py
@@ -34,6 +34,8 @@
 
 
 class Session:
+    """Frames and answers of one connection, with at most `limit` frames open at once."""
+
     def __init__(self, limit: int, max_frame: int) -> None:
         self.limit = limit
         self.deframer = Deframer(max_frame)
@@ -83,9 +85,11 @@
         return len(self.open) >= self.limit or self.draining
 
     def drain(self) -> None:
+        """Take no more frames; what is open will still be answered."""
         self.draining = True
         self.held.clear()
 
     @property
     def finished(self) -> bool:
+        """Whether it drains and everything taken was answered, so that the connection may be closed."""
         return self.draining and not self.open and not self.held
--- a/dykeshift/store/files.py
+++ b/dykeshift/store/files.py
@@ -21,7 +21,8 @@
     def sync(self) -> None:
         """What was written lasts; after an OSError nobody knows, and the handle is not used again."""
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close the file; what was not synced may be lost."""
 
 
 class Files(Protocol):
@@ -74,15 +75,18 @@
         fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
 
     def names(self) -> list[str]:
+        """The names of the files in the directory."""
         return os.listdir(self.path)
 
     def read(self, name: str) -> bytes | None:
+        """The whole content of a file; None when it does not exist."""
         try:
             return (self.path / name).read_bytes()
         except FileNotFoundError:
             return None
 
     def append(self, name: str, at: int) -> Handle:
+        """Open a file for writing at byte `at`, and create it if needed. Raises OSError."""
         new = not (self.path / name).exists()
         file = _File(self.path / name, at)
         if new:
@@ -90,6 +94,7 @@
         return file
 
     def replace(self, name: str, data: bytes) -> None:
+        """Replace a file's content atomically; it lasts once this returns. Raises OSError."""
         path, temporary = self.path / name, self.path / f"{name}.new"
         file = _File(temporary, 0)
         try:
@@ -101,6 +106,7 @@
         self._sync()
 
     def remove(self, name: str) -> None:
+        """Remove a file; one that does not exist is fine."""
         (self.path / name).unlink(missing_ok=True)
 
     def _sync(self) -> None:
--- a/dykeshift/store/log.py
+++ b/dykeshift/store/log.py
@@ -33,10 +33,13 @@
 
     @property
     def whole(self) -> bool:
+        """Whether nothing was lost: no torn tail and no holes."""
         return not self.torn and not self.holes
 
 
 class Log:
+    """An append log in the file `name`; `kind` (2 bytes) says what its payloads are."""
+
     def __init__(self, files: Files, name: str, kind: bytes) -> None:
         self.files, self.name, self.kind = files, name, kind
         self.size = 0  # bytes of the file, as committed
@@ -64,6 +67,7 @@
         return Recovered(found.payloads, found.torn, found.holes, len(data or b""))
 
     def append(self, payload: bytes) -> None:
+        """Queue a payload for the next `commit`."""
         self._pending.append(encode(payload))
 
     def commit(self) -> int:
@@ -96,6 +100,7 @@
         self.size = len(data)
 
     def close(self) -> None:
+        """Close the file; what was queued and not committed is dropped."""
         if self._handle is not None:
             self._handle.close()
             self._handle = None
--- a/dykeshift/store/records.py
+++ b/dykeshift/store/records.py
@@ -49,6 +49,7 @@
 
 
 def encode(payload: bytes) -> bytes:
+    """One record with its head and checksum. Raises ValueError above `MAX_PAYLOAD` bytes."""
     if len(payload) > MAX_PAYLOAD:
         raise ValueError(f"a payload holds {MAX_PAYLOAD} bytes at the most")
     return _HEAD.pack(MARK, len(payload), _sum(payload)) + payload
--- a/dykeshift/store/segments.py
+++ b/dykeshift/store/segments.py
@@ -75,6 +75,7 @@
         self.log.commit()
 
     def overflowing(self) -> bool:
+        """Whether the newest file is full, so that the next append begins another."""
         return self.log is not None and self.log.size >= self.full
 
     def drop(self, before: int) -> None:
@@ -84,5 +85,6 @@
             del self.numbers[0]
 
     def close(self) -> None:
+        """Close the newest file."""
         if self.log is not None:
             self.log.close()
--- a/dykeshift/store/worker.py
+++ b/dykeshift/store/worker.py
@@ -11,6 +11,8 @@
 
 
 class Worker(Protocol):
+    """Runs blocking work in order, outside the event loop."""
+
     def run(self, work: Callable[[], Any], done: Done) -> None:
         """Do it; `done` is called in the loop afterwards, never within this call."""
 
@@ -26,6 +28,8 @@
         self.pool = ThreadPoolExecutor(1, "lifttrail-store")
 
     def run(self, work: Callable[[], Any], done: Done) -> None:
+        """Queue `work`; `done` gets its result or its exception in the loop."""
+
         def over(future: Future[Any]) -> None:
             error = future.exception()
             result = None if error is not None else future.result()
@@ -35,4 +39,5 @@
         self.pool.submit(work).add_done_callback(over)
 
     def close(self) -> None:
+        """Finish what is queued, then end the thread."""
         self.pool.shutdown()
