--- a/dykeshift/benchlink.py
+++ b/dykeshift/benchlink.py
@@ -219,6 +219,7 @@
 
 
 def main() -> int:
+    """Serve standard input until it ends. Returns 2, with one line on standard error, for malformed input."""
     gc.disable()  # the module makes no cycles; a collection in mid-batch would only cost time
     try:
         serve(sys.stdin, sys.stdout)
--- a/dykeshift/cli/agree.py
+++ b/dykeshift/cli/agree.py
@@ -19,6 +19,7 @@
 
 
 def headline(told: dict[str, Any]) -> str:
+    """One line for people: the balancer's role, its place in the history, and its lease."""
     leader = "no leader is known" if told["leader"] is None else f"number {told['leader']} leads"
     lease = f"lease for {told['lease_s']:.1f} s" if told["lease_s"] else "no lease"
     waits = f", waits for {len(told['waiting_for'])} places" if told["waiting_for"] else ""
--- a/dykeshift/cli/demo.py
+++ b/dykeshift/cli/demo.py
@@ -23,6 +23,8 @@
 
 @dataclass(frozen=True)
 class Wanted:
+    """The command's options; `seconds` None plays until it is interrupted, `rate` is requests a second."""
+
     seconds: float | None
     faults: tuple[str, ...]
     rate: float
--- a/dykeshift/cli/fleet.py
+++ b/dykeshift/cli/fleet.py
@@ -21,6 +21,7 @@
 
 
 def headline(view: dict[str, Any]) -> str:
+    """One line for people: whether the view is settled, and the bounds on the number of members."""
     state = "settled" if view["settled"] else "not settled"
     lease = "holds the lease" if view["holds_lease"] else "holds no lease"
     return (
@@ -30,6 +31,7 @@
 
 
 def table(view: dict[str, Any]) -> Any:
+    """The members as a rich table, with `headline` as its title."""
     from rich.table import Table
 
     made = Table("member", "number", "state", "for", "incarnation", "settings", title=headline(view))
--- a/dykeshift/cli/settings.py
+++ b/dykeshift/cli/settings.py
@@ -24,12 +24,14 @@
 
 
 def headline(told: dict[str, Any]) -> str:
+    """One line for people: the version in force here, the mode, and the digest of the book."""
     acts = f"{told['self']} acts on version {told['version']}, {told['mode']} for {told['since_s']:.1f} s"
     why = f" ({told['why']})" if told["why"] else ""
     return f"{acts}{why}; book {told['book']}, digest {told['digest']}"
 
 
 def details(told: dict[str, Any]) -> list[str]:
+    """Lines on the change under way, bans, lists and the settings file, each only where there is any."""
     lines, pending = [], told["pending"]
     if pending is not None:
         changed = ", ".join(pending["guarded"]) or "nothing that contradicts what is in force"
--- a/dykeshift/cli/terminal.py
+++ b/dykeshift/cli/terminal.py
@@ -36,4 +36,5 @@
         self._bar.stop()
 
     def show(self, done: float, remark: str = "") -> None:
+        """Set the bar to `done` (of the total given at the start), with a short remark beside it."""
         self._bar.update(self._task, completed=done, remark=remark)
--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -15,6 +15,8 @@
 
 
 class Clock(Protocol):
+    """The machine's clocks, and what its kernel knows of a socket."""
+
     def monotonic_ns(self) -> int:
         """Nanoseconds on the clock that deadlines are counted on; it never runs backwards."""
 
@@ -42,18 +44,21 @@
 
     @staticmethod
     def has_input(transport: asyncio.BaseTransport) -> bool:
+        """See `Clock.has_input`."""
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
     @staticmethod
     def hung_up(transport: asyncio.BaseTransport) -> bool:
+        """See `Clock.hung_up`."""
         poll = select.poll()  # POLLHUP and POLLERR, a reset's, are told unasked
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
     @staticmethod
     def input_age(transport: asyncio.BaseTransport) -> int:
+        """See `Clock.input_age`; read from Linux's TCP_INFO, which counts in milliseconds."""
         if not hasattr(socket, "TCP_INFO"):
             return 0
         info = transport.get_extra_info("socket").getsockopt(
--- a/dykeshift/fleet/chance.py
+++ b/dykeshift/fleet/chance.py
@@ -38,6 +38,8 @@
 
 
 class Chance:
+    """The random streams and tables of one day; the same day and seed give the same draws."""
+
     def __init__(self, day: Day, seed: int) -> None:
         children = np.random.SeedSequence(seed).spawn(len(STREAMS))
         self.streams = {
@@ -82,12 +84,14 @@
         return np.maximum(drawn, 1000).astype(np.int64)
 
     def classes(self, count: int) -> list[int]:
+        """The class number of each of `count` errands, drawn by the classes' shares."""
         shares = np.array([c.share for c in self.day.classes])
         drawn = self.streams["classes"].choice(len(shares), count, p=shares / shares.sum())
         numbers: list[int] = drawn.tolist()
         return numbers
 
     def balancers(self, count: int) -> list[int]:
+        """The balancer that each of `count` errands meets first, drawn by the shares of traffic."""
         b, rng = self.day.balancers, self.streams["balancers"]
         if not b.first_share or b.count == 1:
             even: list[int] = rng.integers(0, b.count, count).tolist()
@@ -125,6 +129,7 @@
 
 
 def mean_slowdown(work: Work) -> float:
+    """The expected slowdown of a single copy."""
     return DOLLY.moment(1, 1) if work.slowdown == "dolly" else 1.0
 
 
@@ -138,4 +143,5 @@
 
 
 def nanoseconds(seconds: float) -> int:
+    """Seconds as whole nanoseconds, rounded down."""
     return int(seconds * SECOND)
--- a/dykeshift/fleet/day.py
+++ b/dykeshift/fleet/day.py
@@ -28,7 +28,7 @@
 
 
 class Base(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    pass
+    """Common options of the day's structures: frozen, keyword-only, unknown fields refused."""
 
 
 class Class(Base, frozen=True):
@@ -45,6 +45,7 @@
     window_ms: NotNegative = 4_000.0
 
     def terms(self) -> RequestClass:
+        """The class as the decision module takes it, in nanoseconds."""
         return RequestClass(
             name=self.name,
             aim=int(self.aim_ms * MS),
@@ -100,6 +101,8 @@
 
 
 class Senders(Base, frozen=True):
+    """The senders (upstreams): how many, how fast, how they queue, warm up and report."""
+
     count: Annotated[int, Meta(ge=1, le=MOST_SENDERS)] = 14
     slots: Count = 2
     queue: Annotated[int, Meta(ge=0)] = 200  # waiting room; a request beyond it is turned away as full
@@ -139,6 +142,8 @@
 
 
 class Clients(Base, frozen=True):
+    """How clients retry and how patient they are."""
+
     retries: Annotated[int, Meta(ge=0, le=10)] = 0  # after a refusal, or a failure that may be repeated
     backoff_ms: NotNegative = 20.0  # where no advice says otherwise
     impatient: Share = 0.0  # part that leaves long before its time is over
@@ -147,6 +152,8 @@
 
 
 class Network(Base, frozen=True):
+    """Latency within and between zones, and the cost of new connections."""
+
     near_ms: NotNegative = 0.3  # one way
     far_ms: NotNegative = 1.5
     jitter: NotNegative = 0.2  # share of a way that chance adds, at most
@@ -156,11 +163,15 @@
 
 
 class Discovery(Base, frozen=True):
+    """How changes of the list are gathered and how late each balancer hears of them."""
+
     every_s: Positive = 0.5  # changes gather for so long
     late_s: NotNegative = 0.5  # and arrive up to so much later, by balancer
 
 
 class Balancers(Base, frozen=True):
+    """The balancers, how traffic is spread over them, and what their settings allow."""
+
     count: Annotated[int, Meta(ge=1, le=MOST_BALANCERS)] = 4
     told: Annotated[int, Meta(ge=0)] = 0  # what settings say of their number; 0: the truth
     first_share: Share = 0.0  # of the traffic at the first one; 0: even
@@ -228,6 +239,8 @@
 
 
 class Day(Base, frozen=True):
+    """All that is played; raises ValueError where its parts do not fit together."""
+
     senders: Senders = Senders()
     balancers: Balancers = Balancers()
     work: Work = Work()
@@ -250,6 +263,7 @@
 
     @property
     def seconds(self) -> float:
+        """How long errands arrive: the trace's end, or the stretches of load together."""
         return max(self.clients.trace, default=0.0) or sum(s.seconds for s in self.load)
 
     def settings(self, number: int) -> Settings:
--- a/dykeshift/fleet/figures.py
+++ b/dykeshift/fleet/figures.py
@@ -30,6 +30,7 @@
         self.answers: dict[str, int] = {}
 
     def end(self, number: int, now: int, how: str) -> None:
+        """Note that an errand ended at `now` (nanoseconds), and how: a key of `CODE`."""
         self.ended[number] = now
         self.how[number] = CODE[how]
         self.open -= 1
@@ -59,6 +60,8 @@
 
 
 class ClassFigures(Struct, frozen=True):
+    """The figures of one class of requests."""
+
     errands: int
     served: float  # shares of the errands
     in_aim: float
@@ -104,6 +107,7 @@
 
 
 def measure(day: Day, errands: Errands, run: Run, first: int) -> Figures:
+    """The figures of a played day. Errands from before `warm_s` seconds after `first` (ns) are left out."""
     counted = errands.at >= first + int(day.warm_s * SECOND)
     at, klass, how = errands.at[counted], errands.klass[counted], errands.how[counted]
     taken = errands.ended[counted] - at
--- a/dykeshift/fleet/host.py
+++ b/dykeshift/fleet/host.py
@@ -78,6 +78,8 @@
 
 
 class Host:
+    """Runs one policy and carries its actions out on the model's senders."""
+
     def __init__(self, world: World, number: int, policy: Decider) -> None:
         self.world = world
         self.number = number
@@ -98,6 +100,7 @@
     # ---- events ----
 
     def tell(self, method: Callable[..., list[Action]], *args: object) -> None:
+        """Call a method of the policy with the time, count the processor time, and do what it returns."""
         began = perf_counter_ns()
         actions = method(self.world.now, *args)
         self.spent += perf_counter_ns() - began
@@ -105,6 +108,7 @@
             self._do(actions)
 
     def begin(self, policy: Decider, entries: tuple[ServerEntry, ...], kind: ListKind) -> None:
+        """Start a process with a fresh policy and its first list."""
         self.policy = policy
         self.up = self.taking = True
         self.born = self.world.now
@@ -113,6 +117,7 @@
         self.hear(ServerList(kind, entries))
 
     def hear(self, update: ServerList) -> None:
+        """Take a list from discovery and hand it to the policy."""
         now = self.world.now
         if update.kind is not ListKind.DELTA:
             gone = set(self.known) - {e.id for e in update.entries}
@@ -157,6 +162,7 @@
         self.jobs.clear()
 
     def submit(self, job: Job, hint: int, retry: bool) -> None:
+        """Hand a client's request to the policy; `hint` is the cost that it states."""
         world = self.world
         self.jobs[job.name] = job
         self.calls += 1
@@ -165,6 +171,7 @@
         self.tell(self.policy.on_request, request)
 
     def client_gone(self, name: str) -> None:
+        """Tell the policy that the client of an open request has left."""
         job = self.jobs.get(name)
         if job is not None and not job.closed:
             job.closed = True
--- a/dykeshift/fleet/laws.py
+++ b/dykeshift/fleet/laws.py
@@ -20,7 +20,8 @@
     """X: the inherent size of a job."""
 
     @property
-    def mean(self) -> float: ...
+    def mean(self) -> float:
+        """The first moment."""
 
     @property
     def square(self) -> float:
@@ -29,7 +30,8 @@
     def transform(self, s: float) -> float:
         """E[exp(-s X)]."""
 
-    def draw(self, rng: Generator, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]: ...
+    def draw(self, rng: Generator, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+        """`count` independent sizes."""
 
 
 @dataclass(frozen=True)
@@ -49,36 +51,46 @@
 
     @property
     def mean(self) -> float:
+        """The first moment."""
         return sum(p * m for p, m in zip(self.shares, self.means, strict=True))
 
     @property
     def square(self) -> float:
+        """The second moment."""
         return sum(2 * p * m * m for p, m in zip(self.shares, self.means, strict=True))
 
     def transform(self, s: float) -> float:
+        """The Laplace transform at `s`."""
         return sum(p / (1 + s * m) for p, m in zip(self.shares, self.means, strict=True))
 
     def draw(self, rng: Generator, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+        """`count` independent sizes."""
         phases = rng.choice(len(self.shares), size=count, p=self.shares)
         return rng.exponential(np.asarray(self.means)[phases])
 
 
 @dataclass(frozen=True)
 class Constant:
+    """Every size is the same."""
+
     value: float
 
     @property
     def mean(self) -> float:
+        """The first moment."""
         return self.value
 
     @property
     def square(self) -> float:
+        """The second moment."""
         return self.value * self.value
 
     def transform(self, s: float) -> float:
+        """The Laplace transform at `s`."""
         return float(np.exp(-s * self.value))
 
     def draw(self, rng: Generator, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+        """`count` equal sizes."""
         return np.full(count, self.value)
 
 
@@ -103,9 +115,11 @@
         return [(value, tails[n] - tails[n + 1]) for n, value in enumerate(self.values)]
 
     def moment(self, copies: int, power: int) -> float:
+        """The moment of order `power` of the least of `copies` independent slowdowns."""
         return sum(share * value**power for value, share in self.least(copies))
 
     def draw(self, rng: Generator, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+        """`count` independent slowdowns."""
         return rng.choice(np.asarray(self.values), size=count, p=self.shares)
 
 
--- a/dykeshift/fleet/peers.py
+++ b/dykeshift/fleet/peers.py
@@ -53,6 +53,8 @@
 
 @dataclass(slots=True, eq=False)
 class Member:
+    """A listed server as a policy sees it; times in nanoseconds."""
+
     entry: ServerEntry
     out: int = 0
     latency: float = 0.0  # running mean, nanoseconds
@@ -64,6 +66,8 @@
 
 @dataclass(slots=True, eq=False)
 class Case:
+    """An open request and its attempts, in the order in which they were sent."""
+
     request: Request
     klass: RequestClass
     sent: list[Member] = field(default_factory=list)
@@ -71,6 +75,7 @@
     closed: bool = False
 
     def may_have_run(self) -> bool:
+        """Whether any attempt may have been executed, so that a repeat is not harmless."""
         return any(end not in NOT_RUN for end in self.ends)
 
 
@@ -91,9 +96,11 @@
     # ---- events ----
 
     def on_start(self, now: int) -> list[Action]:
+        """Nothing to do."""
         return []
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
+        """Keep the members in step with the list; a server that was started anew begins without history."""
         if update.kind not in (ListKind.DELTA, ListKind.FAILED):
             listed = {e.id for e in update.entries}
             self.members = {n: m for n, m in self.members.items() if n in listed}
@@ -109,10 +116,12 @@
         return []
 
     def on_request(self, now: int, request: Request) -> list[Action]:
+        """Open a case and place its first attempts."""
         case = self.cases[request.id] = Case(request, self.settings.classes[request.klass])
         return self._place(now, case)
 
     def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
+        """Learn from the attempt, then close the case, or try again once all its attempts are over."""
         case = self.cases.get(end.request_id)
         if case is None or case.ends[end.attempt] is not None:
             return []
@@ -129,6 +138,7 @@
         return acts
 
     def on_client_gone(self, now: int, request_id: str) -> list[Action]:
+        """Cancel what is out for a client that left."""
         case = self.cases.get(request_id)
         acts = [] if case is None or case.closed else self._close(case, -1)
         if case is not None:
@@ -136,9 +146,11 @@
         return acts
 
     def on_timer(self, now: int, token: str) -> list[Action]:
+        """No timers unless a policy sets some."""
         return []
 
     def learn(self, now: int, member: Member, end: AttemptEnd) -> None:
+        """Update what is known of a member from an attempt's end; latencies in nanoseconds."""
         if end.outcome is Outcome.OK:
             member.latency += 0.1 * (end.latency - member.latency)
         if end.report is not None and end.report.in_flight is not None:
@@ -160,6 +172,7 @@
         return [self.send(case, m) for m in chosen[: self.settings.attempt_limit - len(case.sent)]]
 
     def send(self, case: Case, member: Member) -> Action:
+        """Send an attempt to a member and count it there."""
         case.sent.append(member)
         case.ends.append(None)
         member.out += 1
@@ -186,37 +199,53 @@
             self.cases.pop(case.request.id, None)
 
     def sample(self, members: list[Member], count: int) -> list[Member]:
+        """Up to `count` distinct members, drawn at random."""
         return self.random.sample(members, min(count, len(members)))
 
 
 class RandomChoice(Peer):
+    """One server, uniformly at random."""
+
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         return [others[int(self.random.random() * len(others))]]
 
 
 class RoundRobin(Peer):
+    """The servers in turn."""
+
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self.turn = self.random.randrange(1 << 20)  # balancers don't begin at the same place
 
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         self.turn += 1
         return [others[self.turn % len(others)]]
 
 
 class LeastConnections(Peer):
+    """The server with the fewest attempts of this balancer; ties at random."""
+
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         least = min(m.out for m in others)
         return [self.random.choice([m for m in others if m.out == least])]
 
 
 class TwoChoices(Peer):
+    """Of `D` servers drawn at random, the one with the fewest attempts of this balancer."""
+
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         return [min(self.sample(others, D), key=lambda m: m.out)]
 
 
 class Redundancy(Peer):
+    """A copy to each of `D` servers drawn at random; the first answer counts."""
+
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         return self.sample(others, D)
 
 
@@ -227,15 +256,20 @@
     ASKED = RIQ_D
 
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         asked = self.sample(others, self.ASKED)
         return [m for m in asked if m.out <= self.LEVEL] or asked[:1]
 
 
 class Riq(Threshold):
+    """A copy to each idle server among those asked, else one to the first of them."""
+
     LEVEL = 0
 
 
 class Hedged(TwoChoices):
+    """Two choices, and a second copy once the class's 95th percentile latency has passed."""
+
     QUANTILE = 0.95
     KEPT = 500
 
@@ -246,12 +280,14 @@
         self.counted = 0
 
     def on_request(self, now: int, request: Request) -> list[Action]:
+        """Place the first attempt and set the timer of the second, where a repeat is safe."""
         acts = super().on_request(now, request)
         if self.settings.classes[request.klass].idempotency is Idempotency.SAFE and request.id in self.cases:
             acts.append(SetTimer("h:" + request.id, now + int(self.after[request.klass])))
         return acts
 
     def on_timer(self, now: int, token: str) -> list[Action]:
+        """Send the second copy, unless the case is over or has had one."""
         case = self.cases.get(token[2:])
         if case is None or case.closed or len(case.sent) != 1 or not self.settings.copies_allowed:
             return []
@@ -259,6 +295,7 @@
         return [self.send(case, m) for m in self.choose(now, case, others)] if others else []
 
     def learn(self, now: int, member: Member, end: AttemptEnd) -> None:
+        """Keep the latest latencies of the class; the percentile is taken anew every 50 answers."""
         super().learn(now, member, end)
         case = self.cases[end.request_id]
         if end.outcome is Outcome.OK:
@@ -281,6 +318,7 @@
         self.limit = 0.0
 
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         asked = self.sample(others, D)
         cold = [m for m in asked if m.reported + m.out <= self.limit]
         if cold:
@@ -288,23 +326,28 @@
         return [min(asked, key=lambda m: m.reported + m.out)]
 
     def learn(self, now: int, member: Member, end: AttemptEnd) -> None:
+        """Keep the latest loads; the limit between cold and hot is a quantile of them."""
         super().learn(now, member, end)
         self.seen.append(member.reported + member.out)
         self.limit = sorted(self.seen)[int(self.QUANTILE * len(self.seen))]
 
 
 class Ejecting(TwoChoices):
+    """Two choices among servers that are not ejected for failures in a row."""
+
     IN_A_ROW = 5
     BASE = 30_000_000_000
     MOST_PART = 0.1
 
     def choose(self, now: int, case: Case, others: list[Member]) -> list[Member]:
+        """See `Peer.choose`."""
         asked = [m for m in self.sample(others, 2 * D) if now >= m.ejected_until][:D]
         if not asked:
             asked = [m for m in others if now >= m.ejected_until][:D] or self.sample(others, D)
         return [min(asked, key=lambda m: m.out)]
 
     def learn(self, now: int, member: Member, end: AttemptEnd) -> None:
+        """Eject a member after `IN_A_ROW` failures, longer each time; never more than `MOST_PART` of all."""
         super().learn(now, member, end)
         if end.outcome is Outcome.OK:
             member.failures = 0
--- a/dykeshift/fleet/senders.py
+++ b/dykeshift/fleet/senders.py
@@ -25,9 +25,12 @@
 
 
 class Timeline(Protocol):
+    """Virtual time: the present, in nanoseconds, and a queue of events."""
+
     now: int
 
-    def at(self, when: int, act: Callable[..., None], *args: object) -> None: ...
+    def at(self, when: int, act: Callable[..., None], *args: object) -> None:
+        """Call `act` at `when` (nanoseconds)."""
 
 
 class Try:
@@ -90,6 +93,7 @@
     # ---- arrivals and ends ----
 
     def arrive(self, job: Try) -> None:
+        """Take an attempt: run it, queue it, or turn it away."""
         post = self.post
         now = post.line.now
         if not self.up or post.lost(job):
@@ -233,6 +237,7 @@
     # ---- warmth and reports ----
 
     def warmth(self, now: int) -> float:
+        """The share of its full speed that it has at `now`, 1 once it is warm."""
         if now >= self.cold_until:
             return 1.0
         cold = self.post.shape.cold_share
@@ -327,6 +332,7 @@
 
     @property
     def zone(self) -> int:
+        """The zone in which it stands."""
         return self.number % self.shape.zones
 
     def restart(self) -> None:
@@ -336,6 +342,7 @@
         self.process = self._live(cold=True)
 
     def entry(self) -> ServerEntry:
+        """Its entry in discovery's list, as it is now."""
         return ServerEntry(
             id=self.number,
             zone=self.zone,
@@ -347,6 +354,7 @@
         )
 
     def serial(self) -> int:
+        """A number for a new process, counted from 1."""
         self.count += 1
         return self.count
 
@@ -359,18 +367,22 @@
         return job.work * drawn * self.slow / self.speed
 
     def fails(self, job: Try) -> bool:
+        """Whether this attempt ends in an error here."""
         return self._meets(job, self.error_share, 0)
 
     def lost(self, job: Try) -> bool:
+        """Whether this attempt's connection is lost."""
         return self._meets(job, self.lost_share, 1)
 
     def _meets(self, job: Try, share: float, fate: int) -> bool:
         return share > 0 and self.chance.fates[spot(job.request + fate, self.number)] < share
 
     def noise(self, now: int) -> float:
+        """The noise on a load report, the same for all that ask within a millisecond."""
         return self.chance.noises[spot(now // MS, self.number)]
 
     def answer(self, job: Try, outcome: Outcome, report: LoadReport | None) -> None:
+        """Send an answer back, unless a fault keeps it silent or resets it."""
         job.told = True
         if self.silent or outcome is Outcome.OK and self._meets(job, self.mute_share, 2):
             return
--- a/dykeshift/fleet/sx.py
+++ b/dykeshift/fleet/sx.py
@@ -20,6 +20,8 @@
 
 @dataclass(frozen=True)
 class Setting:
+    """What is played. Raises ValueError for an unknown policy or a `d` beyond the number of servers."""
+
     servers: int
     rate: float  # of arrivals for each server
     d: int
@@ -51,11 +53,14 @@
         return float(self.times.mean()), float(2.093 * parts.std(ddof=1) / np.sqrt(batches))
 
     def transform(self, s: float) -> float:
+        """The Laplace transform of the response times at `s`, estimated from the jobs played."""
         return float(np.exp(-s * self.times).mean())
 
 
 @dataclass(slots=True)
 class Server:
+    """One server's queue and the job that runs on it."""
+
     queue: deque[int] = field(default_factory=deque)
     job: int = -1
     free_at: float = 0.0
@@ -63,6 +68,8 @@
 
 
 class Play:
+    """One run of a setting with a seed."""
+
     def __init__(self, setting: Setting, seed: int) -> None:
         self.setting = setting
         streams = [np.random.default_rng(s) for s in np.random.SeedSequence(seed).spawn(4)]
@@ -79,6 +86,7 @@
         self._slow: list[float] = []
 
     def run(self) -> Outcome:
+        """Play all jobs; the figures leave out the first `warm` of them."""
         for job, at in enumerate(self.arrivals):
             self._until(float(at))
             self._arrive(job, float(at))
--- a/dykeshift/fleet/theory.py
+++ b/dykeshift/fleet/theory.py
@@ -23,6 +23,8 @@
 
 @dataclass(frozen=True)
 class Riq:
+    """The closed forms at one setting. Raises ValueError for a bad setting, UnstableError beyond capacity."""
+
     rate: float
     d: int
     size: Size
@@ -44,9 +46,11 @@
         return self.size.mean * self.slowdown.moment(copies, 1)
 
     def run_square(self, copies: int) -> float:
+        """The second moment of the running time with `copies` copies."""
         return self.size.square * self.slowdown.moment(copies, 2)
 
     def run_transform(self, copies: int, s: float) -> float:
+        """The Laplace transform at `s` of the running time with `copies` copies."""
         return sum(p * self.size.transform(s * value) for value, p in self.slowdown.least(copies))
 
     def _held(self, copies: int) -> float:
--- a/dykeshift/fleet/troubles.py
+++ b/dykeshift/fleet/troubles.py
@@ -19,11 +19,14 @@
 
 
 class Troubles:
+    """Schedules the troubles of a day in the world's time."""
+
     def __init__(self, world: World) -> None:
         self.world = world
         self.began = world.now
 
     def plan(self) -> None:
+        """Draw whom each trouble befalls and schedule its begin and its end."""
         for trouble in self.world.day.troubles:
             begin = self.began + nanoseconds(trouble.at)
             if trouble.kind == "discovery-late":
--- a/dykeshift/fleet/watch.py
+++ b/dykeshift/fleet/watch.py
@@ -30,16 +30,20 @@
         self.end: Outcome | None = None
 
     def may_have_run(self) -> bool:
+        """Whether the sender may have executed it."""
         return self.end not in NOT_RUN
 
 
 class Watcher:
+    """Checks every attempt and answer against the rules and counts breaches."""
+
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.breaches: dict[str, int] = {}
         self.first: dict[str, str] = {}
 
     def breach(self, rule: str, now: int, text: str) -> None:
+        """Count a breach of `rule` at `now` (nanoseconds); the first of each rule is kept in words."""
         self.breaches[rule] = self.breaches.get(rule, 0) + 1
         self.first.setdefault(rule, f"{now / 1e9:.6f} s: {text}")
 
@@ -72,6 +76,7 @@
             self.breach(KEYED_ASTRAY, now, f"{job.name} is repeated outside its scope or window")
 
     def refused(self, now: int, job: Any, klass: RequestClass, advice: int) -> None:
+        """Check that a request may be refused, and its `advice` (nanoseconds until a retry)."""
         if self.settings.retry_advice_limit and not 0 < advice <= self.settings.retry_advice_limit:
             self.breach(ADVICE, now, f"{job.name} is refused with the advice {advice}")
         everywhere = klass.idempotency is Idempotency.KEYED and klass.scope is Scope.ALL
--- a/dykeshift/fleet/ways.py
+++ b/dykeshift/fleet/ways.py
@@ -19,6 +19,8 @@
 
 
 class Ways:
+    """Travel times between zones, and which zones are cut off."""
+
     def __init__(self, day: Day, chance: Chance) -> None:
         net, zones = day.network, day.senders.zones
         self._base = [
@@ -32,6 +34,7 @@
         return int(self._base[zone][there] * (1 + self._jitter * self._ways[spot(errand, sender)]))
 
     def cut(self, zone: int, until: int) -> None:
+        """Cut a zone off until `until` (nanoseconds)."""
         self._cut[zone] = max(until, self._cut.get(zone, 0))
 
     def cut_until(self, zone: int, now: int) -> int:
@@ -40,6 +43,7 @@
         return until if now < until else 0
 
     def open(self, zone: int, other: int, now: int) -> bool:
+        """Whether a message can pass between two zones now."""
         return zone == other or not (self._cut and (self.cut_until(zone, now) or self.cut_until(other, now)))
 
 
@@ -60,6 +64,7 @@
         return False
 
     def keep(self, process: Process, now: int) -> None:
+        """Keep a connection to a process for later use."""
         self._idle.setdefault(process, []).append(now)
 
     def sweep(self, now: int) -> None:
--- a/dykeshift/fleet/world.py
+++ b/dykeshift/fleet/world.py
@@ -33,6 +33,8 @@
 
 
 class World:
+    """One day in virtual time: clients, balancers, senders and discovery."""
+
     def __init__(self, day: Day, make: Maker, seed: int) -> None:
         self.day = day
         self.make = make
@@ -104,9 +106,11 @@
     # ---- the loop ----
 
     def at(self, when: int, act: Callable[..., None], *args: Any) -> None:
+        """Call `act` at `when` (nanoseconds); events of one instant come in the order of their scheduling."""
         heapq.heappush(self._heap, (when, next(self._serial), act, args))
 
     def run(self, progress: Callable[[float], None] | None = None) -> Figures:
+        """Play the day and return its figures; `progress` gets the share done, now and then."""
         began = perf_counter_ns()
         for host in self.hosts:
             host.begin(host.policy, self._first, ListKind.FULL)
@@ -205,6 +209,7 @@
     # ---- ways and discovery ----
 
     def way(self, zone: int, errand: int, post: Post) -> int:
+        """Nanoseconds of one way between a balancer's zone and a post."""
         return self.ways.takes(zone, errand, post.number, post.zone)
 
     def change(self, post: Post) -> None:
--- a/dykeshift/lab/plan.py
+++ b/dykeshift/lab/plan.py
@@ -39,6 +39,8 @@
 
 
 class Point(Base, frozen=True):
+    """A place on an axis: its label, and the settings that it changes by path."""
+
     label: str
     set: dict[str, Any] = field(default_factory=dict)
 
@@ -56,10 +58,13 @@
             raise ValueError(f"axis {self.name!r} needs a path with values, or points")
 
     def all(self) -> tuple[Point, ...]:
+        """The axis's points: those given, or one for each of `values`."""
         return self.points or tuple(Point(label=str(v), set={self.path: v}) for v in self.values)
 
 
 class Plan(Base, frozen=True):
+    """The file's content. Raises ValueError for an unknown policy or one that the subject cannot play."""
+
     name: str
     subject: Literal["model", "simulation", "processes"] = "model"
     policies: Annotated[tuple[str, ...], Meta(min_length=1)] = (OWN,)
@@ -79,6 +84,7 @@
             raise ValueError("two axes have one name")
 
     def seed_list(self) -> tuple[int, ...]:
+        """The seeds to play; a plain number n stands for 1 to n."""
         return tuple(range(1, self.seeds + 1)) if isinstance(self.seeds, int) else self.seeds
 
 
@@ -92,6 +98,7 @@
 
     @property
     def key(self) -> str:
+        """The cell's name in the results file, by which a resumed run knows it."""
         place = ",".join(f"{name}={label}" for name, label in self.labels.items())
         return f"{place}|{self.policy}|{self.seed}"
 
@@ -108,6 +115,7 @@
 
 
 def parse(text: str, name: str = "experiment") -> Plan:
+    """Read an experiment and check every cell of its grid. Raises PlanError, its line begins with `name`."""
     try:
         plan = msgspec.convert(tomllib.loads(text), Plan)
         for cell in cells(plan):
--- a/dykeshift/lab/stats.py
+++ b/dykeshift/lab/stats.py
@@ -16,6 +16,8 @@
 
 
 class Estimate(NamedTuple):
+    """A mean over seeds with its 95% interval."""
+
     mean: float
     low: float  # of the 95% interval; like `high` equal to the mean where there is one seed
     high: float
--- a/dykeshift/lab/subjects.py
+++ b/dykeshift/lab/subjects.py
@@ -16,6 +16,7 @@
 
 
 def maker(policy: str) -> Maker:
+    """What makes the balancers of a policy: the program's own, one from a file, or a peer of the model."""
     if policy == OWN:
         from dykeshift.rules import Balancer
 
--- a/dykeshift/lab/tables.py
+++ b/dykeshift/lab/tables.py
@@ -12,6 +12,8 @@
 
 @dataclass(frozen=True)
 class Line:
+    """One figure of one policy at one place of the grid."""
+
     place: Place
     policy: str
     figure: str
@@ -28,6 +30,7 @@
 
 
 def means(rows: list[Row], names: tuple[str, ...]) -> list[Line]:
+    """The mean of each named figure in each cell."""
     return [
         Line(place, policy, name, estimate(list(values.values())))
         for name in names
--- a/dykeshift/load/drive.py
+++ b/dykeshift/load/drive.py
@@ -16,6 +16,8 @@
 
 
 class Drive:
+    """One process's share of a load, sent through one transport."""
+
     def __init__(self, load: Load, part: int, transport: Transport, seen: Callable[[int], None]) -> None:
         self.load = load
         self.part = part  # of load.processes
--- a/dykeshift/load/schedule.py
+++ b/dykeshift/load/schedule.py
@@ -74,6 +74,7 @@
         return max(self.trace) if self.shape == "trace" else self.seconds
 
     def expected(self) -> float:
+        """How many requests the load comes to, on average for random arrivals."""
         if self.shape == "steps":
             return sum(r * s for r, s in self.steps)
         return len(self.trace) if self.shape == "trace" else self.rate * self.seconds
@@ -105,6 +106,7 @@
 
 
 def draw_kinds(load: Load, count: int, rng: np.random.Generator) -> list[int]:
+    """The kind of each of `count` requests, by number, drawn by the kinds' shares."""
     shares = np.array([k.share for k in load.kinds])
     drawn: list[int] = rng.choice(len(shares), count, p=shares / shares.sum()).tolist()
     return drawn
--- a/dykeshift/load/search.py
+++ b/dykeshift/load/search.py
@@ -11,6 +11,8 @@
 
 
 class Search:
+    """A search between 0 and `most` (requests a second); raises ValueError where `first` is not within."""
+
     def __init__(self, first: float, most: float, close: float = 0.05) -> None:
         if not 0 < first <= most:
             raise ValueError("the first rate is over 0 and at most the highest")
@@ -49,6 +51,7 @@
         self.served, self.percentile, self.limit_ms = served, percentile, limit_ms
 
     def kept(self, figures: dict[str, object]) -> bool:
+        """Whether a run's figures keep the service."""
         times = figures["times_ms"]
         assert isinstance(times, dict) and isinstance(figures["served"], float)
         return figures["served"] >= self.served and times.get(self.percentile, float("inf")) <= self.limit_ms
--- a/dykeshift/load/tally.py
+++ b/dykeshift/load/tally.py
@@ -26,10 +26,13 @@
 
 
 def histogram() -> HdrHistogram:
+    """An empty histogram of times, in microseconds."""
     return HdrHistogram(LOWEST, HIGHEST, DIGITS)
 
 
 class Tally:
+    """Counts of one process, or of several added up."""
+
     def __init__(self, kinds: tuple[str, ...]) -> None:
         self.kinds = kinds
         self.ends: Counter[str] = Counter()  # errands, by how their last try ended
@@ -40,6 +43,7 @@
         self.own = histogram()  # how late this machine itself began them
 
     def began(self, late_s: float) -> None:
+        """An errand was begun `late_s` seconds after it was due."""
         self.own.record_value(_micro(late_s))
 
     def tried(self, answer: Answer, part: float) -> None:
@@ -51,6 +55,7 @@
             self.refusals[f"{when}, {advised} advice"] += 1
 
     def ended(self, kind: int, how: str, took_s: float) -> None:
+        """An errand ended, `took_s` seconds after it was due."""
         name = self.kinds[kind]
         self.ends[how] += 1
         self.by_kind[name][how] += 1
@@ -60,6 +65,7 @@
     # ---- between processes ----
 
     def pack(self) -> dict[str, Any]:
+        """The counts as plain data, to be sent to another process."""
         return {
             "ends": dict(self.ends),
             "by_kind": {k: dict(c) for k, c in self.by_kind.items()},
@@ -70,6 +76,7 @@
         }
 
     def add(self, packed: dict[str, Any]) -> None:
+        """Add what `pack` gave in another process."""
         self.ends.update(packed["ends"])
         self.refusals.update(packed["refusals"])
         self.tries += packed["tries"]
--- a/dykeshift/load/transports.py
+++ b/dykeshift/load/transports.py
@@ -17,10 +17,13 @@
 
 
 class Transport(Protocol):
+    """Sends tries to a balancer and tells how each ended."""
+
     async def ask(self, name: str, kind: Kind, left_s: float, turn: int) -> Answer:
         """One try, over within `left_s` seconds; what goes wrong is an Answer, never an exception."""
 
-    async def close(self) -> None: ...
+    async def close(self) -> None:
+        """Close its connections."""
 
 
 class Http:
@@ -32,6 +35,7 @@
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
 
     async def ask(self, name: str, kind: Kind, left_s: float, turn: int) -> Answer:
+        """See `Transport.ask`; each try has a request id of its own."""
         rid = f"{name}-{turn}"
         headers = {
             "X-Request-Id": rid,
@@ -58,6 +62,7 @@
             return Answer("broken")
 
     async def close(self) -> None:
+        """Close its connections."""
         await self.session.close()
 
 
@@ -82,6 +87,7 @@
         self.cost = int(load.cost_ms) or 1
 
     async def ask(self, name: str, kind: Kind, left_s: float, turn: int) -> Answer:
+        """See `Transport.ask`; a retry sends the same message again."""
         # A clinic's resend is the same message under the same control id.
         note = hl7.Note(name, "LOAD", NOTES[kind.kind], "original", self.cost, self.made, "Load^Test")
         writer: asyncio.StreamWriter | None = None
@@ -106,11 +112,13 @@
         return Answer("broken")
 
     async def close(self) -> None:
+        """Close its connections."""
         for _, writer in self.idle:
             writer.close()
 
 
 def connect(load: Load, host: str, port: int) -> Transport:
+    """The transport that the load's protocol needs."""
     if load.protocol == "mllp":
         return Mllp(load, host, port)
     return Http(load, host, port)
--- a/dykeshift/standins/client.py
+++ b/dykeshift/standins/client.py
@@ -35,10 +35,13 @@
 
 
 class Account(Protocol):
+    """Hears what becomes of every try."""
+
     def sent(self, errand: Errand, rid: str, to: Address) -> None:
         """Its last byte has been handed to the client's kernel."""
 
-    def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None: ...
+    def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None:
+        """A whole answer came."""
 
     def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
         """Its connection ended without a whole answer; `begun`: of one that is seen not to be whole."""
@@ -88,16 +91,20 @@
             return False
 
     def pick(self) -> Address | None:
+        """A balancer that is taken in, at random; None while there is none."""
         known = list(self.taken_in)
         return known[int(self.rng.random() * len(known))] if known else None
 
 
 class Probe(asyncio.Protocol):
+    """A health probe's connection; `status` gets the answer's status, 0 where there is none."""
+
     def __init__(self, status: asyncio.Future[int]) -> None:
         self.status = status
         self.messages = Messages()
 
     def data_received(self, data: bytes) -> None:
+        """Take the status of the first whole answer."""
         try:
             for message in self.messages.feed(data):
                 self._set(message.status)
@@ -105,6 +112,7 @@
             self._set(0)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The probe has failed, unless it was answered before."""
         self._set(0)
 
     def _set(self, status: int) -> None:
@@ -126,9 +134,11 @@
         self.written = self.mark = 0  # bytes: in all, and before the request that is on it
 
     def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Hand a whole answer to the try that waits for it; anything else is reported as extra."""
         trial = self.trial
         try:
             got = self.messages.feed(data)
@@ -155,9 +165,11 @@
         trial.answered(got[0])
 
     def eof_received(self) -> bool:
+        """Close with the other side."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Leave the kept connections; a try that still waits is broken."""
         self.lost = True
         rest = self.crowd.idle.get(self.to, [])
         if self in rest:
@@ -167,6 +179,7 @@
             trial.broken(first=self.answers == 0)
 
     def close(self) -> None:
+        """Reset the connection."""
         if self.transport is not None:
             self.transport.abort()
 
@@ -183,6 +196,7 @@
         self.timers: list[asyncio.TimerHandle] = []
 
     async def go(self) -> None:
+        """Send the try over a kept connection, or over a new one."""
         to = self.crowd.front.pick()
         if to is None:
             self.end("unreached")
@@ -210,6 +224,7 @@
             self.write(line)
 
     def write(self, line: Line) -> None:
+        """Write the request and start its timers."""
         if self.over:
             line.close()
             return
@@ -255,10 +270,12 @@
             self.end("left")
 
     def answered(self, answer: Message) -> None:
+        """Take the answer and end the try."""
         self.crowd.account.answered(self.errand, self.rid, self.to, answer)
         self.end("refused" if answer.status in (429, 503) else "done", answer)
 
     def broken(self, first: bool) -> None:
+        """The connection ended without a whole answer; `first`: it never gave one."""
         line = self.line
         if not first and not self.fed and not self.moved and line is not None and self.crowd.unread(line):
             # A kept connection that closed as the request went out: once more on a new one.
@@ -272,6 +289,7 @@
         self.end("broken")
 
     def end(self, how: str, answer: Message | None = None) -> None:
+        """End the try once, with how it went: `done`, `refused`, `broken`, `unreached` and the like."""
         if self.over:
             return
         self.over = True
@@ -300,11 +318,13 @@
         self.open = 0
 
     def begin(self, errand: Errand, number: int = 0) -> None:
+        """Start try `number` (0 is the first) of an errand, in the running loop."""
         self.loop = asyncio.get_running_loop()
         self.open += 1
         self.loop.create_task(Trial(self, errand, number, self.loop.time()).go())
 
     def ended(self, trial: Trial, how: str, answer: Message | None) -> None:
+        """A try ended: schedule another one where the protocol allows it, else end the errand."""
         self.open -= 1
         errand = trial.errand
         if trial.number < errand.retries and self._may_retry(errand, how, answer):
@@ -325,6 +345,7 @@
         return how in ("refused", "unreached")
 
     def hang_up(self) -> None:
+        """Close all kept connections."""
         for lines in self.idle.values():
             for line in lines[:]:
                 line.close()
--- a/dykeshift/standins/clinic.py
+++ b/dykeshift/standins/clinic.py
@@ -39,11 +39,14 @@
 
 
 class Account(Protocol):
+    """Hears what becomes of every frame."""
+
     def framed(self, letter: Letter, number: int, to: Address, ahead: list[tuple[str, int]]) -> None:
         """The last byte of a frame has been handed to the clinic's kernel; `ahead`: the frames of its
         connection, by control id and number, whose answers come before its own."""
 
-    def acknowledged(self, letter: Letter, number: int, to: Address, code: str, last: bool) -> None: ...
+    def acknowledged(self, letter: Letter, number: int, to: Address, code: str, last: bool) -> None:
+        """An acknowledgement came; `last`: it settles the frame."""
 
     def cut_off(self, letter: Letter, number: int, to: Address) -> None:
         """Its connection ended, not by the clinic, without the last acknowledgement."""
@@ -80,14 +83,17 @@
         self.written = 0
 
     def connection_made(self, transport: Any) -> None:
+        """Keep the transport; `resume_writing` then tells when all has been handed over."""
         self.transport = transport
         transport.set_write_buffer_limits(high=0)
 
     def resume_writing(self) -> None:
+        """All that was written has been handed to the kernel."""
         for frame in self.frames:
             self.clinic.handed_over(frame)
 
     def data_received(self, data: bytes) -> None:
+        """Match acknowledgements to the frames in order; anything else is reported as stray."""
         if self.transport.is_closing():
             return
         try:
@@ -113,6 +119,7 @@
         self.clinic.acknowledged(frame, code, last)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """All frames without their last acknowledgement are over."""
         self.lost = True
         self.clinic.lines.pop(self, None)
         for frame in self.drop():
@@ -127,12 +134,15 @@
             self.clinic.ended(frame, "unheard")
 
     def drop(self) -> list[Frame]:
+        """Forget the frames that wait, and return them."""
         frames, self.frames = list(self.frames), deque()
         return frames
 
 
 @dataclass(eq=False)
 class Clinic:
+    """A clinic that keeps to the balancer at `to`; `backoff` is in seconds."""
+
     to: Address
     account: Account
     rng: Random
@@ -150,6 +160,7 @@
         self.begun: dict[str, float] = {}
 
     def send(self, letter: Letter) -> None:
+        """Send a letter for the first time, twice at once where it is a twin."""
         self.loop = asyncio.get_running_loop()
         self.begun[letter.note.control_id] = self.loop.time()
         for _ in range(2 if letter.twin else 1):
@@ -224,6 +235,7 @@
         frame.timers.append(self.loop.call_later(wait, self._give_up, line, frame))
 
     def handed_over(self, frame: Frame) -> None:
+        """Report that the last byte of a frame is in the kernel's hands."""
         if not frame.handed_over:
             frame.handed_over = True
             line = next(line for line in self.lines if frame in line.frames)
@@ -238,6 +250,7 @@
             line.close()
 
     def acknowledged(self, frame: Frame, code: str, last: bool) -> None:
+        """Settle a frame, or send its letter again after a rejection."""
         self.account.acknowledged(frame.letter, frame.number, self.to, code, last)
         if not last:
             return
@@ -249,6 +262,7 @@
         self._pump()
 
     def ended(self, frame: Frame, how: str) -> None:
+        """A frame is over without an acknowledgement; `how` names the account's method. It is sent again."""
         if frame.over:
             return
         self._over(frame)
@@ -279,5 +293,6 @@
             self.on_end(letter, code)
 
     def hang_up(self) -> None:
+        """Close all connections."""
         for line in list(self.lines):
             line.close()
--- a/dykeshift/standins/disk.py
+++ b/dykeshift/standins/disk.py
@@ -10,6 +10,8 @@
 
 
 class Disk:
+    """The directory; its attributes say which faults are on. `room` is in bytes, None is endless."""
+
     def __init__(self, seed: int = 1) -> None:
         self.rng = Random(seed)
         self.kept: dict[str, bytes] = {}  # what lasts
@@ -20,6 +22,7 @@
         self.dead = False
 
     def check(self, size: int = 0) -> None:
+        """Raise the OSError that a write of `size` bytes meets now."""
         if self.dead:
             raise OSError(errno.EIO, "Input/output error")
         if self.read_only:
@@ -28,22 +31,27 @@
             raise OSError(errno.ENOSPC, "No space left on device")
 
     def names(self) -> list[str]:
+        """See `store.files.Files`."""
         return list(self.seen)
 
     def remove(self, name: str) -> None:
+        """See `store.files.Files`."""
         self.check()
         self.seen.pop(name, None)
         self.kept.pop(name, None)
 
     def read(self, name: str) -> bytes | None:
+        """See `store.files.Files`."""
         return self.seen.get(name)
 
     def append(self, name: str, at: int) -> Handle:
+        """See `store.files.Files`."""
         self.check()
         self.seen[name] = self.seen.get(name, b"")[:at]
         return Handle(self, name)
 
     def replace(self, name: str, data: bytes) -> None:
+        """See `store.files.Files`."""
         self.check(len(data))
         self.seen[name] = self.kept[name] = data
 
@@ -64,10 +72,13 @@
 
 
 class Handle:
+    """An open file of the directory."""
+
     def __init__(self, disk: Disk, name: str) -> None:
         self.disk, self.name = disk, name
 
     def write(self, data: bytes) -> None:
+        """Write to what the program sees; a full disk takes as much as there is room for."""
         room = self.disk.room
         if room is not None:
             used = sum(map(len, self.disk.seen.values()))
@@ -77,10 +88,12 @@
         self.disk.seen[self.name] += data
 
     def sync(self) -> None:
+        """Make what was written last through a power cut."""
         self.disk.check()
         if self.disk.sync_fails:
             raise OSError(errno.EIO, "Input/output error")
         self.disk.kept[self.name] = self.disk.seen[self.name]
 
     def close(self) -> None:
+        """Nothing to do."""
         pass
--- a/dykeshift/standins/hl7.py
+++ b/dykeshift/standins/hl7.py
@@ -24,6 +24,7 @@
         self.buffer = b""
 
     def feed(self, data: bytes) -> list[bytes]:
+        """Take the next bytes and return the blocks that are whole. Raises ValueError for unsound framing."""
         self.buffer += data
         whole = list[bytes]()
         while self.buffer:
@@ -39,10 +40,12 @@
         return whole
 
     def idle(self) -> bool:
+        """Whether no block is under way."""
         return not self.buffer
 
 
 def block(content: bytes) -> bytes:
+    """The content as an MLLP block."""
     return b"\x0b" + content + b"\x1c\x0d"
 
 
@@ -98,6 +101,7 @@
 
 
 def ack(code: str, control_id: str, own_id: str, text: str = "") -> bytes:
+    """An acknowledgement with this code for the message `control_id`."""
     head = f"MSH|^~\\&|SENDER||||20261201||ACK|{own_id}|P|2.5.1"
     return f"{head}\rMSA|{code}|{control_id}|{text}\r".encode()
 
@@ -118,6 +122,7 @@
         self.rng, self.made, self.clinic, self.count = rng, made, clinic, 0
 
     def note(self) -> Note:
+        """The next message, drawn from the generator's stream."""
         self.count += 1
         draw = self.rng
         return Note(
--- a/dykeshift/standins/messages.py
+++ b/dykeshift/standins/messages.py
@@ -34,6 +34,7 @@
 
     @property
     def status(self) -> int:
+        """The status code of an answer. Raises ValueError or IndexError where it has none."""
         return int(self.start.split(" ", 2)[1])
 
     def query(self, name: str) -> str:
@@ -121,5 +122,6 @@
 
 
 def render(start: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """A message with a Content-Length."""
     lines = [start, *(f"{name}: {value}" for name, value in headers.items()), f"Content-Length: {len(body)}"]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/dykeshift/standins/mllp_script.py
+++ b/dykeshift/standins/mllp_script.py
@@ -61,12 +61,15 @@
 
 @dataclass(eq=False)
 class ScriptedServer:
+    """Accepts connections and does what the script says; `told` hears each message and step."""
+
     script: list[list[Step]]
     seen: list[bytes] = field(default_factory=list)  # messages in the order in which they came
     told: Callable[[bytes, str], None] = lambda content, what: None
     address: tuple[str, int] = ("", 0)
 
     async def start(self, host: str, port: int) -> asyncio.Server:
+        """Listen on `host` and `port`, 0 for any; `address` says where."""
         server = await asyncio.start_server(self._serve, host, port)
         self.address = server.sockets[0].getsockname()[:2]
         return server
--- a/dykeshift/standins/mllp_sender.py
+++ b/dykeshift/standins/mllp_sender.py
@@ -18,6 +18,7 @@
         self.number = 0
 
     def data_received(self, data: bytes) -> None:
+        """Take each whole message as a request."""
         try:
             for content in self.blocks.feed(data):
                 self.open_requests += 1
@@ -26,6 +27,7 @@
             self.abort()
 
     def own_id(self) -> str:
+        """A control id for the next acknowledgement."""
         self.number += 1
         return f"{self.sender.name}-{self.number}"
 
@@ -41,6 +43,7 @@
         self.accept, self.application = hl7.MODES[note.mode]
 
     def take(self, request: Message) -> None:
+        """Accept the message where its sender wants that, and hand it to the sender."""
         sender = self.link.sender
         if self.accept == "AL" and not sender.draining and not sender.full():
             self._say("CA")
@@ -49,12 +52,15 @@
         sender.take(self, request)  # type: ignore[arg-type]
 
     def here(self) -> bool:
+        """Whether the connection is still open."""
         return self.link.here()
 
     def abort(self) -> None:
+        """Reset the connection."""
         self.link.abort()
 
     def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        """Acknowledge with the code that stands for the HTTP status."""
         if status == 503 and self.accept == "AL":
             self._say("CR")
         elif self.application == "NE":
@@ -70,6 +76,7 @@
         self.link.raw(hl7.block(self._ack(code)))
 
     def garble(self, body: bytes) -> None:
+        """Write something that is no sound acknowledgement of this message."""
         good = self._ack("AA")
         self.link.raw(
             self.link.sender.rng.choice(
@@ -88,6 +95,7 @@
         )
 
     def extra(self, body: bytes) -> None:
+        """Write a sound acknowledgement with something before or behind it."""
         good = hl7.block(self._ack("AA"))
         self.link.raw(
             self.link.sender.rng.choice(
--- a/dykeshift/standins/operator.py
+++ b/dykeshift/standins/operator.py
@@ -25,10 +25,12 @@
         self.transport: Any = None
 
     def connection_made(self, transport: Any) -> None:
+        """Write the request."""
         self.transport = transport
         transport.write(self.data)
 
     def data_received(self, data: bytes) -> None:
+        """End with the first whole answer, or as failed where it makes no sense."""
         try:
             got = self.messages.feed(data)
         except MessageError:
@@ -39,12 +41,15 @@
             self.end(lambda: self.done(answer.status, answer.body.decode()))
 
     def eof_received(self) -> bool:
+        """Close with the other side."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The call has failed, unless it was answered before."""
         self.end(self.failed)
 
     def end(self, then: Callable[[], None]) -> None:
+        """Close the connection and call `then`, once."""
         if not self.over:
             self.over = True
             if self.transport is not None:
--- a/dykeshift/standins/registry.py
+++ b/dykeshift/standins/registry.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
+    """A listed sender."""
+
     id: str
     address: tuple[str, int]
     zone: str
@@ -32,6 +34,7 @@
     started_ms: int = 0  # Unix time; 0: long ago
 
     def row(self) -> dict[str, Any]:
+        """The entry as the protocol words it."""
         return {
             "instanceId": self.id,
             "hostPort": f"{self.address[0]}:{self.address[1]}",
@@ -49,6 +52,8 @@
 
 @dataclass(eq=False)
 class Registry:
+    """The list, its changes, and the watches that wait for the next one."""
+
     rng: Random
     told: Told | None = None
     delay: float = 0.0
@@ -67,6 +72,7 @@
         self.snapshots: dict[int, dict[str, Instance]] = {}
 
     async def serve(self, host: str, port: int) -> None:
+        """Serve until cancelled."""
         self.loop = asyncio.get_running_loop()
         self.server = await self.loop.create_server(lambda: Call(self), host, port)
         await self.loop.create_future()
@@ -84,6 +90,7 @@
         self._wake()
 
     def leave(self, name: str, lifecycle: str = "leaving") -> None:
+        """Change the lifecycle of a listed sender; an unknown one is left alone."""
         known = self.listed.get(name)
         if known is not None and known.lifecycle != lifecycle:
             self.put(replace(known, lifecycle=lifecycle))
@@ -94,10 +101,12 @@
         self.snapshots = {self.generation: dict(self.listed)}
 
     def thaw(self) -> None:
+        """Show the newest version again, and answer the watches that wait."""
         self.frozen_at = None
         self._wake()
 
     def shown(self) -> tuple[int, dict[str, Instance]]:
+        """The version that is shown, and its senders."""
         if self.frozen_at is not None:
             return self.frozen_at, self.snapshots[self.frozen_at]
         return self.generation, self.listed
@@ -143,24 +152,29 @@
         self.silent = False
 
     def fall_silent(self) -> None:
+        """Answer nothing from now on; the connection stays open."""
         self.silent = True
         self.registry.waiting.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
 
     def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
         self.transport = transport
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Stop waiting."""
         self.registry.waiting.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
 
     def abort(self) -> None:
+        """Reset the connection."""
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        """Take each whole request; reset where it makes no sense."""
         try:
             for request in self.messages.feed(data):
                 self._ask(request)
--- a/dykeshift/standins/sender.py
+++ b/dykeshift/standins/sender.py
@@ -30,13 +30,17 @@
 class Witness(Protocol):
     """Whoever keeps account of what happens at senders."""
 
-    def arrived(self, sender: Sender, request: Message) -> None: ...
+    def arrived(self, sender: Sender, request: Message) -> None:
+        """A request came, before it is decided what becomes of it."""
 
-    def ran(self, sender: Sender, request: Message, repeat: bool) -> None: ...
+    def ran(self, sender: Sender, request: Message, repeat: bool) -> None:
+        """A request was executed; `repeat`: its rack had seen its key before."""
 
-    def turned_away(self, sender: Sender, request: Message) -> None: ...
+    def turned_away(self, sender: Sender, request: Message) -> None:
+        """A request was refused without being run."""
 
-    def fell(self, sender: Sender) -> None: ...
+    def fell(self, sender: Sender) -> None:
+        """The sender fell over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,7 @@
         self.seen: dict[str, float] = {}
 
     def repeat(self, key: str, now: float, window: float) -> bool:
+        """Whether the key was seen within the window (seconds); a new one is remembered from `now` on."""
         first = self.seen.get(key)
         if first is not None and now - first <= window + KEPT:
             return True
@@ -93,6 +98,8 @@
 
 @dataclass(slots=True, eq=False)
 class Work:
+    """A request that runs or waits; `cost` is in milliseconds of a warm slot."""
+
     request: Message
     link: Link
     cost: float
@@ -137,6 +144,7 @@
     # ---- capacity ----
 
     def warmth(self) -> float:
+        """The share of its full speed that it has now, 1 once it is warm."""
         age = self.loop.time() - self.began
         if not self.cold or age >= self.shape.cold_time:
             return 1.0
@@ -158,6 +166,7 @@
             self.fall()
 
     def fall(self) -> None:
+        """Go down for good: drop all work and all connections, and stop listening."""
         if self.down:
             return
         self.down = True
@@ -180,9 +189,11 @@
         return costs / 1000 / self.shape.slots / self.shape.speed / max(self.warmth(), 0.01)
 
     def full(self) -> bool:
+        """Whether all slots and the waiting room are taken."""
         return len(self.running) >= self.shape.slots and len(self.queue) >= self.shape.queue
 
     def take(self, link: Link, request: Message) -> None:
+        """Take a request: run it, queue it, or turn it away."""
         if "x-request-id" not in request.headers:
             link.answer(404, b"no id\n")
             return
@@ -243,6 +254,7 @@
         link.answer(200, body, self.report())
 
     def report(self) -> dict[str, str]:
+        """The load report's header."""
         load = {"busy_reqs": len(self.running), "cpu_share": round(len(self.running) / self.shape.slots, 2)}
         return {"X-Load": json.dumps(load, separators=(",", ":"))}
 
@@ -256,9 +268,11 @@
         link.extra(body)
 
     def drain(self) -> None:
+        """Refuse new requests; what is there is finished."""
         self.draining = True
 
     def quiet(self) -> bool:
+        """Whether nothing runs or waits."""
         return not self.running and not self.queue
 
 
@@ -273,6 +287,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
+        """Register the connection, or reset it beyond the limit or when the sender is down."""
         self.transport = transport
         if len(self.sender.links) >= self.sender.shape.most_connections or self.sender.down:
             transport.abort()
@@ -281,11 +296,13 @@
         self._rest()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection and its timer."""
         self.sender.links.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
 
     def data_received(self, data: bytes) -> None:
+        """Take each whole request; reset where it makes no sense."""
         try:
             for request in self.messages.feed(data):
                 self.open_requests += 1
@@ -296,14 +313,17 @@
             self.abort()
 
     def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        """Write an HTTP answer and be ready for the next request."""
         self.raw(render(f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", headers or {}, body))
         self.free()
 
     def raw(self, data: bytes) -> None:
+        """Write bytes as they are, unless the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
     def garble(self, body: bytes) -> None:
+        """Write something that is no sound answer."""
         self.raw(
             self.sender.rng.choice(
                 [
@@ -318,6 +338,7 @@
         )
 
     def extra(self, body: bytes) -> None:
+        """Write a sound answer with something before or behind it, or with a bad report."""
         report = self.sender.report()
         whole = render("HTTP/1.1 200 OK", report, body)
         self.raw(
@@ -333,10 +354,12 @@
         self.free()
 
     def free(self) -> None:
+        """A request is answered; wait for the next one."""
         self.open_requests -= 1
         self._rest()
 
     def here(self) -> bool:
+        """Whether the connection is still open."""
         return self in self.sender.links
 
     def _rest(self) -> None:
@@ -355,5 +378,6 @@
         return self.messages.idle()
 
     def abort(self) -> None:
+        """Reset the connection."""
         if self.transport is not None:
             self.transport.abort()
