--- a/dykeshift/rig/agreement.py
+++ b/dykeshift/rig/agreement.py
@@ -158,18 +158,22 @@
         self.until = 0  # when the clients end
 
     def machine(self) -> Machine:
+        """The state machine of a new process."""
         return Latest()
 
     def build(self, number: int, places: dict[int, Any], rng: Random, machine: Machine, disk: bool) -> Agree:
+        """The core of a new process at place `number`, with or without a disk."""
         return Agree(self.terms, self.seal, number, places, rng, machine, disk)
 
     def _peer(self, spot: Spot, life: int) -> Any:
         return Peer(self, spot, Random(self.rng.random()))
 
     def carry(self, spot: Spot, out: Out) -> None:
+        """Send a process's datagrams through the virtual network."""
         self._carry(spot, out)
 
     def kill(self, spot: Spot) -> None:
+        """Kill a process; a lying disk loses what it did not keep, and open calls stay unanswered."""
         spot.kill()
         disk = self.disks.get(spot.number)
         if disk is not None and disk.lies:
@@ -179,15 +183,19 @@
             del self.open[key]  # nobody hears an answer: what became of it is not known
 
     def core(self, number: int) -> Agree:
+        """The core of the process at place `number`."""
         core: Agree = self.spots[number].view.core
         return core
 
     def up(self) -> list[Spot]:
+        """The processes that run and do not stand still."""
         return [s for s in self.spots if s.alive and not s.stopped]
 
     # ---- clients ----
 
     def propose(self, number: int, body: bytes, expect: int, wait: float = 3.0) -> Operation:
+        """Propose a change through process `number`; `expect` is the version it builds on, `wait` is in
+        seconds."""
         spot, core = self.spots[number], self.core(number)
         done = Operation("propose", self.now, body=body, expect=expect)
         self.operations.append(done)
@@ -198,6 +206,7 @@
         return done
 
     def read(self, number: int, wait: float = 3.0) -> Operation:
+        """Read the history through process `number`, within `wait` seconds."""
         spot, core = self.spots[number], self.core(number)
         done = Operation("read", self.now)
         self.operations.append(done)
@@ -254,6 +263,7 @@
         self.truth.look(spot)
 
     def say(self, spot: Spot, what: str) -> None:
+        """Note a broken promise; only the first 20 are kept."""
         if len(self.broken) < 20:
             self.broken.append(f"{self.now / SECOND:.3f} s {spot.name}: {what}")
 
@@ -298,6 +308,7 @@
         )
 
     def leader(self) -> int | None:
+        """The place of the leader with the newest epoch and term; None where nobody leads."""
         led = [s for s in self.up() if s.view.core.voter.settled()]
         return (
             max(led, key=lambda s: (s.view.core.shared.epoch[1:], s.view.core.voter.term)).number
--- a/dykeshift/rig/baselines.py
+++ b/dykeshift/rig/baselines.py
@@ -31,10 +31,12 @@
         self.number = {address: n for n, address in enumerate(self.peers)}
 
     def start(self, now: int) -> Out:
+        """Draw the first tick."""
         self.next_at = now + int(self.rng.random() * self.period)
         return []
 
     def take_events(self) -> list[Event]:
+        """No events: a baseline only counts."""
         return []
 
     def _send(self, to: int, size: int, *words: int) -> None:
@@ -54,6 +56,7 @@
         self.last: dict[int, int] = {}
 
     def on_timer(self, now: int) -> Out:
+        """Send a heartbeat to all and drop those that were silent for three periods."""
         if now < self.next_at:
             return []
         self.next_at = now + self.period
@@ -66,6 +69,7 @@
         return self._done()
 
     def on_datagram(self, now: int, data: bytes, address: Address) -> Out:
+        """Take its sender for alive."""
         number = self.number[address]
         self.last[number] = now
         self.alive.add(number)
@@ -89,6 +93,7 @@
         self.order: list[int] = []
 
     def on_timer(self, now: int) -> Out:
+        """Half a period to probe one member, half to ask helpers where it has not answered."""
         if now < self.next_at:
             return []
         self.next_at = now + self.period // 2
@@ -144,6 +149,7 @@
             (self.alive.discard if word[1] == 2 else self.alive.add)(number)
 
     def on_datagram(self, now: int, data: bytes, address: Address) -> Out:
+        """Learn the news, and answer a probe or pass it on."""
         kind, about, incarnation, *rest = (int(word) for word in data.split(b","))
         sender = self.number[address]
         self._learn(now, sender, (incarnation, 0))
--- a/dykeshift/rig/campaign.py
+++ b/dykeshift/rig/campaign.py
@@ -92,6 +92,7 @@
 
 
 def trouble(day: Agreement, rng: Random, kinds: tuple[str, ...] = KINDS) -> None:
+    """Do one trouble, drawn from `kinds`, to the world."""
     spots = day.spots
     some = rng.sample(spots, rng.randint(1, max(1, len(spots) // 3)))
     kind = rng.choice(kinds)
@@ -125,6 +126,7 @@
 
 
 def befall(day: Agreement, kind: str, spot: Spot, rng: Random) -> None:
+    """Do one trouble to one process."""
     disk = day.disks.get(spot.number)
     if kind == "stop" and spot.alive:
         day.stop(spot)
--- a/dykeshift/rig/day.py
+++ b/dykeshift/rig/day.py
@@ -53,6 +53,8 @@
 
 @dataclass(slots=True)
 class Verdict:
+    """What came of a day: the breaches, and the record that they were found in."""
+
     plan: Plan
     breaches: list[Breach]
     record: list[Line]
@@ -80,6 +82,7 @@
         self.fleets: dict[int, str] = {}
 
     async def prepare(self) -> None:
+        """Open the relays and set an address aside for each process."""
         plan, loop = self.plan, asyncio.get_running_loop()
         for n in range(plan.balancers, self.places):
             self.balancers.append(Balancer(f"n{n}", n, self))
@@ -97,6 +100,7 @@
             port.close()
 
     async def start_balancers(self) -> None:
+        """Start all processes but the absent and the spare ones."""
         absent = {*self.plan.absent, *range(self.plan.balancers, self.places)}
         await asyncio.gather(*(b.start() for b in self.balancers if b.number not in absent))
 
@@ -113,6 +117,7 @@
         balancer.environment |= {"NODE_INHERITED_FD": str(listener.fileno()), "TMPDIR": str(folder)}
 
     def configure(self, balancer: Balancer, config: dict[str, Any]) -> None:
+        """Point the balancer at its relays and write its features file."""
         n, plan = balancer.number, self.plan
         peers = self.relays.peers_of(n)[: plan.balancers]
         config["settings"]["me"] = n
@@ -178,6 +183,7 @@
         return True
 
     async def stop(self) -> None:
+        """Kill all processes, close the relays, then stop the rest."""
         for processes in self.upgrades.values():
             for process in processes:
                 if process.returncode is None:
@@ -195,6 +201,8 @@
 
 
 class Day:
+    """Plays a plan on a rig and records what the processes say."""
+
     def __init__(self, plan: Plan) -> None:
         self.plan, self.rig = plan, Rig(plan)
         self.limits = Limits.of(plan)
@@ -565,6 +573,7 @@
 
 
 def keep(verdict: Verdict, logs: Path, folder: Path) -> None:
+    """Write the logs, the record and the datagrams' headers of a day to `folder`."""
     folder.mkdir(parents=True, exist_ok=True)
     for path in logs.glob("p*.log"):
         (folder / path.name).write_bytes(path.read_bytes())
--- a/dykeshift/rig/ending.py
+++ b/dykeshift/rig/ending.py
@@ -40,5 +40,6 @@
         self.look()
 
     def look(self) -> None:
+        """Raise CancelledError if the signal has come."""
         if self.told:
             raise asyncio.CancelledError
--- a/dykeshift/rig/explore.py
+++ b/dykeshift/rig/explore.py
@@ -32,6 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
+    """How far the search goes."""
+
     terms: int = 2
     changes: int = 1
     crashes: int = 1
@@ -42,6 +44,8 @@
 
 @dataclass
 class State:
+    """One state of all three processes and of the datagrams between them."""
+
     cores: list[Agree]
     disks: list[list[bytes]]
     flying: list[tuple[int, int, bytes]] = field(default_factory=list)  # from, to, datagram
@@ -54,6 +58,8 @@
 
 @dataclass
 class Result:
+    """What a search found; `path` leads to what is broken."""
+
     states: int = 0
     depth: int = 0
     whole: bool = True  # all states within the bounds were seen
@@ -93,6 +99,7 @@
 
 
 def begin(bounds: Bounds) -> State:
+    """The first state: three followers in one epoch."""
     cores = [_core(n, n + 1, bounds.disk) for n in range(3)]
     base = Base(wanted=3, now=tuple((n, n + 1) for n in range(3)))
     state = State(cores, [[], [], []])
--- a/dykeshift/rig/history.py
+++ b/dykeshift/rig/history.py
@@ -59,6 +59,7 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
+        """Start the clients as tasks of the running loop."""
         self.tasks = [asyncio.create_task(self._live()) for _ in range(CLIENTS)]
 
     async def stop(self) -> None:
--- a/dykeshift/rig/installation.py
+++ b/dykeshift/rig/installation.py
@@ -90,6 +90,7 @@
         self.stopping = False
 
     async def start(self) -> None:
+        """Write its configuration and start a process of it."""
         self.lives += 1
         path = self.home.folder / f"{self.place}.json"
         config: dict[str, Any] = {
@@ -117,14 +118,17 @@
 
     @property
     def running(self) -> bool:
+        """Whether its process runs."""
         return self.process is not None and self.process.returncode is None
 
     def kill(self) -> None:
+        """Kill its process and note its death."""
         if self.process is not None and self.process.returncode is None:
             self.home.tally.died(self.name, time.monotonic())
             self.process.kill()
 
     async def stop(self) -> None:
+        """End its process by SIGTERM, and after 6 seconds by SIGKILL."""
         self.stopping = True
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGTERM)
@@ -168,6 +172,8 @@
         self.told: set[int] = set()  # ports that processes were told
 
     async def start_balancers(self) -> None:
+        """Start the balancers one by one, then wait until all answer. Raises TimeoutError after START
+        seconds."""
         for balancer in self.balancers:
             await balancer.start()
         self.tally.names = {b.address: b.name for b in self.balancers}
@@ -181,9 +187,11 @@
         """What it does before the balancers start."""
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run something beside, until the installation stops."""
         self.tasks.append(asyncio.get_running_loop().create_task(work))
 
     async def start(self) -> None:
+        """Start discovery, the senders, the balancers and the clients."""
         self._folder = tempfile.TemporaryDirectory(prefix="lifttrail-")
         self.folder = Path(self._folder.name)
         self.spawn(self.registry.serve("127.0.0.1", 0))
@@ -218,6 +226,7 @@
         return address
 
     async def add_sender(self, cold: bool = True) -> None:
+        """Start a sender and enter it in discovery's list."""
         number = self.made
         self.made += 1
         shape = Shape(slots=self.slots, speed=self.speeds[number % len(self.speeds)], cold_time=6.0)
@@ -242,6 +251,7 @@
         )
 
     def registry_put(self, instance: Instance) -> None:
+        """Enter an instance, whether discovery serves already or not."""
         if hasattr(self.registry, "loop"):
             self.registry.put(instance)
         else:
@@ -270,6 +280,7 @@
     # ---- faults, by the names of --fault ----
 
     async def fault(self, name: str) -> None:
+        """Do one of the faults by its name on the command line. Raises KeyError for an unknown one."""
         await {
             "hang": self._hang,
             "drain": self._drain,
--- a/dykeshift/rig/judge.py
+++ b/dykeshift/rig/judge.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Breach:
+    """A broken rule, and at which line of the record it shows."""
+
     rule: str
     line: int  # of the record
     text: str
@@ -44,6 +46,8 @@
 
 @dataclass(slots=True)
 class Judge:
+    """Reads the record line by line and collects breaches."""
+
     limits: Limits
     breaches: list[Breach] = field(default_factory=list)
     lives: dict[int, Life] = field(default_factory=dict)
@@ -54,6 +58,7 @@
     held: list[tuple[Breach, int, int]] = field(default_factory=list)
 
     def read(self, line: Line) -> None:
+        """Take the next line of the record."""
         getattr(self, "_" + line["what"], lambda _: None)(line)
         self.number += 1
 
@@ -129,6 +134,7 @@
         return next((g for g in self.groups() if place in g), [place])
 
     def groups(self) -> list[list[int]]:
+        """The running processes, parted into those that reach one another."""
         left, found = self._runs(), list[list[int]]()
         blocked = {tuple(pair) for pair in self.truth["one_way"]}
         parted = [frozenset(g) for g in self.truth["groups"]]
--- a/dykeshift/rig/lent.py
+++ b/dykeshift/rig/lent.py
@@ -29,6 +29,7 @@
         self.looked = -SECOND
 
     def start(self, now: int) -> list[Any]:
+        """Start the core and do its first tick."""
         self.shares.start(now)
         return self.on_timer(now)
 
@@ -39,6 +40,7 @@
             self.shares.on_deed(now, limit, self.world.deed(limit))
 
     def on_timer(self, now: int) -> list[Any]:
+        """Ask for what is needed, and send what the core wants to send."""
         self.next_at = now + TICK
         world = self.world
         if now - self.looked >= SECOND:
@@ -54,6 +56,7 @@
         return self._out(self.shares.on_tick(now, self.alive))
 
     def on_datagram(self, now: int, data: bytes, address: Any) -> list[Any]:
+        """Hand a sound message to the core."""
         self._look(now)
         try:
             message = decode(data, self.world.seal)
@@ -65,11 +68,14 @@
         return [(encode(m, self.world.seal), self.world.spots[n].address) for m, n in messages]
 
     def take_events(self) -> list[Any]:
+        """No events."""
         return []
 
 
 @dataclass
 class Found:
+    """What came of a day."""
+
     seed: int
     broken: list[str]
     served: float  # of what was needed and the limit allows, mean over the day
@@ -78,6 +84,8 @@
 
 
 class Lent(World):
+    """A world of balancers that lend one another parts of two limits."""
+
     def __init__(self, seed: object, count: int, terms: Terms | None = None, rate: float = 0.01) -> None:
         super().__init__(f"lent/{seed}", count, make=lambda spot, life: Lender(self, spot))
         self.terms = terms or Terms(lease=2 * SECOND)
@@ -92,12 +100,15 @@
         self.sums = [0.0, 0.0, 0.0]  # of what could be used, of the plain parts, of what was needed
 
     def build(self, spot: Spot) -> Shares:
+        """The core of a new process."""
         return Shares(self.terms, spot.number, Random(self.rng.random()))
 
     def deed(self, limit: int) -> int:
+        """Units that each place has of a limit."""
         return self.limits[limit] // len(self.spots)
 
     def lower(self, limit: int, units: int) -> None:
+        """Lower a limit to `units`; it counts once all earlier loans are over."""
         self.limits[limit] = units
         self.after(self.terms.settle / SECOND * 1.05 + 0.5, self._lowered, limit, units)
 
@@ -106,6 +117,7 @@
             self.bounds[limit] = units
 
     def up(self) -> list[Spot]:
+        """The processes that run and do not stand still."""
         return [s for s in self.spots if s.alive and not s.stopped and s.view is not None]
 
     def _check(self, spot: Spot) -> None:
--- a/dykeshift/rig/operators.py
+++ b/dykeshift/rig/operators.py
@@ -37,6 +37,8 @@
 
 
 class Operators:
+    """Gives orders at balancers' consoles, asks what these act on, and sends the clients' requests."""
+
     def __init__(self, day: Day) -> None:
         self.day, self.told = day, dict[int, Line]()
         self.known: set[int] = set()
@@ -46,6 +48,7 @@
     # ---- orders ----
 
     async def order(self, fault: Fault) -> None:
+        """Give an order at a console, again until it is answered by a yes or a no, and record it."""
         day, number = self.day, fault.who[0] if fault.who else 0
         balancer = day.rig.balancers[number]
         start, name = time.monotonic_ns(), f"s{int(fault.size)}"
@@ -111,6 +114,7 @@
     # ---- what balancers say ----
 
     async def ask(self, balancer: Balancer) -> None:
+        """Record what a balancer says it acts on, and the text of a version not seen before."""
         asked, process = time.monotonic_ns(), balancer.process
         got = await call(balancer.console, "GET", "/settings")
         if got is None or got[0] != 200 or balancer.process is not process:
@@ -149,6 +153,7 @@
                 )
 
     def unruled(self) -> str:
+        """Why those that run do not act on one version; empty where they do."""
         running = [b.number for b in self.day.rig.balancers if b.running]
         return unruled(self.told, running)
 
--- a/dykeshift/rig/plan.py
+++ b/dykeshift/rig/plan.py
@@ -76,6 +76,8 @@
 
 
 class Plan(Struct, frozen=True, forbid_unknown_fields=True):
+    """A day: who takes part, under what terms, and its steps."""
+
     name: str = "day"
     balancers: Annotated[int, Meta(ge=1, le=40)] = 5
     period_s: Annotated[float, Meta(ge=0.05, le=5)] = 0.2
@@ -101,6 +103,7 @@
 
     @classmethod
     def of(cls, plan: Plan) -> Limits:
+        """The limits for a plan's number of balancers."""
         return cls(lag=30 + plan.balancers, settle=120)
 
 
@@ -122,6 +125,7 @@
 
 
 def dump(plan: Plan) -> str:
+    """The plan as JSON."""
     return msgspec.json.encode(plan).decode()
 
 
--- a/dykeshift/rig/process.py
+++ b/dykeshift/rig/process.py
@@ -16,6 +16,7 @@
         self.ahead = ahead * 1_000_000
 
     def time_ns(self) -> int:  # type: ignore[override]
+        """Unix time in nanoseconds, shifted by `ahead`."""
         return time.time_ns() + self.ahead
 
 
--- a/dykeshift/rig/relays.py
+++ b/dykeshift/rig/relays.py
@@ -17,6 +17,8 @@
 
 @dataclass(slots=True)
 class Weather:
+    """What befalls datagrams; shares are between 0 and 1, times in seconds."""
+
     loss: float = 0.0  # share of datagrams
     double: float = 0.0
     late: float = 0.0  # share that takes up to `late_s` more, so that they overtake one another
@@ -33,14 +35,18 @@
         self.address: Address = ("", 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and its address."""
         self.transport = cast(asyncio.DatagramTransport, transport)
         self.address = transport.get_extra_info("sockname")
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Hand the datagram to the network."""
         self.net.carry(self.by, self.to, data)
 
 
 class Relays:
+    """The relays of all pairs, and the cuts and losses between them."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, count: int, rng: Random) -> None:
         self.loop, self.count, self.rng = loop, count, rng
         self.listen: list[Address] = [("", 0)] * count  # where the balancers themselves listen
@@ -53,6 +59,7 @@
         self.closed = False
 
     async def open(self, host: str) -> None:
+        """Open a relay for each ordered pair on `host`."""
         for by in range(self.count):
             for to in range(self.count):
                 make_relay = partial(Relay, self, by, to)
@@ -60,14 +67,17 @@
                 self.pairs[by, to] = relay
 
     def peers_of(self, number: int) -> list[str]:
+        """The addresses of all balancers as balancer `number` has to be told them."""
         return ["%s:%d" % self.pairs[number, to].address for to in range(self.count)]
 
     def linked(self, one: int, other: int) -> bool:
+        """Whether datagrams from one reach the other."""
         if (one, other) in self.blocked:
             return False
         return not self.groups or any(one in g and other in g for g in self.groups)
 
     def carry(self, by: int, to: int, data: bytes) -> None:
+        """Deliver a datagram, or lose, double or delay it by the weather."""
         kind = data[1] if len(data) > 1 else -1
         if not self.linked(by, to):
             self._note(by, to, kind, "cut")
@@ -87,6 +97,7 @@
                 self.deliver(by, to, data)
 
     def deliver(self, by: int, to: int, data: bytes) -> None:
+        """Send a datagram out to its balancer, unless the two are cut off by now."""
         relay = self.pairs[to, by]
         if not self.closed and relay.transport is not None and self.linked(by, to):
             relay.transport.sendto(data, self.listen[to])
@@ -103,6 +114,7 @@
             self.log.append((self.loop.time(), by, to, kind, fate))
 
     def close(self) -> None:
+        """Close all relays."""
         self.closed = True
         for relay in self.pairs.values():
             if relay.transport is not None:
--- a/dykeshift/rig/ruled.py
+++ b/dykeshift/rig/ruled.py
@@ -81,11 +81,13 @@
         self.ruled = world.versions(self, Own(raw), machine, rng)
 
     def sight(self) -> Sight:
+        """What the process sees when it checks a proposal; one that objects has too many at work."""
         return Sight(at_work=300 if self.no else 1)
 
     # ---- time and datagrams ----
 
     def on_timer(self, now: int) -> Out:
+        """Advance the agreement, and the versions on top of it."""
         out = super().on_timer(now)
         return out + self._tick(now) if now >= self.tick_at else out
 
@@ -111,6 +113,7 @@
         return self._through(out)
 
     def on_datagram(self, now: int, data: bytes, address: Any) -> Out:
+        """Hand a datagram to the versions or to the agreement."""
         if is_ours(data):
             self.ruled.on_datagram(now, data, self.core.shared.seal)
             return []
@@ -119,6 +122,8 @@
 
 @dataclass
 class Conflict:
+    """Two act on what contradicts, since `since` (nanoseconds of the world)."""
+
     since: int
     what: str
 
@@ -161,12 +166,14 @@
         self.doubts = 0  # times that a process which acted on a version came to be in doubt
 
     def machine(self) -> Machine:
+        """The book of versions."""
         return Book()
 
     def _peer(self, spot: Spot, life: int) -> Any:
         return RuledPeer(self, spot, Random(self.rng.random()))
 
     def versions(self, peer: RuledPeer, own: Own, book: Book, rng: Random) -> Versions:
+        """The versions of a new process, on top of its agreement."""
         core, spot = peer.core, peer.spot
         return Versions(
             self.rules,
@@ -181,9 +188,11 @@
         )
 
     def bad_share(self, acts: Acts) -> float:
+        """Share of bad answers of a process that acts on this."""
         return 0.2 if acts.version in self.harmful and acts.mode == "in force" else 0.0
 
     def kill(self, spot: Spot) -> None:
+        """Kill a process; it acts on nothing any more."""
         super().kill(spot)
         self.acting.pop(spot.number, None)
 
@@ -284,6 +293,7 @@
             self.after(CLOSE, self._look_round)
 
     def end(self, what: str) -> None:
+        """A conflict is over: keep how long it lasted, in seconds."""
         lasted = (self.now - self.conflicts.pop(what).since) / SECOND
         sort = what.partition(" ")[0]
         self.spans.append(lasted)
@@ -307,10 +317,12 @@
         )
 
     def in_force(self, version: int) -> bool:
+        """Whether all that are up act on this version."""
         return all(
             self._look(s.view).mode == "in force" and s.view.ruled.acts.version == version for s in self.up()
         )
 
     def phase(self, number: int) -> Phase | None:
+        """The phase of the change under way, as process `number` knows it; None where there is none."""
         pending = self.spots[number].view.ruled.book.pages.pending
         return pending.phase if pending is not None else None
--- a/dykeshift/rig/ruled_baselines.py
+++ b/dykeshift/rig/ruled_baselines.py
@@ -32,6 +32,7 @@
         super().__init__(seed, count, *args, **more)
 
     def order(self, number: int, change: Change) -> str:
+        """Take a change of settings; other orders are turned down."""
         if not isinstance(change, Propose) or change.dry:
             return "no such order here"
         self.stamps += 1
@@ -39,9 +40,11 @@
         return ""
 
     def change(self, number: int, stamp: int, text: str) -> None:
+        """Spread new settings from process `number`."""
         raise NotImplementedError
 
     def take(self, spot: Spot, stamp: int, text: str) -> None:
+        """A process has got new settings and acts on them."""
         self.files[spot.number] = (stamp, text)
         self._look_round()
 
@@ -55,7 +58,10 @@
 
 
 class Hup(Filed):
+    """An operator writes each balancer's file and sends SIGHUP, one after the other."""
+
     def change(self, number: int, stamp: int, text: str) -> None:
+        """Tell the processes in turn, `STEP` seconds apart."""
         for n, spot in enumerate(self.spots):
             self.after(STEP * n, self._tell, self.spots[number], spot, stamp, text)
 
@@ -65,7 +71,10 @@
 
 
 class Gossip(Filed):
+    """Members tell one another; the last writer wins."""
+
     def change(self, number: int, stamp: int, text: str) -> None:
+        """Take the change; gossip spreads it."""
         self.take(self.spots[number], stamp, text)
 
     def _after(self, spot: Spot) -> None:
@@ -83,7 +92,10 @@
 
 
 class Boldly(InForce):
+    """Acts on what it has, with a lease or without."""
+
     def look(self, now: int, lease_left: int, heard: tuple[bytes, ...] = (), why: str = "") -> int:
+        """Look as if the lease had time left."""
         return super().look(now, 1)
 
 
@@ -99,7 +111,10 @@
 
 
 class Blunt(Guide):
+    """Coordinates changes without the joint phase."""
+
     def next(self, now: int, facts: Facts) -> Change | None:
+        """Put the new version in force where the joint phase would begin."""
         change = super().next(now, facts)
         return Force(change.version) if isinstance(change, Middle) else change
 
--- a/dykeshift/rig/ruled_days.py
+++ b/dykeshift/rig/ruled_days.py
@@ -22,6 +22,8 @@
 
 @dataclass
 class Found:
+    """What came of a day."""
+
     seed: int
     broken: list[str]
     changes: Counter[str] = field(default_factory=Counter)
--- a/dykeshift/rig/tally.py
+++ b/dykeshift/rig/tally.py
@@ -22,6 +22,8 @@
 
 
 class Tally:
+    """Account of clients and witness of senders: it counts, and notes broken rules."""
+
     def __init__(self) -> None:
         self.answers: Counter[str] = Counter()
         self.classes: Counter[str] = Counter()
@@ -38,16 +40,20 @@
         self.closing = False
 
     def note(self, text: str) -> None:
+        """Keep a line for the live view, with the time of day."""
         self.notes.append(f"{time.strftime('%H:%M:%S')}  {text}")
 
     def breach(self, text: str) -> None:
+        """Note a broken rule."""
         self.broken_rules.append(text)
         self.note(f"RULE BROKEN: {text}")
 
     def died(self, balancer: str, now: float) -> None:
+        """A balancer was killed at `now` (seconds, monotonic): its requests may be cut off."""
         self.deaths.setdefault(balancer, []).append(now)
 
     def told_to_drain(self, sender: str, now: float) -> None:
+        """A sender drains from `now` (seconds, monotonic) on."""
         self.draining[sender] = now
 
     def _excused(self, rid: str, to: Address) -> bool:
@@ -58,11 +64,13 @@
     # The account of clients.
 
     def sent(self, errand: Errand, rid: str, to: Address) -> None:
+        """A request is with the client's kernel."""
         now = time.monotonic()
         self.classes[errand.klass] += 1
         self.began[rid], self.due[rid] = now, now + errand.deadline
 
     def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None:
+        """Check an answer against its time and against what senders did."""
         now = time.monotonic()
         status = answer.status
         kind = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
@@ -80,6 +88,7 @@
         self._forget(rid)
 
     def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
+        """A connection ended without a whole answer."""
         if self._excused(rid, to):
             self.answers["cut off by a death"] += 1
         else:
@@ -89,6 +98,7 @@
         self._forget(rid)
 
     def left(self, errand: Errand, rid: str, to: Address) -> None:
+        """A client gave up."""
         if self._excused(rid, to):
             self.answers["cut off by a death"] += 1
         else:
@@ -97,6 +107,7 @@
         self._forget(rid)
 
     def extra(self, to: Address, data: bytes) -> None:
+        """Bytes came that answer nothing: a breach."""
         self.breach(f"bytes that answer nothing: {data[:40]!r}")
 
     def _forget(self, rid: str) -> None:
@@ -106,11 +117,13 @@
     # The witness of senders.
 
     def arrived(self, sender: Sender, request: Message) -> None:
+        """A request came to a sender; one that drains should get none."""
         since = self.draining.get(sender.name)
         if since is not None and time.monotonic() > since + GRACE + SCHEDULING:
             self.breach(f"{request.headers['x-request-id']} comes to {sender.name}, which drains")
 
     def ran(self, sender: Sender, request: Message, repeat: bool) -> None:
+        """A sender ran a request; one that must not be repeated may take effect once."""
         self.made_by.setdefault(request.headers["x-request-id"], set()).add(sender.name)
         errand, klass = request.query("errand"), request.query("kind")
         if klass == "status-check" or repeat:
@@ -120,7 +133,9 @@
             self.breach(f"{errand} ({klass}) takes effect twice")
 
     def turned_away(self, sender: Sender, request: Message) -> None:
+        """A sender refused a request."""
         self.answers["turned away by senders"] += 1
 
     def fell(self, sender: Sender) -> None:
+        """A cold sender was pushed over: a breach."""
         self.breach(f"{sender.name} was pushed over while it was cold")
--- a/dykeshift/rig/virtual.py
+++ b/dykeshift/rig/virtual.py
@@ -44,16 +44,20 @@
 
     @property
     def name(self) -> str:
+        """Its name, `n` and its number."""
         return f"n{self.number}"
 
     @property
     def address(self) -> Address:
+        """The address that the others send to."""
         return (f"10.0.{self.number >> 8}.{self.number & 255}", 7946)
 
     def clock(self) -> int:
+        """Its monotonic clock in nanoseconds, which runs at its own rate."""
         return int(self.world.now * self.rate) + self.number * 7 * SECOND
 
     def kill(self) -> None:
+        """Kill its process; what had not been read is lost."""
         if self.alive:
             self.alive, self.stopped, self.died = False, False, self.world.now
             self.backlog.clear()
@@ -61,6 +65,8 @@
 
 @dataclass
 class Weather:
+    """What befalls datagrams; shares are between 0 and 1, `late_by` is in nanoseconds."""
+
     loss: float = 0.0
     double: float = 0.0
     late: float = 0.0  # share of datagrams that take up to `late_by` more
@@ -68,6 +74,8 @@
 
 
 class World:
+    """Virtual time, the processes and the network between them."""
+
     def __init__(
         self,
         seed: str | int,
@@ -103,6 +111,7 @@
     # ---- time ----
 
     def at(self, when: int, run: Callable[..., None], *args: Any) -> None:
+        """Call `run` at `when` (nanoseconds of the world), at once where that is past."""
         self.counter += 1
         heapq.heappush(self.queue, (max(when, self.now), self.counter, run, args))
 
@@ -126,16 +135,19 @@
     # ---- processes ----
 
     def start(self, spot: Spot) -> None:
+        """Start a new process at a place."""
         spot.lives += 1
         spot.alive, spot.stopped, spot.born = True, False, self.now
         spot.view = self.make(spot, EPOCH + self.now // MS + spot.wall)
         self._carry(spot, spot.view.start(spot.clock()))
 
     def start_all(self, within: float = 0.5) -> None:
+        """Start all within so many seconds, at random."""
         for spot in self.spots:
             self.after(within * self.rng.random(), self.start, spot)
 
     def stop(self, spot: Spot) -> None:
+        """A process stands still; its datagrams pile up."""
         spot.stopped, spot.stopped_at = True, self.now
 
     def resume(self, spot: Spot) -> None:
@@ -160,6 +172,7 @@
                 self.start(spot)
 
     def leave(self, spot: Spot) -> None:
+        """A process leaves in order."""
         self._carry(spot, spot.view.leave(spot.clock()))
         spot.kill()
 
@@ -180,6 +193,7 @@
     # ---- the network ----
 
     def linked(self, one: Spot, other: Spot) -> bool:
+        """Whether datagrams from one reach the other."""
         if (one.number, other.number) in self.blocked:
             return False
         return not self.groups or any(one.number in g and other.number in g for g in self.groups)
@@ -200,6 +214,7 @@
                 self.at(self.now + int((1 + 26 * draw()) * MS) + late, self.deliver, spot.address, to, data)
 
     def deliver(self, source: Address, to: Spot, data: bytes) -> None:
+        """Hand a datagram over, unless the two are cut off by now."""
         if not to.alive or not self.linked(self.by_address[source], to):
             return
         if to.stopped:
@@ -210,6 +225,7 @@
     # ---- the truth ----
 
     def living(self) -> list[Spot]:
+        """The processes that run, also those that stand still."""
         return [s for s in self.spots if s.alive]
 
     def groups_of(self, spots: Iterable[Spot]) -> list[list[Spot]]:
--- a/dykeshift/rig/witness.py
+++ b/dykeshift/rig/witness.py
@@ -49,25 +49,32 @@
     # The account of clients.
 
     def sent(self, errand: Errand, rid: str, to: Address) -> None:
+        """Remember through which balancer, and in which class, the request went."""
         self.by[rid] = self.names.get(to, ""), errand.klass
 
     def answered(self, errand: Errand, rid: str, to: Address, answer: Message) -> None:
+        """Count the answer by its status."""
         self.answers[str(answer.status)] += 1
 
     def broken(self, errand: Errand, rid: str, to: Address, begun: bool) -> None:
+        """Count a request that was cut off."""
         self.answers["cut off"] += 1
 
     def left(self, errand: Errand, rid: str, to: Address) -> None:
+        """Count a request that its client gave up."""
         self.answers["left"] += 1
 
     def extra(self, to: Address, data: bytes) -> None:
+        """Count bytes that answer nothing."""
         self.answers["extra"] += 1
 
     # The witness of senders.
 
-    def arrived(self, sender: Sender, request: Message) -> None: ...
+    def arrived(self, sender: Sender, request: Message) -> None:
+        """Nothing to note."""
 
     def ran(self, sender: Sender, request: Message, repeat: bool) -> None:
+        """Record the run, and the how manieth it is of its request."""
         rid = request.headers["x-request-id"]
         self.runs[rid] += 1
         by, klass = self.by.get(rid, ("", ""))
@@ -83,9 +90,11 @@
         )
 
     def turned_away(self, sender: Sender, request: Message) -> None:
+        """Count a refusal by a sender."""
         self.answers["turned away by senders"] += 1
 
-    def fell(self, sender: Sender) -> None: ...
+    def fell(self, sender: Sender) -> None:
+        """Nothing to note."""
 
 
 def judge(record: list[Line], c_s: float) -> list[tuple[str, str]]:
--- a/dykeshift/shares/loans.py
+++ b/dykeshift/shares/loans.py
@@ -54,6 +54,8 @@
 
 @dataclass(slots=True)
 class Loan:
+    """Units of a limit, lent until `until` (nanoseconds)."""
+
     limit: int
     other: int  # number of the other balancer
     amount: int
@@ -73,6 +75,8 @@
 
 @dataclass
 class Shares:
+    """One balancer's parts of all limits; times are monotonic nanoseconds."""
+
     terms: Terms
     number: int
     rng: Random
@@ -87,14 +91,17 @@
         self.birth = self.rng.getrandbits(32) or 1
 
     def start(self, now: int) -> None:
+        """Begin; nothing is lent before what an earlier life lent has settled."""
         self.lends_from = now + self.terms.settle
 
     # ---- what the host tells and asks ----
 
     def on_deed(self, now: int, limit: int, units: int) -> None:
+        """Set this place's own part of a limit."""
         self.holdings.setdefault(limit, Holding()).deed = units
 
     def on_need(self, limit: int, units: int) -> None:
+        """Set how many units of a limit are needed here."""
         if limit in self.holdings:
             self.holdings[limit].need = units
 
@@ -182,6 +189,7 @@
     # ---- messages ----
 
     def on_message(self, now: int, message: Message) -> list[tuple[Message, int]]:
+        """Take a message; returns answers, each with the number of its receiver."""
         self._expire(now)
         if isinstance(message, Ask):
             return self._on_ask(now, message)
--- a/dykeshift/shares/wire.py
+++ b/dykeshift/shares/wire.py
@@ -24,6 +24,8 @@
 
 
 class Kind(IntEnum):
+    """Kinds of datagrams."""
+
     ASK = 72
     GRANT = 73
     BACK = 74
@@ -31,6 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
+    """The wish to borrow `amount` units of a limit, or to go on borrowing them."""
+
     number: int
     birth: int
     token: int
@@ -41,6 +45,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
+    """The answer to an Ask: so many units are lent."""
+
     number: int
     birth: int
     token: int
@@ -50,6 +56,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Back:
+    """The end of a loan before its time."""
+
     number: int
     birth: int
     token: int
@@ -59,6 +67,7 @@
 
 
 def encode(message: Message, seal: Seal) -> bytes:
+    """The datagram of a message, sealed."""
     kind, body = Kind.BACK, b""
     if isinstance(message, Ask):
         kind, body = Kind.ASK, ASK.pack(message.question, message.limit, message.amount)
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -53,6 +53,7 @@
 
     @property
     def rules(self) -> list[str]:
+        """The names of the broken rules, sorted, each once."""
         return sorted({b.rule for b in self.breaches})
 
 
@@ -116,6 +117,7 @@
     # ---- discovery ----
 
     def start_registry(self, address: tuple[str, int]) -> None:
+        """Start a discovery process at an address, on a machine of its own."""
         host = self.registry_hosts.get(address[0]) or self.net.host(address[0], "z0")
         self.registry_hosts[address[0]] = host
         registry = Registry(self.world.stream(f"registry/{address[0]}/{self.world.now}"))
@@ -127,6 +129,8 @@
         self.registries[address], self.registry_processes[address] = registry, process
 
     def list_later(self, delay: float, instance: Instance) -> None:
+        """Enter an instance at all discoveries, after `delay` seconds."""
+
         def put() -> None:
             sender = self.by_name[instance.id]
             if sender.down and instance.lifecycle != "left":
@@ -144,6 +148,8 @@
                 registry.listed[instance.id] = instance
 
     def leave_later(self, delay: float, name: str, lifecycle: str) -> None:
+        """Change an instance's lifecycle at all discoveries, after `delay` seconds."""
+
         def leave() -> None:
             known = self.listing.get(name)
             if known is None:
@@ -217,6 +223,7 @@
             duty.read()
 
     def duty(self, node: Node) -> Duty:
+        """The operator of a balancer."""
         return self.duties[node.name]
 
     def _open_clinics(self) -> None:
@@ -259,6 +266,7 @@
     # The account that clinics give (standins.clinic.Account).
 
     def framed(self, letter: Letter, number: int, to: tuple[str, int], ahead: list[tuple[str, int]]) -> None:
+        """See `standins.clinic.Account`."""
         name, node = letter.note.control_id, self.by_host[to[0]]
         self.world.note(
             f"{name}/{number} ({KINDS[letter.note.klass]}, {letter.patience * 1000:.0f} ms, "
@@ -270,6 +278,7 @@
         )
 
     def acknowledged(self, letter: Letter, number: int, to: tuple[str, int], code: str, last: bool) -> None:
+        """See `standins.clinic.Account`."""
         name = letter.note.control_id
         self.world.note(f"{name}/{number} has {code}")
         if last:
@@ -277,14 +286,17 @@
             self.referee.acknowledged(self._here(), name, number, code, certain)
 
     def cut_off(self, letter: Letter, number: int, to: tuple[str, int]) -> None:
+        """See `standins.clinic.Account`."""
         self.world.note(f"{letter.note.control_id}/{number} is cut off")
         self.referee.cut_off(self._here(), letter.note.control_id, number)
 
     def unheard(self, letter: Letter, number: int, to: tuple[str, int]) -> None:
+        """See `standins.clinic.Account`."""
         self.world.note(f"{letter.note.control_id}/{number} is not listened for any more")
         self.referee.unheard(self._here(), letter.note.control_id, number)
 
     def stray(self, to: tuple[str, int], data: bytes) -> None:
+        """See `standins.clinic.Account`."""
         self.referee.extra(self._here(), self.by_host[to[0]].name, data)
 
     def _here(self) -> int:
@@ -293,6 +305,7 @@
     # The account that clients give (standins.client.Account).
 
     def sent(self, errand: Errand, rid: str, to: tuple[str, int]) -> None:
+        """See `standins.client.Account`."""
         now = self._here()
         patience = f"{errand.kind}, {errand.deadline * 1000:.0f} ms"
         self.world.note(f"{rid} ({patience}) to {self.by_address[to].name}")
@@ -301,6 +314,7 @@
         )
 
     def answered(self, errand: Errand, rid: str, to: tuple[str, int], answer: Message) -> None:
+        """See `standins.client.Account`."""
         self.world.note(f"{rid} has {answer.status}")
         node = self.by_address[to]
         if answer.status == 400 and not any(
@@ -310,6 +324,7 @@
         self.referee.answered(self._here(), rid, answer.status, answer.body.decode("latin-1"))
 
     def broken(self, errand: Errand, rid: str, to: tuple[str, int], begun: bool) -> None:
+        """See `standins.client.Account`."""
         self.world.note(f"{rid} broke off")
         spoilt = begun and any(
             wire.rid == rid and endpoint.error is not None for endpoint, wire in self.readers.items()
@@ -317,10 +332,12 @@
         self.referee.broken(self._here(), rid, again=False, spoilt=spoilt)
 
     def left(self, errand: Errand, rid: str, to: tuple[str, int]) -> None:
+        """See `standins.client.Account`."""
         self.world.note(f"{rid} is left by its client")
         self.referee.gone(self._here(), rid)
 
     def extra(self, to: tuple[str, int], data: bytes) -> None:
+        """See `standins.client.Account`."""
         self.referee.extra(self._here(), self.by_address[to].name, data)
 
     # The witness that senders have (standins.sender.Witness).
@@ -329,17 +346,21 @@
         return self.world.now
 
     def arrived(self, sender: Sender, request: Message) -> None:
+        """See `standins.sender.Witness`."""
         self.world.note(f"{sender.name} takes {request.headers['x-request-id']}")
 
     def ran(self, sender: Sender, request: Message, repeat: bool) -> None:
+        """See `standins.sender.Witness`."""
         self.referee.ran(
             self.world.now, request.headers["x-request-id"], request.query("errand"), sender.name, repeat
         )
 
     def turned_away(self, sender: Sender, request: Message) -> None:
+        """See `standins.sender.Witness`."""
         self.world.note(f"{sender.name} turns {request.headers['x-request-id']} away")
 
     def fell(self, sender: Sender) -> None:
+        """See `standins.sender.Witness`."""
         self.world.note(f"{sender.name} falls over")
         self.referee.fell(self.world.now, sender.name)
 
@@ -372,6 +393,7 @@
     # ---- what excuses ----
 
     def excuse(self, balancer: str, sent: int, since: int, until: int) -> bool:
+        """Whether a death, a stall or a cut kept the balancer from answering; times in nanoseconds."""
         node = next(n for n in self.nodes if n.name == balancer)
         if any(sent <= at <= until and excused for at, excused in node.deaths):
             return True
@@ -380,6 +402,7 @@
         return self.parted(balancer, sent, until)
 
     def parted(self, balancer: str, since: int, until: int) -> bool:
+        """Whether the balancer's host was cut off for some of that time (nanoseconds)."""
         node = next(n for n in self.nodes if n.name == balancer)
         return any(
             begin <= until and end >= since and node.host.name in hosts for hosts, begin, end in self.outages
@@ -400,6 +423,7 @@
     # ---- play ----
 
     def play(self, stop_at_first: bool = False) -> Result:
+        """Play the day to its end, or to its first breach."""
         handler = _Ears(self)
         logger = logging.getLogger("dykeshift")
         before = logger.level, logger.propagate
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -33,20 +33,26 @@
     registries: dict[tuple[str, int], Registry]
     registry_processes: dict[tuple[str, int], Program]
 
-    def start_registry(self, address: tuple[str, int]) -> None: ...
+    def start_registry(self, address: tuple[str, int]) -> None:
+        """Start a discovery process at an address."""
 
-    def duty(self, node: Node) -> Duty: ...
+    def duty(self, node: Node) -> Duty:
+        """The operator of a balancer."""
 
-    def outage(self, hosts: frozenset[str], length: int) -> Cut: ...
+    def outage(self, hosts: frozenset[str], length: int) -> Cut:
+        """Cut hosts off for `length` nanoseconds."""
 
 
 class Faults:
+    """Does a scenario's faults to the world, each at its time."""
+
     def __init__(self, day: Stage) -> None:
         self.day = day
         self.world, self.net = day.world, day.net
         self.cuts: list[tuple[str, int, Any]] = []  # streams that are cut: which way, until when, its draw
 
     def schedule(self) -> None:
+        """Schedule the faults, and the end of all of them at `HEAL` seconds."""
         for number, fault in enumerate(self.day.scenario.faults):
             self.world.at(EPOCH + int(fault.at * SECOND), self._begin, number, fault)
         self.world.at(EPOCH + int(HEAL * SECOND), self.heal)
@@ -67,6 +73,7 @@
         return self.day.posts[(fault.which + more) % len(self.day.posts)]
 
     def heal(self) -> None:
+        """Undo whatever is still wrong."""
         day = self.day
         self.world.note("heal")
         self.cuts.clear()
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -124,13 +124,16 @@
         self.under_way: list[Callable[[], Any]] = []
 
     def open(self, path: str) -> Disk:
+        """See `store.disk.Disk`."""
         return self.files
 
     def worker(self, loop: Any) -> VirtualDisk:
+        """See `store.disk.Disk`."""
         self.loop, self.under_way = loop, []
         return self
 
     def run(self, work: Callable[[], Any], done: Callable[[Any, BaseException | None], None]) -> None:
+        """Do the work after a time drawn at random, longer where the disk is slow."""
         self.under_way.append(work)
         self.loop.call_later(0.0005 + 0.004 * self.rng.random() + self.slow, self._do, work, done)
 
@@ -143,6 +146,7 @@
         self.loop.call_later(0.001 * self.rng.random(), done, result, error)
 
     def close(self) -> None:
+        """Finish what is under way, at once."""
         for work in self.under_way:
             with contextlib.suppress(LogError, OSError):
                 work()
@@ -199,6 +203,7 @@
         self.changes: list[tuple[int, int]] = []  # from when to when its settings were other ones
 
     def start(self, known: Any) -> None:
+        """Start a process with a new configuration; `known` is its first list of servers."""
         if self.process is not None and self.process.alive:
             return
         day, options = self.day, self.day.scenario.options
@@ -287,6 +292,7 @@
         return next(found, None)
 
     def kill(self, excused: bool = True) -> None:
+        """Kill its process; `excused`: the requests that it cuts off are no breach."""
         if self.process is not None and self.process.alive:
             self.deaths.append((self.day.world.now, excused))
             self.process.kill()
@@ -340,6 +346,7 @@
         )
 
     def name(self) -> str:
+        """The sender's name, empty where there is none."""
         return self.sender.name if self.sender is not None else ""
 
     def stop(self, vanish: bool = False, notice: float = 0.5) -> None:
@@ -353,6 +360,7 @@
         self.day.leave_later(notice, self.name(), "left")
 
     def drain(self) -> None:
+        """Drain the sender and tell discovery."""
         if self.sender is not None:
             self.sender.drain()
             self.day.leave_later(0.0, self.name(), "leaving")
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -62,6 +62,7 @@
         self.args = args
 
     def cancel(self) -> None:
+        """Forget what would have run."""
         self.run, self.args = None, ()
 
 
@@ -101,6 +102,7 @@
         return event
 
     def after(self, delay: int, run: Callable[..., None], *args: Any) -> Event:
+        """Schedule `run` after `delay` nanoseconds."""
         return self.at(self.now + delay, run, *args)
 
     def note(self, text: str) -> None:
@@ -110,6 +112,7 @@
             self.tracing(self.now, text)
 
     def digest(self) -> str:
+        """A fingerprint of all that was noted so far."""
         return self._hash.hexdigest()
 
     def run(self, until: int, stop: Callable[[], bool] | None = None) -> None:
@@ -151,17 +154,23 @@
     spent: int  # nanoseconds that this round's callbacks have taken so far
     net: Any  # given by the network that the host is on
 
-    def signalled(self, number: int) -> None: ...
+    def signalled(self, number: int) -> None:
+        """The process got a signal."""
 
-    def discard(self) -> None: ...
+    def discard(self) -> None:
+        """The process has died: nothing runs any more."""
 
-    def readable(self, socket: Any) -> None: ...
+    def readable(self, socket: Any) -> None:
+        """A socket has something to report."""
 
-    def at_end_of_round(self, one: Any) -> None: ...
+    def at_end_of_round(self, one: Any) -> None:
+        """Have a transport write at the end of this round."""
 
-    def call_soon(self, callback: Callable[..., object], *args: Any) -> asyncio.Handle: ...
+    def call_soon(self, callback: Callable[..., object], *args: Any) -> asyncio.Handle:
+        """See `asyncio.AbstractEventLoop`."""
 
-    def create_future(self) -> asyncio.Future[Any]: ...
+    def create_future(self) -> asyncio.Future[Any]:
+        """See `asyncio.AbstractEventLoop`."""
 
 
 @dataclass(slots=True, eq=False)
@@ -190,14 +199,17 @@
     # ---- descriptors ----
 
     def full(self) -> bool:
+        """Whether all its descriptors are in use."""
         return len(self.sockets) >= self.limit
 
     def open(self, thing: Any) -> int:
+        """Give a descriptor's number to something."""
         self.opened += 1
         self.sockets[self.opened] = thing
         return self.opened
 
     def forget(self, number: int) -> None:
+        """Free a descriptor."""
         self.sockets.pop(number, None)
 
     # ---- life ----
@@ -211,6 +223,7 @@
             self.world.note(f"{self.name} stalls for {length / MS:.0f} ms")
 
     def signal(self, number: int) -> None:
+        """Send a signal."""
         if self.alive:
             self.world.note(f"{self.name} gets signal {number}")
             self.terminated = self.terminated or number == SIGTERM
@@ -221,6 +234,7 @@
         self.exit(-9)
 
     def exit(self, code: int) -> None:
+        """End the process: its sockets close, its loop stops."""
         if not self.alive:
             return
         self.alive, self.exit_code = False, code
@@ -241,16 +255,21 @@
         self.world = process.world
 
     def monotonic_ns(self) -> int:
+        """See `clock.Clock`; the running callback's cost counts."""
         return self.world.now + self.process.loop.spent
 
     def time_ns(self) -> int:
+        """See `clock.Clock`; shifted by the host's offset."""
         return self.world.unix() + self.process.loop.spent + self.process.host.wall_offset
 
     def has_input(self, transport: Any) -> bool:
+        """See `clock.Clock`."""
         return bool(transport.has_input())
 
     def hung_up(self, transport: Any) -> bool:
+        """See `clock.Clock`."""
         return bool(transport.hung_up())
 
     def input_age(self, transport: Any) -> int:
+        """See `clock.Clock`."""
         return max(0, self.monotonic_ns() - int(transport.endpoint.arrived))
--- a/dykeshift/sim/loop.py
+++ b/dykeshift/sim/loop.py
@@ -33,6 +33,8 @@
 
 
 class VirtualLoop(asyncio.AbstractEventLoop):
+    """The loop of one process; what asyncio has beyond these methods is not offered."""
+
     def __init__(self, process: Process) -> None:
         self.process = process
         self.world = process.world
@@ -60,9 +62,11 @@
         return now // MS * MS if self.flavour.uvloop else now
 
     def time(self) -> float:
+        """Seconds on the loop's clock, as of the beginning of the round."""
         return self._time / SECOND
 
     def pending_timers(self) -> int:
+        """How many timers are set."""
         return sum(not handle.cancelled() for *_, handle in self._timers)
 
     # ---- rounds ----
@@ -164,6 +168,7 @@
             self.wake()
 
     def at_end_of_round(self, one: Any) -> None:
+        """See `kernel.Rounds`."""
         self._late[one] = None
         self.wake()
 
@@ -194,6 +199,7 @@
             self._wake = None
 
     def signalled(self, number: int) -> None:
+        """See `kernel.Rounds`."""
         known = self._signals.get(number)
         if known is None:
             self.process.pending_signals.append(number)  # blocked until there is a handler
@@ -213,6 +219,7 @@
         *args: Any,
         context: contextvars.Context | None = None,
     ) -> asyncio.Handle:
+        """See `asyncio.AbstractEventLoop`."""
         handle = asyncio.Handle(callback, args, self, context)
         self._append(handle)
         return handle
@@ -224,6 +231,7 @@
         *args: Any,
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
+        """See `asyncio.AbstractEventLoop`; uvloop's flavour rounds to milliseconds."""
         if self.flavour.uvloop:
             due = self._time + round(max(0.0, delay) * 1000) * MS
         else:
@@ -242,17 +250,20 @@
         *args: Any,
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
+        """See `asyncio.AbstractEventLoop`."""
         return self.call_later(when - self.time(), callback, *args, context=context)
 
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
         pass  # it stays in the heap until it is due, and does nothing then
 
     def create_future(self) -> asyncio.Future[Any]:
+        """See `asyncio.AbstractEventLoop`."""
         return asyncio.Future(loop=self)
 
     def create_task(
         self, coro: Any, *, name: str | None = None, context: contextvars.Context | None = None
     ) -> asyncio.Task[Any]:
+        """See `asyncio.AbstractEventLoop`; a dead process runs none."""
         if not self.process.alive:
             coro.close()
             return _Buried(self)  # type: ignore[return-value]
@@ -265,21 +276,26 @@
         self.tasks.pop(task, None)
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep what nobody caught, for the day to report."""
         if not self.process.alive:
             return
         exc = context.get("exception")
         self.faults.append(f"{context.get('message')}: {type(exc).__name__}: {exc}")
 
     def default_exception_handler(self, context: dict[str, Any]) -> None:
+        """See `asyncio.AbstractEventLoop`."""
         self.call_exception_handler(context)
 
     def get_debug(self) -> bool:
+        """Never in debug mode."""
         return False
 
     def is_running(self) -> bool:
+        """See `asyncio.AbstractEventLoop`."""
         return self._running
 
     def is_closed(self) -> bool:
+        """Whether its process has died."""
         return not self.process.alive
 
     def add_signal_handler(  # type: ignore[override]
@@ -288,12 +304,14 @@
         callback: Callable[..., object],
         *args: Any,
     ) -> None:
+        """See `asyncio.AbstractEventLoop`; signals from before are delivered now."""
         self._signals[sig] = (callback, args)
         waiting, self.process.pending_signals = self.process.pending_signals, []
         for number in waiting:
             self.signalled(number)
 
     def remove_signal_handler(self, sig: int) -> bool:
+        """See `asyncio.AbstractEventLoop`."""
         return self._signals.pop(sig, None) is not None
 
     # ---- network ----
@@ -327,12 +345,14 @@
         backlog: int = 100,
         **kwargs: Any,
     ) -> transport.VirtualServer:
+        """See `asyncio.AbstractEventLoop`; `host` and `port` only."""
         listener = self._network().listen(self.process, (str(host), int(port)), backlog)
         return transport.VirtualServer(self, listener, protocol_factory)
 
     async def create_datagram_endpoint(
         self, protocol_factory: Any, local_addr: Any = None, remote_addr: Any = None, **kwargs: Any
     ) -> tuple[Any, Any]:
+        """See `asyncio.AbstractEventLoop`."""
         port = self._network().bind_datagrams(self.process, local_addr)
         protocol = protocol_factory()
         made = transport.UdpTransport(self, port, protocol, remote_addr)
--- a/dykeshift/sim/net.py
+++ b/dykeshift/sim/net.py
@@ -55,6 +55,7 @@
         self.open = True
 
     def report(self) -> None:
+        """Hand connections that wait to the program."""
         while self.open and self.waiting and self.process.alive:
             endpoint = self.waiting.popleft()
             if self.process.full():
@@ -66,6 +67,7 @@
                 self.accept(endpoint)
 
     def close(self) -> None:
+        """Stop listening; connections that wait are reset."""
         if self.open:
             self.open = False
             self.process.forget(self.number)
@@ -137,11 +139,13 @@
     # ---- its program's side ----
 
     def own(self, process: Process) -> None:
+        """Belong to a process from now on."""
         self.process = process
         self.owner = process.name
         self.number = process.open(self)
 
     def room(self) -> int:
+        """Bytes that may be written now."""
         return max(0, self.net.flavour.buffer - self.under_way)
 
     def write(self, data: bytes) -> int:
@@ -202,6 +206,7 @@
         self.shut(reset=self.net.draw() < 0.8)
 
     def read(self) -> bytes:
+        """Take what has arrived, `Flavour.read_size` bytes at most."""
         data = bytes(self.received[: self.net.flavour.read_size])
         del self.received[: len(data)]
         self.consumed += len(data)
@@ -210,12 +215,14 @@
         return data
 
     def taken(self, size: int) -> None:
+        """The other side has read `size` bytes: its writer may go on."""
         self.under_way -= size
         if self.unsent and not self.closed:
             self.unsent = False
             self.net.world.after(self.net.delay(self.peer.host, self.host), self._notify)
 
     def has_input(self) -> bool:
+        """Whether data, an end or an error waits to be read."""
         return bool(self.received) or self.ended or self.error is not None
 
     # ---- the wire ----
@@ -299,6 +306,7 @@
         self.transport: object | None = None
 
     def send(self, data: bytes, to: Address) -> None:
+        """Send a datagram; the weather may lose, double or delay it."""
         net, weather = self.net, self.net.weather
         copies = 1 + (net.draw() < weather.udp_double)
         for _ in range(copies):
@@ -319,6 +327,7 @@
             port.process.loop.readable(port.transport)
 
     def close(self) -> None:
+        """Close the port."""
         self.process.forget(self.number)
         self.net.datagrams.pop(self.address, None)
 
@@ -333,6 +342,7 @@
     others: frozenset[str] | None = None
 
     def parts(self, one: str, other: str) -> bool:
+        """Whether it parts these two hosts."""
         if self.others is None:
             return (one in self.hosts) != (other in self.hosts)
         return one in self.hosts and other in self.others or other in self.hosts and one in self.others
@@ -340,6 +350,8 @@
 
 @dataclass(eq=False)
 class Network:
+    """Hosts, listeners, datagram ports, and what lies between them."""
+
     world: World
     weather: Weather = field(default_factory=Weather)
     tap: Callable[[Endpoint, bytes], None] | None = None  # sees what programs hand to the kernel
@@ -359,13 +371,16 @@
 
     @staticmethod
     def sum(data: bytes) -> str:
+        """A checksum of data for the notes."""
         return f"{zlib.crc32(data):08x}"
 
     def host(self, name: str, zone: str) -> Host:
+        """Add a host in a zone."""
         self.hosts[name] = Host(name, zone)
         return self.hosts[name]
 
     def attach(self, process: Process) -> None:
+        """Give the network to a process's loop."""
         process.loop.net = self
 
     def host_of(self, address: Address) -> Host | None:
@@ -375,19 +390,23 @@
     # ---- the state of links and hosts ----
 
     def linked(self, one: Host, other: Host) -> bool:
+        """Whether nothing cuts these two hosts off from one another."""
         return not self.cuts or not any(cut.parts(one.name, other.name) for cut in self.cuts)
 
     def delay(self, one: Host, other: Host) -> int:
+        """Nanoseconds of one way between two hosts, with jitter."""
         base = self.weather.same_zone if one.zone == other.zone else self.weather.cross_zone
         late = int(base * (1 + self.flavour.jitter * (2 * self.draw() - 1)))
         grid = self.flavour.grid
         return max(grid, late // grid * grid)
 
     def cut(self, cut: Cut) -> None:
+        """Begin a cut."""
         self.world.note(f"cut {','.join(sorted(cut.hosts))} from {','.join(sorted(cut.others or {'all'}))}")
         self.cuts.append(cut)
 
     def mend(self, cut: Cut) -> None:
+        """End a cut."""
         if cut in self.cuts:
             self.cuts.remove(cut)
             self.world.note(f"mend {','.join(sorted(cut.hosts))}")
@@ -428,12 +447,14 @@
     # ---- sockets ----
 
     def listen(self, process: Process, address: Address, backlog: int) -> Listener:
+        """Listen at an address. Raises OSError where it is in use."""
         if address in self.listeners:
             raise OSError(errno.EADDRINUSE, f"address {address} is in use")
         self.listeners[address] = Listener(self, process, address, backlog)
         return self.listeners[address]
 
     def bind_datagrams(self, process: Process, address: Address) -> DatagramPort:
+        """Bind a datagram port. Raises OSError where the address is in use."""
         if address in self.datagrams:
             raise OSError(errno.EADDRINUSE, f"address {address} is in use")
         self.datagrams[address] = DatagramPort(self, process, address)
@@ -467,6 +488,7 @@
         self.problem: OSError | None = None
 
     def begin(self) -> None:
+        """Set out to the listener."""
         name = self.net.host_of(self.address)
         if name is None:
             self._back(ConnectionRefusedError(errno.ECONNREFUSED, f"{self.address} refused"), MS)
@@ -506,6 +528,7 @@
             self.process.loop.readable(self)
 
     def report(self) -> None:
+        """Tell the program how it went."""
         if self.up.done():
             return
         if self.problem is not None:
--- a/dykeshift/sim/operators.py
+++ b/dykeshift/sim/operators.py
@@ -56,6 +56,7 @@
         )
 
     def enter(self, name: str) -> None:
+        """Ban an upstream at the balancer; the call is repeated until it has an answer."""
         life = self.out[name] = self.node.lives
 
         def done(status: int, text: str) -> None:
@@ -65,11 +66,13 @@
         self._call("PUT", "/maintenance/enter", name, done, lambda: self.out.get(name) == life)
 
     def exit(self, name: str) -> None:
+        """Lift the ban."""
         if self.out.pop(name, None) is not None:
             self.day.referee.put_back(self.node.name, name)
             self._call("PUT", "/maintenance/exit", name, lambda _, __: None, lambda: name not in self.out)
 
     def standby(self) -> None:
+        """Drain the balancer, and make it active again some time later."""
         self.drains += 1
         mine = self.drains
 
@@ -79,6 +82,7 @@
         self._call("PUT", "/standby", "", done, lambda: self.drains == mine)
 
     def active(self) -> None:
+        """Make the balancer active again."""
         self.drains += 1
         mine = self.drains
         self._call("PUT", "/active", "", lambda _, __: None, lambda: self.drains == mine)
--- a/dykeshift/sim/reach.py
+++ b/dykeshift/sim/reach.py
@@ -20,6 +20,8 @@
 
 
 class Installed(Protocol):
+    """What it knows of the day."""
+
     world: World
     net: Network
     nodes: list[Node]
@@ -28,6 +30,8 @@
 
 
 class Reach:
+    """For each balancer the instant since when it could have asked discovery."""
+
     def __init__(self, day: Installed) -> None:
         self.day = day
         self.since: dict[str, int] = {}
@@ -35,6 +39,7 @@
         self.look()
 
     def look(self) -> None:
+        """Look at all balancers' ways to discovery; runs again every `LOOK` nanoseconds."""
         world = self.day.world
         for node in self.day.nodes:
             asked = f"{node.lives} {node.raw.get('discovery')}"
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -70,6 +70,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Breach:
+    """A broken rule: its name, when (nanoseconds), and one line."""
+
     rule: str
     at: int
     text: str
@@ -115,6 +117,7 @@
     over: bool = False
 
     def behind(self) -> bool:
+        """Whether answers before its own are still owed."""
         return any(not frame.over for frame in self.ahead)
 
 
@@ -147,10 +150,13 @@
         return bool(self.frames) and all(frame.over or frame.behind() for frame in self.frames)
 
     def may_have_run(self) -> Try | None:
+        """An attempt that may have run; None where all are disproved."""
         return next((t for t in self.tries if not t.disproved), None)
 
 
 class Referee:
+    """Checks every fact that it is told against the rules."""
+
     def __init__(
         self,
         terms: Terms,
@@ -184,6 +190,7 @@
         self.served = self.refused = self.failed = 0
 
     def breach(self, rule: str, at: int, text: str) -> None:
+        """Note a broken rule."""
         self.breaches.append(Breach(rule, at, text))
 
     # ---- clients ----
@@ -200,6 +207,7 @@
         self.kinds[errand] = kind
 
     def answered(self, now: int, rid: str, status: int, body: str) -> None:
+        """A client got a whole answer."""
         entry = self.entries[rid]
         entry.answers += 1
         entry.over = True
@@ -253,6 +261,7 @@
             self.breach(LOST, now, f"{rid} has no answer {(now - entry.deadline) / MS:.0f} ms after its time")
 
     def extra(self, now: int, balancer: str, data: bytes) -> None:
+        """A client got bytes that answer nothing."""
         self.breach(TWICE_ANSWERED, now, f"{balancer} sends a client {data[:40]!r}, which answers nothing")
 
     # ---- clinics: a message is one request, however often its frame comes ----
@@ -409,6 +418,7 @@
     # ---- senders ----
 
     def ran(self, now: int, rid: str, errand: str, sender: str, repeat: bool) -> None:
+        """A sender ran a request; `repeat`: its rack had seen its key."""
         entry = self.entries.get(rid)
         if entry is not None:
             entry.served_by.add(sender)
@@ -444,6 +454,7 @@
             self.out.setdefault(instance, now)
 
     def told(self, now: int, balancer: str, instance: str, active: bool, started: bool) -> None:
+        """Discovery has told a balancer of an instance."""
         key = (balancer, instance)
         self.listed.setdefault(balancer, set()).add(instance)
         if active:
@@ -497,6 +508,7 @@
     # ---- answers at once ----
 
     def gave_up(self, now: int, rid: str) -> None:
+        """The balancer says that it gave a request up."""
         entry = self.entries.get(rid)
         if entry is not None and not entry.over and entry.listened(now - self.terms.way):
             entry.gave_up = now
--- a/dykeshift/sim/runner.py
+++ b/dykeshift/sim/runner.py
@@ -28,6 +28,7 @@
 
 
 def play_seed(seed: str) -> Played:
+    """Draw and play the day of a seed; safe to call in a worker process."""
     began = time.process_time()
     gc.disable()  # a day makes few cycles; they are collected between days
     try:
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -75,6 +75,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
+    """One fault; times are in seconds."""
+
     kind: str
     at: float  # seconds from the start
     length: float = 0.0
@@ -134,15 +136,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
+    """A day's options, requests and faults, under the seed of everything else."""
+
     seed: str
     options: Options = field(default_factory=Options)
     asks: tuple[Ask, ...] = ()
     faults: tuple[Fault, ...] = ()
 
     def dump(self) -> str:
+        """The scenario as JSON, readable by `load`."""
         return json.dumps({"version": VERSION, **asdict(self)}, indent=None, separators=(",", ":"))
 
     def without(self, faults: set[int], asks: set[int]) -> Scenario:
+        """The scenario without the faults and requests of these numbers."""
         return replace(
             self,
             faults=tuple(f for n, f in enumerate(self.faults) if n not in faults),
--- a/dykeshift/sim/scene.py
+++ b/dykeshift/sim/scene.py
@@ -15,6 +15,8 @@
 
 
 class Scene(Protocol):
+    """A day, as its parts see it."""
+
     scenario: Scenario
     world: World
     net: Network
@@ -26,10 +28,14 @@
     letters: dict[str, str]  # clinics' messages, by the module's names of them
     rids: dict[str, str]  # the ids under which they went to HTTP senders
 
-    def list_later(self, delay: float, instance: Instance) -> None: ...
+    def list_later(self, delay: float, instance: Instance) -> None:
+        """Enter an instance at all discoveries, after `delay` seconds."""
 
-    def leave_later(self, delay: float, name: str, lifecycle: str) -> None: ...
+    def leave_later(self, delay: float, name: str, lifecycle: str) -> None:
+        """Change an instance's lifecycle at all discoveries, after `delay` seconds."""
 
-    def inside(self, process: Process, call: Callable[..., Any], *args: Any) -> None: ...
+    def inside(self, process: Process, call: Callable[..., Any], *args: Any) -> None:
+        """Call something in a process's loop, as of now."""
 
-    def excuse(self, balancer: str, sent: int, since: int, until: int) -> bool: ...
+    def excuse(self, balancer: str, sent: int, since: int, until: int) -> bool:
+        """Whether something else kept the balancer from answering; times in nanoseconds."""
--- a/dykeshift/sim/shrink.py
+++ b/dykeshift/sim/shrink.py
@@ -13,6 +13,8 @@
 
 @dataclass(slots=True)
 class Shrunk:
+    """The smallest scenario found, the rule that it breaks, and how many days were played."""
+
     scenario: Scenario
     rule: str
     text: str
@@ -24,6 +26,8 @@
 
 
 class Shrinker:
+    """Shrinks a scenario; `rule` is the one to keep broken, None: the first that breaks."""
+
     def __init__(
         self,
         scenario: Scenario,
@@ -37,6 +41,7 @@
         self.text = ""
 
     def run(self) -> Shrunk:
+        """Shrink until nothing more can go or the budget is used. Raises NoViolationError."""
         if not self._breaks(self.best):
             raise NoViolationError
         self._drop_the_rest()
--- a/dykeshift/sim/transport.py
+++ b/dykeshift/sim/transport.py
@@ -18,6 +18,8 @@
 
 
 class TcpTransport(asyncio.Transport):
+    """A TCP connection's transport."""
+
     def __init__(self, loop: Rounds, endpoint: Endpoint, protocol: Any) -> None:
         super().__init__({"peername": endpoint.peer.address, "sockname": endpoint.address})
         self.loop, self.endpoint, self.protocol = loop, endpoint, protocol
@@ -30,6 +32,7 @@
         self.begun = False
 
     def begin(self, waiter: asyncio.Future[Any] | None = None) -> None:
+        """Tell the protocol of the connection and begin to read; `waiter` hears of it."""
         self.begun = True
         self.protocol.connection_made(self)
         if waiter is not None and not waiter.done():
@@ -63,14 +66,17 @@
                 self.close()
 
     def has_input(self) -> bool:
+        """See `clock.Clock`."""
         return self.endpoint.has_input()
 
     def hung_up(self) -> bool:
+        """See `clock.Clock`."""
         return self.endpoint.ended or self.endpoint.error is not None
 
     # ---- writing ----
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
+        """See `asyncio.WriteTransport`. Raises RuntimeError after `write_eof`."""
         if self.eof_wanted:
             raise RuntimeError("cannot write after write_eof")
         if self.closing or self.lost or not data:
@@ -85,9 +91,11 @@
             self.protocol.pause_writing()
 
     def writelines(self, list_of_data: Iterable[Any]) -> None:
+        """See `asyncio.WriteTransport`."""
         self.write(b"".join(list_of_data))
 
     def flush(self) -> None:
+        """Hand as much as possible to the kernel."""
         if self.lost:
             return
         while self.buffer:
@@ -110,27 +118,33 @@
                 self._lose(None)
 
     def write_eof(self) -> None:
+        """See `asyncio.WriteTransport`."""
         if not self.eof_wanted and not self.closing:
             self.eof_wanted = True
             if not self.buffer:
                 self.endpoint.end()
 
     def can_write_eof(self) -> bool:
+        """See `asyncio.WriteTransport`."""
         return True
 
     def get_write_buffer_size(self) -> int:
+        """See `asyncio.WriteTransport`."""
         return len(self.buffer)
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """See `asyncio.WriteTransport`."""
         self.high = HIGH if high is None else high
         self.low = self.high // 4 if low is None else low
 
     # ---- closing ----
 
     def is_closing(self) -> bool:
+        """See `asyncio.BaseTransport`."""
         return self.closing
 
     def close(self) -> None:
+        """See `asyncio.BaseTransport`."""
         if self.closing:
             return
         self.closing = True
@@ -140,6 +154,7 @@
             self.flush()
 
     def abort(self) -> None:
+        """See `asyncio.WriteTransport`."""
         self.closing = True
         self.buffer.clear()
         self._lose(None)
@@ -161,20 +176,25 @@
     # ---- the rest of the contract ----
 
     def pause_reading(self) -> None:
+        """See `asyncio.ReadTransport`."""
         self.reading = False
 
     def resume_reading(self) -> None:
+        """See `asyncio.ReadTransport`."""
         self.reading = True
         if self.endpoint.has_input():
             self.loop.readable(self)
 
     def is_reading(self) -> bool:
+        """See `asyncio.ReadTransport`."""
         return self.reading and not self.closing
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """See `asyncio.BaseTransport`."""
         self.protocol = protocol
 
     def get_protocol(self) -> Any:
+        """See `asyncio.BaseTransport`."""
         return self.protocol
 
 
@@ -192,18 +212,22 @@
         made.begin()
 
     def close(self) -> None:
+        """See `asyncio.AbstractServer`."""
         self.listener.close()
 
     def is_serving(self) -> bool:
+        """See `asyncio.AbstractServer`."""
         return self.listener.open
 
     def get_loop(self) -> asyncio.AbstractEventLoop:
+        """See `asyncio.AbstractServer`."""
         return cast(asyncio.AbstractEventLoop, self.loop)
 
     async def start_serving(self) -> None:
         """It serves from its making on."""
 
     async def serve_forever(self) -> None:
+        """See `asyncio.AbstractServer`."""
         await self.loop.create_future()
 
     async def wait_closed(self) -> None:
@@ -211,6 +235,8 @@
 
 
 class UdpTransport(asyncio.DatagramTransport):
+    """A datagram port's transport."""
+
     def __init__(self, loop: Rounds, port: DatagramPort, protocol: Any, remote: Address | None) -> None:
         super().__init__({"sockname": port.address, "peername": remote})
         self.loop, self.port, self.protocol, self.remote = loop, port, protocol, remote
@@ -218,10 +244,12 @@
         port.transport = self
 
     def report(self) -> None:
+        """Hand what has arrived to the protocol."""
         while self.port.queue and not self.closed:
             self.protocol.datagram_received(*self.port.queue.popleft())
 
     def sendto(self, data: Any, addr: Any = None) -> None:
+        """See `asyncio.DatagramTransport`. Raises ValueError without an address."""
         to = addr if addr is not None else self.remote
         if to is None:
             raise ValueError("no address to send to")
@@ -229,6 +257,7 @@
             self.port.send(bytes(data), (str(to[0]), int(to[1])))
 
     def close(self) -> None:
+        """See `asyncio.BaseTransport`."""
         if not self.closed:
             self.closed = True
             self.port.close()
@@ -237,4 +266,5 @@
     abort = close
 
     def is_closing(self) -> bool:
+        """See `asyncio.BaseTransport`."""
         return self.closed
--- a/dykeshift/sim/views.py
+++ b/dykeshift/sim/views.py
@@ -11,6 +11,8 @@
 
 
 class Views:
+    """Checks every balancer's bounds after each event; `breach` takes what is wrong."""
+
     def __init__(self, nodes: list[Node], world: World, breach: Callable[[str], None]) -> None:
         self.nodes, self.world, self.breach = nodes, world, breach
         self.ran: dict[str, int] = {}  # by name: when it was last seen running
@@ -18,6 +20,7 @@
         world.watchers.append(self.step)
 
     def step(self, now: int) -> None:
+        """Check all views as of now."""
         running = [n for n in self.nodes if n.process is not None and n.process.alive]
         for node in running:
             self.ran[node.name] = now
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -30,6 +30,7 @@
         return self.day.world.now + (process.loop.spent if process is not None else 0)
 
     def out(self, node: Node, data: bytes) -> None:
+        """Bytes from a balancer to a sender or to discovery."""
         now, day = self._now(), self.day
         if self.requests.idle() and self.out_blocks.idle():
             self.began = now
@@ -82,6 +83,7 @@
             self.back_blocks = hl7.Blocks()
 
     def back(self, data: bytes) -> None:
+        """Bytes from a sender to a balancer: what they prove goes to the referee."""
         if self.mllp:
             self._acks(data)
             return
@@ -93,6 +95,7 @@
             self.answers = Messages()
 
     def list(self, node: Node, data: bytes) -> None:
+        """Bytes from discovery to a balancer: what they tell goes to the referee."""
         try:
             for answer in self.answers.feed(data):
                 if answer.status == 200:
