--- a/tests/agree/defects.py
+++ b/tests/agree/defects.py
@@ -12,12 +12,8 @@
 from dykeshift.agree.wire import Message, Seat
 from dykeshift.rig import agreement
 from dykeshift.view.table import Address
-
-Undo = Callable[[pytest.MonkeyPatch], None]
-
-
-def _patch(owner: Any, name: str, wrong: Any) -> Undo:
-    return lambda patch: patch.setattr(owner, name, wrong)
+from tests.seeded import Defect as Undo
+from tests.seeded import patched as _patch
 
 
 def _forgets_its_vote(self: voting.Voter, now: int, message: Message, address: Address) -> None:
--- a/tests/agree/test_defects.py
+++ b/tests/agree/test_defects.py
@@ -4,12 +4,10 @@
 
 from collections.abc import Callable
 
-import pytest
-
 from dykeshift.rig.campaign import play
 from tests.agree import test_agree, test_parts
 from tests.agree.defects import DEFECTS
-from tests.seeded import assert_found
+from tests.seeded import defect_tests
 
 SEEDS: dict[str, int] = {
     "vote not kept": 4,
@@ -37,12 +35,6 @@
     "an old epoch goes on": test_agree.test_what_is_left_of_an_old_epoch_commits_nothing_once_it_has_heard,
 }
 
-
-def test_every_defect_has_its_finder() -> None:
-    assert SEEDS.keys() | TESTS.keys() == DEFECTS.keys()
-
-
-@pytest.mark.parametrize("defect", DEFECTS)
-def test_the_defect_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    DEFECTS[defect](monkeypatch)
-    assert_found(defect, SEEDS, TESTS, lambda seed: play(seed).broken)
+test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(
+    DEFECTS, SEEDS, TESTS, lambda seed: play(seed).broken
+)
--- a/tests/shares/test_loans.py
+++ b/tests/shares/test_loans.py
@@ -16,7 +16,7 @@
 from dykeshift.shares.loans import SECOND, Shares, Terms
 from dykeshift.shares.wire import Ask, Back, Grant, decode, encode
 from dykeshift.view.wire import Bad, Seal
-from tests.seeded import assert_found
+from tests.seeded import defect_tests, patched
 
 TERMS = Terms(lease=5 * SECOND)
 
@@ -139,12 +139,14 @@
 
 
 _on_ask, _on_grant, _floor = Shares._on_ask, Shares._on_grant, Shares._floor
-DEFECTS: dict[str, tuple[Any, str, Any]] = {
-    "taker raises before the giver lowers": (Shares, "_on_ask", _raises_first),
-    "a lease from the answer's arrival": (Shares, "_on_grant", _counts_from_the_answer),
-    "an answer to an earlier question counts": (Shares, "_on_grant", _takes_any_answer),
-    "back from nothing with all of its deed": (Shares, "_floor", _floor_is_all),
-    "the giver's end before the taker's": (Terms, "settle", property(lambda self: int(self.lease * 0.9))),
+DEFECTS = {
+    "taker raises before the giver lowers": patched(Shares, "_on_ask", _raises_first),
+    "a lease from the answer's arrival": patched(Shares, "_on_grant", _counts_from_the_answer),
+    "an answer to an earlier question counts": patched(Shares, "_on_grant", _takes_any_answer),
+    "back from nothing with all of its deed": patched(Shares, "_floor", _floor_is_all),
+    "the giver's end before the taker's": patched(
+        Terms, "settle", property(lambda self: int(self.lease * 0.9))
+    ),
 }
 SEEDS = {"taker raises before the giver lowers": 0, "the giver's end before the taker's": 0}
 TESTS: dict[str, Callable[[], None]] = {
@@ -154,10 +156,9 @@
 }
 
 
-@pytest.mark.parametrize("defect", DEFECTS)
-def test_the_defect_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(*DEFECTS[defect])
-    assert_found(defect, SEEDS, TESTS, lambda seed: play(seed).broken)
+test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(
+    DEFECTS, SEEDS, TESTS, lambda seed: play(seed).broken
+)
 
 
 @settings(derandomize=True, database=None, deadline=None)
--- a/tests/versions/defects.py
+++ b/tests/versions/defects.py
@@ -2,22 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
-import pytest
 
 from dykeshift.interface import Settings
 from dykeshift.versions import book, core, force, guide, lists, own
 from dykeshift.versions.book import Pending, Phase
 from dykeshift.versions.changes import Change, Drop, Force, Halt, Middle, Propose, Refuse
 from dykeshift.versions.wire import Report, Verdict
-
-Undo = Callable[[pytest.MonkeyPatch], None]
-
-
-def _patch(owner: Any, name: str, wrong: Any) -> Undo:
-    return lambda patch: patch.setattr(owner, name, wrong)
+from tests.seeded import Defect as Undo
+from tests.seeded import patched as _patch
 
 
 def _looks_at_the_book_alone(
--- a/tests/versions/test_defects.py
+++ b/tests/versions/test_defects.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Callable
 
-import pytest
-
 from dykeshift.rig.ruled_days import play
-from tests.seeded import assert_found
+from tests.seeded import defect_tests
 from tests.versions import test_parts, test_ruled
 from tests.versions.defects import DEFECTS
 
@@ -42,12 +40,6 @@
     "one's own part in what all share": test_parts.test_ones_own_part_is_not_shared,
 }
 
-
-def test_every_defect_has_its_finder() -> None:
-    assert SEEDS.keys() | TESTS.keys() == DEFECTS.keys()
-
-
-@pytest.mark.parametrize("defect", DEFECTS)
-def test_the_defect_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    DEFECTS[defect](monkeypatch)
-    assert_found(defect, SEEDS, TESTS, lambda seed: play(seed).broken)
+test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(
+    DEFECTS, SEEDS, TESTS, lambda seed: play(seed).broken
+)
--- a/tests/view/defects.py
+++ b/tests/view/defects.py
@@ -2,20 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
-import pytest
 
 from dykeshift.view import bounds, core, news, table, wire
 from dykeshift.view.core import View
 from dykeshift.view.wire import State
-
-Undo = Callable[[pytest.MonkeyPatch], None]
-
-
-def _patch(owner: Any, name: str, wrong: Any) -> Undo:
-    return lambda patch: patch.setattr(owner, name, wrong)
+from tests.seeded import Defect as Undo
+from tests.seeded import patched as _patch
 
 
 def _no_contradiction(self: View, now: int, entry: wire.Entry) -> None:
--- a/tests/view/test_defects.py
+++ b/tests/view/test_defects.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
-import pytest
-
-from tests.seeded import assert_found
+from tests.seeded import defect_tests
 from tests.view import test_view
 from tests.view.defects import DEFECTS
 from tests.view.world import campaign
@@ -34,12 +32,4 @@
     ),
 }
 
-
-def test_every_defect_has_its_finder() -> None:
-    assert SEEDS.keys() | TESTS.keys() == DEFECTS.keys()
-
-
-@pytest.mark.parametrize("defect", DEFECTS)
-def test_the_defect_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    DEFECTS[defect](monkeypatch)
-    assert_found(defect, SEEDS, TESTS, campaign)
+test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(DEFECTS, SEEDS, TESTS, campaign)
