Discovery: after changes of an older generation the whole list is asked for

Cause: an answer with a lower generation than was asked from was taken like any other, and the watch went on from it (engine/discovery.py, `_accept`). A discovery that began to count anew answers a call `from=41` with the changes of its own count: what it had lost before that was never heard of, and servers that had left stayed in the list for good. An empty answer also made servers of a list from before the start count as confirmed.

Change: changes of an older generation are applied (what is written counts as told), an empty list of them is not, and the whole list is asked for next on the same connection, with the time of a new call. A whole list of an older generation is believed at once, as before. A `known` list that is not whole gives no generation to watch from.

Ruled out: late or disordered answers. One call is out at a time, and its connection is closed when it is given up; a test lets such an answer come after the next watch's news. A discovery that restarted and has reached the old number by then cannot be told from the old one: the protocol names no epoch, and the whole list with each new watch would be one more call in its queue for each balancer.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -1,4 +1,10 @@
-"""The list of upstreams: the one known from before, the whole one, and the watch on its changes."""
+"""The list of upstreams: the one known from before, the whole one, and the watch on its changes.
+
+One call is out at a time, on a connection that ends with it, so answers come in the order of their calls. An
+answer of an older generation than was asked from is thus no late one: discovery has begun to count anew. Its
+whole list is believed at once, as it has nothing better. Its changes are heard, too, but they build on a list
+that this balancer never had, so the whole one is asked for next.
+"""
 
 from __future__ import annotations
 
@@ -121,6 +127,10 @@
         self.done(None)
 
 
+class WatchEndedError(Exception):
+    """A call brought nothing to go on from."""
+
+
 class Discovery:
     """Watches while told to; whatever goes wrong is reported once and ends the watch."""
 
@@ -150,7 +160,7 @@
         if known is None:
             return
         try:
-            self.generation, _, listed = self.reader.read(known)
+            generation, whole, listed = self.reader.read(known)
         except ValueError as exc:
             log.warning(
                 "the known list is dropped: %s",
@@ -158,6 +168,8 @@
                 extra={"event": "list.known-dropped", "fields": {"reason": str(exc)}},
             )
             return
+        if whole:  # changes to it could be told; to a part of a list they could not
+            self.generation = generation
         self.apply(ListKind.CACHED, listed)
 
     def watch(self) -> None:
@@ -199,13 +211,12 @@
                         break
                     if end is not CallEnd.BROKEN:
                         end = CallEnd.UNANSWERED
-                grace = QUIET if end is CallEnd.BROKEN else GRACE
+                # A whole list that is asked for in between is a new call, and may stand in the queue.
+                grace = QUIET if end is CallEnd.BROKEN and generation is not None else GRACE
                 answer = await self._ask(connection, generation, address, grace)
-                generation = self._accept(answer, self.task is this)
-                if generation is None:
-                    break
+                generation = self._accept(answer, generation, self.task is this)
                 end = CallEnd.BROKEN
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, WatchEndedError):
             pass
         finally:  # its own connection alone: after a move another watch has one of its own
             self._hang_up(connection)
@@ -250,10 +261,10 @@
         if connection is not None:
             connection.close()
 
-    def _accept(self, answer: Answer | None, current: bool) -> int | None:
-        """The generation to go on from; None: the watch ends."""
+    def _accept(self, answer: Answer | None, asked_from: int | None, current: bool) -> int | None:
+        """The generation to go on from; None: the whole list is to be asked for. WatchEndedError: neither."""
         if answer is None or answer.status != 200:
-            return None
+            raise WatchEndedError
         try:
             generation, whole, listed = self.reader.read(json.loads(answer.body))
         except (ValueError, RecursionError) as exc:
@@ -262,12 +273,19 @@
                 exc,
                 extra={"event": "list.dropped", "fields": {"reason": str(exc)}},
             )
-            return None
+            raise WatchEndedError from None
+        anew = not whole and asked_from is not None and generation < asked_from
         if current:
             self._hear_no_more()
         elif not listed and not whole:
-            return generation  # no word, and no sign of life of the one that is asked now
-        sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
-        if current:  # what the module failed over it may hold in part: the whole list is asked for next
-            self.generation = generation if sound else None
-        return generation if sound else None
+            return None if anew else generation  # no word, and no sign of life of the one asked now
+        if anew and not listed:
+            sound = True  # applied, it would say that all else is as it was
+        else:
+            sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
+        following = generation if sound and not anew else None
+        if current:
+            self.generation = following
+        if not sound:  # what the module failed over it may hold in part: the whole list is asked for next
+            raise WatchEndedError
+        return following
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from typing import Any
 
 import pytest
 
 from dykeshift.clock import SYSTEM
 from dykeshift.interface import Action, CallEnd, ListKind, ServerList, ServerState
+from dykeshift.engine import discovery
 from dykeshift.engine.discovery import GRACE, HOLD_MS, QUIET, Reader, number_of
 from dykeshift.rules import SPREAD, TOLD, UNANSWERED
 from tests.node.stubs import (
@@ -21,6 +23,7 @@
     instance,
     listing,
     node,
+    read_message,
     request,
     run,
     says,
@@ -386,3 +389,94 @@
 
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return 0
+
+
+# ---- generations ----
+
+
+@pytest.mark.parametrize("rows", [[], ["s0"]])
+def test_changes_of_an_older_generation_are_heard_and_the_whole_list_is_asked_for(rows: list[str]) -> None:
+    """A discovery that began anew counts for itself: what had left before its changes was never heard of."""
+
+    async def main() -> None:
+        stubs = [await Stub(says(answer())).start() for _ in range(3)]
+        s0, s1, s2 = (instance(f"s{n}", stub.address) for n, stub in enumerate(stubs))
+        known = listing(41, True, s0, s1, s2)
+        async with node(*stubs, known=known) as balancer:
+            registry, driver = balancer.registry, balancer.front.driver
+            await until(lambda: len(registry.paths) == 1)
+            assert registry.paths[0].startswith("/v1/endpoints?from=41&")
+            registry.put(listing(5, False, *(instance(name, stubs[0].address, "leaving") for name in rows)))
+            await until(lambda: len(registry.paths) == 2)
+            assert registry.paths[1] == "/v1/endpoints"
+            assert len(driver.ready) == 3 - len(rows)  # told is told
+            if not rows:  # no word that the list from before the start still holds
+                assert not any(server.sure for server in driver.balancer.servers.values())
+            registry.put(listing(6, True, s0, s2))
+            await until(lambda: len(registry.paths) == 3)
+            assert registry.paths[2].startswith("/v1/endpoints?from=6&")
+            assert driver.ready == {number_of("s0"), number_of("s2")}
+
+    run(main())
+
+
+def test_a_whole_list_of_an_older_generation_is_believed_at_once() -> None:
+    """Only a discovery that began anew answers with less than it was asked from: it has nothing better."""
+
+    async def main() -> None:
+        old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
+        async with node(old, known=listing(41, True, instance("s0", old.address))) as balancer:
+            registry = balancer.registry
+            await until(lambda: len(registry.paths) == 1)
+            registry.put(listing(1, True, instance("s1", new.address)))
+            await until(lambda: len(registry.paths) == 2)
+            assert registry.paths[1].startswith("/v1/endpoints?from=1&")
+            assert (await balancer.ask(request())).body == b"new"
+            registry.put(listing(2, False, instance("s1", new.address, "leaving")))
+            await until(lambda: not balancer.front.driver.ready)
+
+    run(main())
+
+
+def test_a_known_list_that_is_not_whole_is_no_ground_for_changes() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub, known=listing(41, False, instance("s0", stub.address))) as balancer:
+            await until(lambda: len(balancer.registry.paths) == 1)
+            assert balancer.registry.paths == ["/v1/endpoints"]
+            assert (await balancer.ask(request())).body == b"done"
+
+    run(main())
+
+
+def test_the_answer_of_a_call_that_was_given_up_is_heard_by_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It comes late, after the news of the watch that followed: its connection is closed by then."""
+    monkeypatch.setattr(discovery, "GRACE", 0.05)
+    monkeypatch.setattr(discovery, "HOLD_MS", 50)
+
+    async def main() -> None:
+        stubs = [await Stub(says(answer())).start() for _ in range(2)]
+        rows = [instance(f"s{n}", stub.address) for n, stub in enumerate(stubs)]
+        calls: list[asyncio.StreamWriter] = []
+        paths: list[str] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            calls.append(writer)
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    paths.append((await read_message(reader)).start.split()[1])
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        given = settings(discovery="push")
+        async with node(*stubs, settings=given) as balancer:
+            driver = balancer.front.driver
+            balancer.reload.discovery.move(server.sockets[0].getsockname())
+            await until(lambda: len(calls) == 2)  # the first was given up
+            calls[1].write(answer(json.dumps(listing(9, True, rows[0])).encode()))
+            await until(lambda: len(driver.ready) == 1)
+            calls[0].write(answer(json.dumps(listing(8, True, *rows)).encode()))
+            await until(lambda: len(paths) > 3)
+            assert driver.ready == {number_of("s0")}
+        server.close()
+
+    run(main())
