Scale: fits of how a quantity grows, and lifttrail scale slopes

A capacity line is intercept + slope x size, so the fit has to name its growth (flat, log n, n, n log n, n squared), residual and measured range, refuse fewer than three sizes, and never call a value beyond the range measured.

--- a/dykeshift/cli/__init__.py
+++ b/dykeshift/cli/__init__.py
@@ -30,6 +30,7 @@
     "mllp": "send, answer and make HL7 messages over MLLP; look into a journal",
     "settings": "settings and lists on which all balancers agree: show, diff, propose, check, rollback",
     "rig": "start several balancers with faults between them, hold their views to the truth",
+    "scale": "measure the installation at the size of two years: runs, costs, fits, the capacity page",
     "sim": "play the balancer on a virtual clock against faults drawn from seeds",
 }
 
--- /dev/null
+++ b/dykeshift/cli/scale.py
@@ -0,0 +1,63 @@
+"""`lifttrail scale`: the installation at its size in two years: runs, costs, fits, the capacity page."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dykeshift.cli import Usage
+
+JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+RESULTS = click.option(
+    "--file",
+    "path",
+    default="benchmarks/results/capacity.json",
+    metavar="FILE",
+    show_default=True,
+    help="The results file.",
+)
+
+
+def read_sizes(text: str) -> tuple[int, ...]:
+    """Sizes from `40,200,930`; `Usage` for anything else."""
+    words = [word.strip() for word in text.split(",")]
+    if not all(word.isascii() and word.isdigit() and int(word) > 0 for word in words):
+        raise Usage(f"lifttrail scale: not a list of sizes: {text}")
+    sizes = tuple(int(word) for word in words)
+    if len(set(sizes)) < len(sizes):
+        raise Usage(f"lifttrail scale: a size is there twice: {text}")
+    return sizes
+
+
+def load_results(path: str) -> Any:
+    """The results file, or `Usage` with what is wrong with it."""
+    from dykeshift.scale import results
+
+    try:
+        return results.load(Path(path))
+    except results.ResultsError as exc:
+        raise Usage(f"lifttrail scale: {exc}") from None
+
+
+@click.group()
+def command() -> None:
+    """Measure the installation at the size of two years, fit its growth, show whether it fits."""
+
+
+@command.command("slopes")
+@RESULTS
+@JSON
+def slopes(path: str, as_json: bool) -> int:
+    """Fit how each measured quantity grows with size; refuse what has fewer than three sizes."""
+    from dykeshift.scale import slopes as fits
+
+    rows = [fits.fit_row(one) for one in load_results(path).measurements]
+    if as_json:
+        click.echo(json.dumps({"file": path, "fits": rows}))
+        return 0
+    for row in rows:
+        click.echo(fits.row_text(row))
+    return 0
