--- /dev/null
+++ b/dykeshift/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration as versioned resources: deltas, scopes, phases."""
--- /dev/null
+++ b/dykeshift/configuration/resources.py
@@ -0,0 +1,210 @@
+"""The resources that make up the configuration: their keys, their typed bodies and their encoding.
+
+A resource is one small thing with a key and a version: a class of requests, a route, a tenant, a service, a
+ban of a server, a list word. Its body is the MessagePack encoding of the typed struct of its kind, as an
+array: a reader that knows fewer fields skips the last ones, one that knows more uses their defaults.
+
+A resource in its joint phase carries both bodies, the one in force and the one that comes (`joint`). Who acts
+on it has to act on the meet of the two (`dykeshift.configuration.meets`).
+"""
+
+from __future__ import annotations
+
+import hashlib
+from enum import IntEnum
+from typing import Literal, cast
+
+import msgspec
+from msgspec import Struct
+
+
+class Kind(IntEnum):
+    """The kinds of resources. The numbers are part of the encoding."""
+
+    CLASS = 1
+    ROUTE = 2
+    TENANT = 3
+    SERVICE = 4
+    BAN = 5
+    LIST_WORD = 6
+
+
+class Key(Struct, frozen=True, array_like=True, order=True, cache_hash=True, gc=False):
+    """The identity of a resource: a name is unique within its kind."""
+
+    kind: Kind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.name.lower()} {self.name!r}"
+
+
+class ClassTerms(Struct, frozen=True, array_like=True, gc=False):
+    """A class of requests. Times in nanoseconds. `position` orders the classes of a settings file."""
+
+    aim_ns: int
+    deadline_ns: int
+    worth: float
+    idempotency: Literal["pure", "token", "side_effect"] = "side_effect"
+    scope: Literal["all", "zone", "cell"] = "all"
+    window_ns: int = 0
+    late_share: float = 0.0
+    stream: bool = False
+    position: int = 0
+
+
+class Route(Struct, frozen=True, array_like=True, gc=False):
+    """Where the requests of a route go, and as which class."""
+
+    service: str
+    request_class: str
+
+
+class Tenant(Struct, frozen=True, array_like=True):
+    """A tenant: the services it may use (none named: every one) and its share of each."""
+
+    services: tuple[str, ...] = ()
+    share: float = 1.0
+
+
+class Service(Struct, frozen=True, array_like=True, gc=False):
+    """The terms by which one service of upstreams is used. Times in nanoseconds."""
+
+    balancers: int = 1
+    attempt_limit: int = 1
+    copies_allowed: bool = False
+    cancel_allowed: bool = False
+    cold_share: float = 0.0
+    cold_time_ns: int = 0
+    overload_multiple: float = 1.0
+    overload_window_ns: int = 0
+    answer_slack_ns: int = 0
+    worth_by_work: bool = False
+    worst_class: float = 0.0
+    retry_advice: bool = False
+    retry_advice_limit_ns: int = 0
+    ask_every_ns: int = 0
+    servers: int = 0  # how many it is declared to have; 0: not declared
+
+
+class Ban(Struct, frozen=True, array_like=True, gc=False):
+    """A server that gets nothing new, by an operator's word."""
+
+    service: str
+    server: str
+    by: str = ""
+
+
+class ListWord(Struct, frozen=True, array_like=True):
+    """One word of the lists; of one service, or of every one where `service` is empty."""
+
+    word: Literal["preferred", "closed", "wary", "doubt"]
+    names: tuple[str, ...] = ()
+    service: str = ""
+
+
+Body = ClassTerms | Route | Tenant | Service | Ban | ListWord
+
+BODY_TYPES: dict[Kind, type[Body]] = {
+    Kind.CLASS: ClassTerms,
+    Kind.ROUTE: Route,
+    Kind.TENANT: Tenant,
+    Kind.SERVICE: Service,
+    Kind.BAN: Ban,
+    Kind.LIST_WORD: ListWord,
+}
+
+
+class Joint(Struct, frozen=True, array_like=True, gc=False):
+    """The body that comes, beside the one in force; None: the resource is going to be deleted."""
+
+    body: bytes | None
+
+
+class Resource(Struct, frozen=True, array_like=True):
+    """One resource as of `version`, the version of the store that wrote it last.
+
+    `body` None: a tombstone, or, with `joint`, a resource that is not in force yet. `concerned` says of a
+    tombstone which services it concerned; of any other resource `services` finds it in the bodies.
+    """
+
+    key: Key
+    version: int
+    body: bytes | None
+    joint: Joint | None = None
+    concerned: tuple[str, ...] = ()
+
+    @property
+    def live(self) -> bool:
+        """Whether it is more than a tombstone."""
+        return self.body is not None or self.joint is not None
+
+
+class BodyError(Exception):
+    """Bytes that are no body of their kind; its text is for people."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders = {kind: msgspec.msgpack.Decoder(body_type) for kind, body_type in BODY_TYPES.items()}
+_DIGEST_KEY = b"dykeshift.configuration.resource"
+DIGEST_BYTES = 16
+
+
+def encode_body(body: Body) -> bytes:
+    """The bytes of a typed body."""
+    return _encoder.encode(body)
+
+
+def decode_body(kind: Kind, data: bytes) -> Body:
+    """The typed body; BodyError where the bytes are none of this kind."""
+    try:
+        found = _decoders[kind].decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise BodyError(f"no {kind.name.lower()}: {error}") from None
+    return cast(Body, found)
+
+
+def body_services(kind: Kind, data: bytes | None, name: str) -> tuple[str, ...]:
+    """The services that a body concerns; empty: every one. No body concerns nobody in particular."""
+    if data is None:
+        return ()
+    body = decode_body(kind, data)
+    if isinstance(body, Service):
+        return (name,)
+    if isinstance(body, Route | Ban):
+        return (body.service,)
+    if isinstance(body, Tenant):
+        return body.services
+    if isinstance(body, ListWord) and body.service:
+        return (body.service,)
+    return ()
+
+
+def services(resource: Resource) -> tuple[str, ...]:
+    """The services that a resource concerns, of both bodies in the joint phase; empty: every one."""
+    if not resource.live:
+        return resource.concerned
+    found = set[str]()
+    for data in (resource.body, resource.joint.body if resource.joint is not None else None):
+        if data is not None:
+            named = body_services(resource.key.kind, data, resource.key.name)
+            if not named:
+                return ()
+            found.update(named)
+    return tuple(sorted(found))
+
+
+def resource_digest(resource: Resource) -> int:
+    """A number of 128 bits for key, version and bodies. It finds faults; it is no signature."""
+    data = _encoder.encode(resource)
+    return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES, key=_DIGEST_KEY).digest(), "big")
+
+
+def ban_key(service: str, server: str) -> Key:
+    """The key of the ban of one server of a service."""
+    return Key(Kind.BAN, f"{service}/{server}")
+
+
+def list_word_key(word: str, service: str = "") -> Key:
+    """The key of a list word, of one service or of every one."""
+    return Key(Kind.LIST_WORD, f"{service}/{word}" if service else word)
