--- a/dykeshift/agree/core.py
+++ b/dykeshift/agree/core.py
@@ -207,6 +207,11 @@
         if base.version:
             shared.emit("installed", version=base.version, body=base.state)
 
+    def adopt(self, now: int, epoch: Epoch, base: Base) -> Out:
+        """Belong to an epoch whose base was handed over otherwise than by datagrams, after `start`."""
+        self._enter(now, epoch, base)
+        return self._done(now)
+
     def life(self) -> Kept:
         """All that a disk has to hold of this life."""
         shared, voter = self.shared, self.voter
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -16,17 +16,14 @@
 import uvloop
 
 from dykeshift.clock import SYSTEM, Clock
-from dykeshift.engine import config, requests
-from dykeshift.engine.discovery import Discovery, Reader
+from dykeshift.engine import config
 from dykeshift.engine.drain import Drain, State
 from dykeshift.engine.driver import Driver
-from dykeshift.engine.http_carrier import HttpCarrier
 from dykeshift.node import features
+from dykeshift.node.assembly import assemble
 from dykeshift.node.features import NONE, Features, Service
 from dykeshift.node.reload import Reload
 from dykeshift.engine.server import Front
-from dykeshift.engine.upstream import Pool
-from dykeshift.rules import Balancer
 
 if TYPE_CHECKING:
     from dykeshift.node.together import Together
@@ -48,19 +45,8 @@
 ) -> None:
     """`inherited`: a listener that other processes of this balancer have too, instead of `given.listen`."""
     loop = asyncio.get_running_loop()
-    carrier = beside.carrier(loop, clock) or HttpCarrier(loop, clock)
-    pool = Pool(loop, clock, carrier, given.connections, given.connect_timeout, given.keepalive)
-    driver = Driver(loop, clock, Balancer(given.settings, given.seed), pool, lambda: discovery.watch())
-    discovery = Discovery(
-        loop,
-        clock,
-        given.discovery,
-        Reader(clock, given.zones, given.kinds),
-        driver.apply,
-        driver.discovery_failed,
-        not given.settings.ask_discovery,
-    )
-    reader = requests.Reader(given.settings.classes, beside.objection())
+    parts = assemble(loop, clock, given, load, beside)
+    driver, discovery, reader, reload = parts.driver, parts.discovery, parts.reader, parts.reload
     drain = Drain(shared=inherited is not None)
     limit = given.connections - beside.connections(given)
     front = Front(loop, clock, driver, reader, limit, drain, given.kept)
@@ -77,7 +63,6 @@
 
     loop.add_signal_handler(signal.SIGTERM, stop)
     loop.add_signal_handler(signal.SIGINT, stop)
-    reload = Reload(load, discovery, driver, reader)
     loop.add_signal_handler(signal.SIGHUP, reload)
     together = meet(loop, clock, driver, front) if inherited is not None else None
     driver.start()
--- a/dykeshift/scale/role.py
+++ b/dykeshift/scale/role.py
@@ -90,6 +90,9 @@
     settled: bool = True  # it waits for nothing and takes its picture for whole
     leads: bool = False  # it leads the control's consensus
     content: str = ""  # digest of the configuration that it holds, to compare members by
+    held: int = 0  # the version of what `content` is the digest of: members that hold the same are equal
+    said_datagrams: int = 0  # that it has sent, by its own figures
+    said_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/view/core.py
+++ b/dykeshift/view/core.py
@@ -182,6 +182,21 @@
                     self._send(now, ANSWER, address, Kind.NEWS, entries=[self.me])
         return self._done()
 
+    def adopt(self, now: int, others: dict[Address, Entry]) -> None:
+        """Believe a table that was handed over otherwise than by datagrams, after `start`.
+
+        As if each of these had just answered: the state of a fleet that has long been at rest.
+        """
+        for address, entry in others.items():
+            member = self.table.put(entry, now)
+            if member is not None:
+                self.table.house(member, address)
+                member.verify(entry.birth, entry.incarnation, 0)
+                member.heard = member.proved = now
+        self._answered(now)
+        self.caught_up = True
+        self._review(now)
+
     def take_events(self) -> list[Event]:
         events, self.events = self.events, []
         return events
