--- a/benchmarks/agree.py
+++ b/benchmarks/agree.py
@@ -38,10 +38,12 @@
         self.shared.epoch = (1, 1, 1)
 
     def start(self, now: int) -> Any:
+        """Begin to send heartbeats."""
         self.next_at, self.shared.budget.at = now, now
         return self.on_timer(now)
 
     def on_timer(self, now: int) -> Any:
+        """Tell the newest version once a beat."""
         if now >= self.next_at:
             self.next_at = now + self.shared.options.beat
             self.tell(now)
@@ -57,6 +59,7 @@
             self.shared.send(now, URGENT, number, Kind.READY, index=self.version)
 
     def on_datagram(self, now: int, data: bytes, address: Any) -> Any:
+        """The primary notes what a backup has; a backup takes the version and answers."""
         message = decode(data, self.shared.seal)
         if self.spot.number == 0:
             self.has[message.sender[0]] = max(message.index, self.has.get(message.sender[0], 0))
@@ -66,10 +69,12 @@
         return self.out()
 
     def out(self) -> Any:
+        """The datagrams that wait to be sent."""
         out, self.shared.out = self.shared.out, []
         return out
 
     def take_events(self) -> list[Any]:
+        """No events."""
         return []
 
 
@@ -90,6 +95,7 @@
 
 
 def spread(members: int, loss: float, seed: int, disks: bool) -> dict[str, list[float]]:
+    """Seconds until changes are committed and are everywhere, and bytes a second in quiet, on one seed."""
     world = Agreement(seed, members, Options(voters=5), tuple(range(members)) if disks else ())
     world.watch = world._collect  # the checks are the tests' business
     world.start_all()
@@ -122,6 +128,7 @@
 
 
 def primary(members: int, loss: float, seed: int) -> dict[str, list[float]]:
+    """Seconds until changes of the plain primary are everywhere, on one seed."""
     places = {}
     world = World(f"primary/{seed}", members, make=lambda spot, life: Primary(spot, places, Random(seed)))
     places.update({s.number: s.address for s in world.spots})
@@ -141,6 +148,7 @@
 
 
 def without_leader(fault: str, seed: int, members: int = 12) -> float:
+    """Seconds without a leader after `fault` (kill, stop or cut) has befallen it."""
     world = Agreement(seed, members, Options(voters=5))
     world.watch = world._collect
     world.start_all()
@@ -176,6 +184,7 @@
 
 
 def main() -> None:
+    """Print a line for each setting."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--members", default="12,40,200")
     parser.add_argument("--loss", default="0,0.1,0.3")
--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -50,6 +50,7 @@
 
 
 def main() -> None:
+    """Print a table: a row for each number of balancers and kind of day."""
     parser = argparse.ArgumentParser(description="cold senders under the sum of all balancers")
     parser.add_argument("--seeds", type=int, default=6)
     options = parser.parse_args()
--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -32,6 +32,7 @@
 
 
 def quantiles(times: list[float]) -> dict[str, float]:
+    """Median, 99th percentile and maximum of times in seconds, as milliseconds."""
     ranked = sorted(times)
     at = {"median": 0.5, "99%": 0.99, "most": 1.0}
     return {
@@ -49,6 +50,7 @@
 
 
 async def long_answer(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+    """Answers with LONG bytes."""
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG)
     piece = bytes(65536)
     with suppress(ConnectionError):
@@ -58,6 +60,7 @@
 
 
 async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: tuple[str, int]) -> None:
+    """Copy bytes both ways between a client and `to`."""
     there_reader, there_writer = await asyncio.open_connection(*to)
 
     async def copy(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
@@ -71,6 +74,8 @@
 
 
 def relay_main(to: tuple[str, int]) -> None:
+    """Run the relay as a process of its own; its port is the first line of its output."""
+
     async def main() -> None:
         server = await asyncio.start_server(lambda r, w: relay(r, w, to), "127.0.0.1", 0)
         print(server.sockets[0].getsockname()[1], flush=True)
@@ -82,6 +87,7 @@
 
 
 async def fetch(address: tuple[str, int], rid: str, pause: float) -> int:
+    """Read one long answer, with a pause of so many seconds after each piece; returns the bytes read."""
     reader, writer = await asyncio.open_connection(*address, limit=65536)
     writer.write(request("check", rid=rid, deadline=9000))
     head = await reader.readuntil(b"\r\n\r\n")
@@ -95,6 +101,7 @@
 
 
 async def bodies(site: Site, upstream: tuple[str, int]) -> dict[str, Any]:
+    """Processor time a MB and peak memory of long answers, through the daemon and through the relay."""
     daemon, _ = await site.start()
     listener: tuple[str, int] = site.listener.getsockname()
     plain = await asyncio.create_subprocess_exec(
@@ -124,6 +131,7 @@
 
 
 async def console(site: Site, seconds: float) -> dict[str, Any]:
+    """Console latency, idle and under load."""
     _, at = await site.start()
 
     async def ask(times: list[float], until: float) -> None:
@@ -151,6 +159,7 @@
 
 
 async def upgrades(site: Site, count: int) -> dict[str, Any]:
+    """Upgrade the daemon `count` times under load and count requests that met a closed door."""
     old, _ = await site.start()
     stop, met, asked = asyncio.Event(), 0, 0
 
@@ -189,6 +198,7 @@
 
 
 async def measured(seconds: float, count: int) -> dict[str, Any]:
+    """All three measurements, each with upstreams and a discovery of its own."""
     long_stub, quick = await Stub(long_answer).start(), await Stub(says(answer(b"x" * 200))).start()
     rows = dict[str, Any]()
     for name, stub in (("console", quick), ("bodies", long_stub), ("upgrades", quick)):
@@ -219,6 +229,7 @@
 
 
 def main() -> int:
+    """Measure and print. Returns the exit code."""
     parser = argparse.ArgumentParser(description="what daily running costs")
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--seconds", type=float, default=3.0)
--- a/benchmarks/fleet_check.py
+++ b/benchmarks/fleet_check.py
@@ -17,6 +17,7 @@
 
 
 def day(load: float, seconds: float) -> Day:
+    """A small day that both can play, at this load (share of the senders' capacity)."""
     kinds = (Kind(share=0.375, speed=0.6), Kind(share=0.25, speed=1.6))
     return Day(
         senders=Senders(count=8, slots=4, kinds=kinds, cells=3),
@@ -30,12 +31,14 @@
 
 
 def row(figures: dict[str, object]) -> dict[str, object]:
+    """The figures to compare."""
     times = figures["percentiles_ms"]
     assert isinstance(times, dict)
     return {**{name: figures[name] for name in SHOWN}, **{f"p{p}": times[p] for p in ("50", "90", "99")}}
 
 
 def main() -> None:
+    """Print a JSON line for each load."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--loads", type=float, nargs="+", default=[0.2, 0.4])
--- a/benchmarks/mllp.py
+++ b/benchmarks/mllp.py
@@ -43,9 +43,11 @@
     """Acknowledges every message at once."""
 
     def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
         self.transport, self.blocks = transport, hl7.Blocks()
 
     def data_received(self, data: bytes) -> None:
+        """Acknowledge each whole message."""
         for content in self.blocks.feed(data):
             name = content.split(b"|", 10)[9].decode()
             self.transport.write(hl7.block(hl7.ack("AA", name, "S1")))
@@ -58,10 +60,12 @@
         self.load, self.number, self.count = load, number, 0
 
     def connection_made(self, transport: Any) -> None:
+        """Send the first message."""
         self.transport, self.buffer = transport, b""
         self.ask()
 
     def ask(self) -> None:
+        """Send the next message, or close when the load is used up."""
         if self.load.left <= 0:
             self.transport.close()
             return
@@ -72,6 +76,7 @@
         self.transport.write(hl7.block(note.content()))
 
     def data_received(self, data: bytes) -> None:
+        """Count the acknowledgement and go on with the next message."""
         self.buffer += data
         if self.buffer.endswith(b"\x1c\r"):
             self.load.failed += b"MSA|AA|" not in self.buffer
@@ -80,12 +85,15 @@
             self.ask()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End the load with its last connection."""
         self.load.open -= 1
         if not self.load.open:
             self.load.done.set_result(None)
 
 
 class Load:
+    """So many messages over so many connections, closed loop."""
+
     ids = 0
 
     def __init__(self, messages: int, connections: int) -> None:
@@ -96,6 +104,7 @@
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def run(self, port: int) -> float:
+        """Send all of them to `port`; returns the seconds that it took."""
         loop, began = asyncio.get_running_loop(), time.monotonic()
         for number in range(self.open):
             await loop.create_connection(lambda number=number: Clinic(self, number), "127.0.0.1", port)
@@ -104,6 +113,7 @@
 
 
 def daemon(folder: Path, name: str, upstream: int, discovery: int, journal: Path | None) -> Subject:
+    """A daemon with `[mllp]` as a subject, with a journal or without."""
     port = free_port()
     config = daemon_config(folder, name, free_port(), upstream)
     given = json.loads(config.read_text())
@@ -128,6 +138,7 @@
 
 
 async def compare(options: argparse.Namespace) -> dict[str, Any]:
+    """Let the subjects take turns and return their figures."""
     server = await asyncio.get_running_loop().create_server(Server, "127.0.0.1", 0)
     upstream = server.sockets[0].getsockname()[1]
     lists = await asyncio.get_running_loop().create_server(Upstream, "127.0.0.1", 0)
@@ -226,6 +237,7 @@
 
 
 def main() -> None:
+    """Measure and print."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--messages", type=int, default=3000)
--- a/benchmarks/mllp_fuzz.py
+++ b/benchmarks/mllp_fuzz.py
@@ -25,6 +25,7 @@
 
 
 def deframe(data: bytes, cut: int) -> list[Frame | Broken]:
+    """What comes of the bytes, fed in two pieces."""
     deframer, out = Deframer(64), list[Frame | Broken]()
     for piece in (data[:cut], data[cut:]):
         out += deframer.feed(0, piece)
@@ -32,6 +33,7 @@
 
 
 def one(data: bytes) -> None:
+    """Hold one input against the readers' promises."""
     cut, content = data[0] if data else 0, data[1:]
     assert deframe(content, cut) == deframe(content, len(content))
     session = Session(2, 64)
--- a/benchmarks/mllp_kill.py
+++ b/benchmarks/mllp_kill.py
@@ -36,6 +36,7 @@
 
 
 def free_port() -> int:
+    """A port that nobody has at this moment."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
@@ -48,6 +49,7 @@
         self.rng, self.done = rng, Counter[str]()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Do each message and acknowledge it after a random pause."""
         blocks = hl7.Blocks()
         with suppress(ConnectionError):
             while data := await reader.read(65536):
@@ -60,6 +62,8 @@
 
 
 class Clinic:
+    """Sends messages, each again until it is settled, and keeps the codes that it heard."""
+
     def __init__(self, port: int, rng: Random) -> None:
         self.port, self.rng = port, rng
         self.heard: dict[str, list[str]] = {}
@@ -67,6 +71,7 @@
         self.stopping = False
 
     async def work(self, number: int) -> None:
+        """Send one message after the other until told to stop."""
         while not self.stopping:
             self.made += 1
             when = datetime.now(UTC).strftime("%Y%m%d%H%M%S.%f")[:-2]
@@ -74,6 +79,7 @@
             await self.deliver(note)
 
     async def deliver(self, note: hl7.Note) -> None:
+        """Send one message until it is settled, and perhaps once more."""
         codes = self.heard.setdefault(note.control_id, [])
         while not (codes and codes[-1] in ("AA", "AE")):
             with suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
@@ -84,6 +90,8 @@
                 codes.append(await self.once(note))
 
     async def once(self, note: hl7.Note) -> str:
+        """Send a message once; returns the code of its acknowledgement. Raises OSError, ValueError or
+        TimeoutError."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         try:
             writer.write(hl7.block(note.content()))
@@ -97,6 +105,7 @@
 
 
 def configure(folder: Path, http: int, mllp: int, sender: int) -> dict[str, str]:
+    """Write the daemon's files; returns its environment."""
     known = {
         "generation": 1,
         "reset": True,
@@ -129,6 +138,7 @@
 
 
 async def listening(port: int, process: asyncio.subprocess.Process) -> bool:
+    """Wait until the daemon accepts connections; False when it ended first or 20 seconds passed."""
     until = time.monotonic() + 20
     while process.returncode is None and time.monotonic() < until:
         with suppress(OSError):
@@ -140,6 +150,7 @@
 
 
 async def play(kills: int, seed: int, folder: Path) -> dict[str, Any]:
+    """Kill the daemon so many times and count what was lost or done twice."""
     rng, mllp = Random(seed), free_port()
     sender = Sender(rng)
     server = await asyncio.start_server(sender.serve, "127.0.0.1", 0)
@@ -186,11 +197,13 @@
 
 
 def one(job: tuple[int, int]) -> dict[str, Any]:
+    """One job: a number of kills and a seed, in a folder of its own."""
     with tempfile.TemporaryDirectory() as folder:
         return asyncio.run(play(*job, Path(folder)))
 
 
 def main() -> int:
+    """Spread the kills over processes and print the counts. Returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--kills", type=int, default=500)
     parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -29,6 +29,8 @@
 
 
 class Run:
+    """Feeds one decision module with requests and answers in virtual time."""
+
     def __init__(self, make: Any, size: int, rate: float, seconds: float) -> None:
         self.rng, self.serial, self.spent = Random(size), count(), 0
         shape = Senders(count=size)
@@ -42,6 +44,7 @@
         self.open: dict[str, list[bool]] = {}
 
     def play(self, size: int) -> float:
+        """Play to the end; returns microseconds in the module for each request."""
         entries = tuple(ServerEntry(n, n % 2, n % 4, 0, ServerState.READY, 1.0, 0) for n in range(size))
         self.tell(self.module.on_start)
         self.tell(self.module.on_list, ServerList(ListKind.FULL, entries))
@@ -53,9 +56,11 @@
         return self.spent / 1000 / max(1, self.requests)
 
     def at(self, when: int, act: Any, *args: Any) -> None:
+        """Call `act` at `when` (nanoseconds)."""
         heapq.heappush(self.heap, (when, next(self.serial), act, args))
 
     def tell(self, method: Any, *args: Any) -> None:
+        """Call the module, count its time and carry its actions out."""
         began = perf_counter_ns()
         actions = method(self.now, *args)
         self.spent += perf_counter_ns() - began
@@ -80,6 +85,7 @@
                 )
 
     def ask(self) -> None:
+        """A request arrives, and the next one is scheduled."""
         klass = self.rng.choices(range(3), [c.share for c in CLASSES])[0]
         name = str(self.requests)
         self.requests += 1
@@ -88,6 +94,7 @@
         self.at(self.now + int(self.rng.expovariate(self.rate) * SECOND), self.ask)
 
     def done(self, name: str, number: int, server: int, sent: int, outcome: Outcome) -> None:
+        """An attempt ends."""
         ends = self.open[name]
         if not ends[number]:
             ends[number] = True
@@ -96,6 +103,7 @@
 
 
 def main() -> None:
+    """Print a row for each size."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--rate", type=float, default=500.0)
     parser.add_argument("--seconds", type=float, default=8.0)
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -39,9 +39,11 @@
     """Answers every request at once."""
 
     def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
         self.transport, self.buffer = transport, b""
 
     def data_received(self, data: bytes) -> None:
+        """Answer each whole request; a watch of discovery is left waiting."""
         self.buffer += data
         while (at := self.buffer.find(b"\r\n\r\n")) >= 0:
             head = self.buffer[:at].lower()
@@ -61,10 +63,12 @@
         self.load, self.number, self.count = load, number, 0
 
     def connection_made(self, transport: Any) -> None:
+        """Send the first request."""
         self.transport, self.buffer = transport, b""
         self.ask()
 
     def ask(self) -> None:
+        """Send the next request, or close when the load is used up."""
         if self.load.left <= 0:
             self.transport.close()
             return
@@ -78,6 +82,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
+        """Count the answer and go on with the next request."""
         self.buffer += data
         if self.buffer.endswith(b"done\n"):
             if not self.buffer.startswith(b"HTTP/1.1 200"):
@@ -87,12 +92,15 @@
             self.ask()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End the load with its last connection."""
         self.load.open -= 1
         if not self.load.open:
             self.load.done.set_result(None)
 
 
 class Load:
+    """So many requests over so many connections, closed loop."""
+
     ids = 0
 
     def __init__(self, requests: int, connections: int) -> None:
@@ -102,6 +110,7 @@
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def run(self, port: int) -> None:
+        """Send all of them to `port`, within 120 seconds."""
         loop = asyncio.get_running_loop()
         for number in range(self.open):
             await loop.create_connection(lambda number=number: Caller(self, number), "127.0.0.1", port)
@@ -109,20 +118,25 @@
 
 
 class Subject:
+    """A process to measure."""
+
     def __init__(self, name: str, command: list[str], env: dict[str, str], port: int) -> None:
         self.name, self.port = name, port
         self.process = subprocess.Popen(command, env={**os.environ, **env}, stderr=subprocess.DEVNULL)
         self.cpu: list[float] = []
 
     def ticks(self) -> int:
+        """Processor time that it has used, in clock ticks."""
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return int(fields[11]) + int(fields[12])
 
     def peak_mb(self) -> float:
+        """Its peak resident memory in MB."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         return int(status.partition("VmHWM:")[2].split()[0]) / 1024
 
     async def wait(self) -> None:
+        """Wait until it accepts connections. Raises SystemExit after 20 seconds."""
         until = time.monotonic() + 20
         while True:
             try:
@@ -136,12 +150,14 @@
 
 
 def free_port() -> int:
+    """A port that nobody has at this moment."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
 
 
 def daemon_config(folder: Path, name: str, port: int, upstream: int, peers: int = 0) -> Path:
+    """Write a daemon's configuration with one upstream and `peers` other balancers; returns its path."""
     sys.path.insert(0, str(ROOT))
     from dykeshift.cli.init import example
 
@@ -172,6 +188,7 @@
 
 
 def subjects(options: argparse.Namespace, folder: Path, upstream: int) -> list[Subject]:
+    """Start everything that is to be measured."""
     made = []
     for name in ("relay", "aiohttp"):
         port = free_port()
@@ -207,6 +224,7 @@
 
 
 async def measure(options: argparse.Namespace) -> dict[str, Any]:
+    """Let the subjects take turns and return their figures."""
     server = await asyncio.get_running_loop().create_server(Upstream, "127.0.0.1", 0)
     with tempfile.TemporaryDirectory() as folder:
         all_of_them = subjects(options, Path(folder), server.sockets[0].getsockname()[1])
@@ -231,6 +249,7 @@
 
 
 def report(all_of_them: list[Subject]) -> dict[str, Any]:
+    """Median processor time a request of each subject, and its ratio to the relay."""
     relay = all_of_them[0].cpu
     return {
         s.name: {
@@ -245,6 +264,7 @@
 
 
 def main() -> None:
+    """Measure and print."""
     parser = argparse.ArgumentParser(description="CPU a request beside a relay and an aiohttp proxy")
     parser.add_argument("--also", action="append", default=[], metavar="NAME=CHECKOUT")
     parser.add_argument(
--- a/benchmarks/paper.py
+++ b/benchmarks/paper.py
@@ -39,6 +39,7 @@
 
 
 def one(row: Row) -> dict[str, Any]:
+    """Play one setting and compare it with its closed form."""
     figure, setting = row
     got = play(setting, seed=1)
     mean, half = got.mean()
@@ -83,6 +84,7 @@
 
 
 def main() -> int:
+    """Print all rows, as a table or as JSON. Returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--servers", type=int, default=1000)
     parser.add_argument("--jobs", type=int, default=200_000, help="jobs in each setting")
--- a/benchmarks/proxy_aiohttp.py
+++ b/benchmarks/proxy_aiohttp.py
@@ -11,6 +11,7 @@
 
 
 async def main() -> None:
+    """Serve until the process is ended."""
     async with aiohttp.ClientSession() as session:
 
         async def handle(request: web.Request) -> web.Response:
--- a/benchmarks/proxy_mllp.py
+++ b/benchmarks/proxy_mllp.py
@@ -14,10 +14,12 @@
 
 
 def as_it_is(content: bytes, answer: bytes) -> bytes:
+    """The acknowledgement, unread."""
     return answer
 
 
 def parsed(content: bytes, answer: bytes) -> bytes:
+    """The acknowledgement, read and written anew. Raises ValueError where it answers another message."""
     import hl7
 
     message, ack = hl7.parse(content.decode()), hl7.parse(answer.decode())
@@ -27,10 +29,13 @@
 
 
 class Proxy:
+    """Hands messages on; `word` makes the answer for the client."""
+
     def __init__(self, upstream: int, word: Callable[[bytes, bytes], bytes]) -> None:
         self.upstream, self.word = upstream, word
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one client until either side closes."""
         near, far = await asyncio.open_connection("127.0.0.1", self.upstream)
         try:
             while True:
@@ -46,6 +51,7 @@
 
 
 async def main() -> None:
+    """Serve until the process is ended."""
     kind, port, upstream = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
     proxy = Proxy(upstream, parsed if kind == "hl7" else as_it_is)
     server = await asyncio.start_server(proxy.serve, "127.0.0.1", port)
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -48,12 +48,14 @@
 
 
 def one(task: tuple[int, str, str, int]) -> dict[str, float]:
+    """Play one day and return its figures."""
     size, kind, name, seed = task
     figures = play(day(size, kind), Wide if name == "before" else Balancer, seed)
     return {figure: float(getattr(figures, figure)) for figure in FIGURES}
 
 
 def rows(seeds: int) -> list[dict[str, Any]]:
+    """A row for each size and day, with the figures before and after over all seeds."""
     tasks = [
         (size, kind, name, seed)
         for size in reversed(SIZES)
@@ -79,6 +81,7 @@
 
 
 def lists(seeds: int) -> list[dict[str, Any]]:
+    """How long balancers wait for their first list at an overbooked discovery, by size."""
     found: list[dict[str, Any]] = []
     for size in SIZES:
         settings = replace(day(size, "calm").settings(0), ask_discovery=True)
@@ -102,6 +105,7 @@
 
 
 def plot(found: list[dict[str, Any]], path: str) -> None:
+    """Draw the worth by size to an SVG file."""
     import matplotlib
 
     matplotlib.use("svg")
@@ -129,6 +133,7 @@
 
 
 def main() -> int:
+    """Measure and print. Returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--plot")
--- a/benchmarks/tally.py
+++ b/benchmarks/tally.py
@@ -81,6 +81,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Print the sums. Returns 2, with one line on standard error, for a log that cannot be read."""
     parser = argparse.ArgumentParser(description="add up the tallies of many balancers")
     parser.add_argument("logs", nargs="+", metavar="LOG")
     parser.add_argument("--json", action="store_true")
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -101,6 +101,7 @@
 
 
 def changes(members: list[int], losses: list[float], seeds: int, jobs: int) -> None:
+    """Print how long a change takes from its proposal until it is in force everywhere."""
     tasks = [
         (m, loss, seed, guarded)
         for m in members
@@ -211,6 +212,7 @@
 
 
 def main() -> None:
+    """Run the parts that the options name."""
     raw = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
     parser.add_argument("--days", default="0:100")
--- a/benchmarks/view.py
+++ b/benchmarks/view.py
@@ -25,6 +25,7 @@
 
 
 def world_of(way: str, members: int, loss: float, seed: int) -> World:
+    """A world of views, or of a baseline, with this share of loss."""
     plain = {"swim": baselines.Swim, "heartbeats": baselines.Heartbeats}.get(way)
     make = None if plain is None else (lambda spot, life: plain(spot, Random(f"{seed}/{spot.number}/{life}")))
     world = World(seed, members, Options(), make)
@@ -33,6 +34,7 @@
 
 
 def holds(way: str, world: World) -> bool:
+    """Whether all hold just those for alive that they can reach."""
     if way == "view":  # what is compared is whom each holds for alive; `settled` is asked for by itself
         return all(
             s.view.standing.at_least == len(group) for group in world.groups_of(world.living()) for s in group
@@ -41,6 +43,7 @@
 
 
 def removed(way: str, world: World) -> int:
+    """Members that a baseline took for gone."""
     return 0 if way == "view" else sum(s.view.removed for s in world.spots)
 
 
@@ -118,6 +121,7 @@
 
 
 def plot(lines: list[dict[str, Any]], path: str) -> None:
+    """Draw the figures by size to a file."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -145,6 +149,7 @@
 
 
 def main() -> int:
+    """Measure and print. Returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--members", default="4,40")
     parser.add_argument("--loss", default="0,0.1,0.3")
--- a/benchmarks/view_structures.py
+++ b/benchmarks/view_structures.py
@@ -19,6 +19,7 @@
 
 
 def entries(count: int) -> list[Entry]:
+    """Made-up entries of the table."""
     return [Entry(f"n{n}", n << 16, n + 1, number=n, tier=count) for n in range(count)]
 
 
@@ -96,6 +97,7 @@
 
 
 def main() -> int:
+    """Print a JSON line for each structure and size. Returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--members", default="200,4000")
     given = parser.parse_args()
