Tests: messages on the wire have a module of their own beside the stub servers

Need: nine test modules repeated the same import block of twelve to fourteen lines.

Change: requests, answers, lists and their readers go from tests/node/stubs.py to tests/node/messages.py; imports fit a line each. No test is changed otherwise.

Ruled out: qualified names (stubs.request); a thousand changed lines, and 'stubs' is a variable's name in five of the modules.

--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -24,7 +24,8 @@
 from typing import Any
 
 from tests.handover.test_upgrade import Lists, Site
-from tests.node.stubs import Caller, Message, Stub, answer, instance, listing, request, says
+from tests.node.messages import Message, answer, instance, listing, request
+from tests.node.stubs import Caller, Stub, says
 
 MIB = 1 << 20
 LONG = 8 * MIB
--- a/tests/cli/test_console.py
+++ b/tests/cli/test_console.py
@@ -9,7 +9,8 @@
 import pytest
 
 from dykeshift.cli import main
-from tests.node.stubs import Stub, answer, node, request, run, says
+from tests.node.messages import answer, request
+from tests.node.stubs import Stub, node, run, says
 
 Capture = pytest.CaptureFixture[str]
 
--- a/tests/console/test_shell.py
+++ b/tests/console/test_shell.py
@@ -11,22 +11,8 @@
 import pytest
 
 from dykeshift.engine.discovery import number_of
-from tests.node.stubs import (
-    Message,
-    Node,
-    Stub,
-    answer,
-    instance,
-    listing,
-    node,
-    read_message,
-    request,
-    resets,
-    run,
-    says,
-    silent,
-    until,
-)
+from tests.node.messages import Message, answer, instance, listing, read_message, request
+from tests.node.stubs import Node, Stub, node, resets, run, says, silent, until
 
 
 @asynccontextmanager
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -12,7 +12,8 @@
 from dykeshift.interface import ListKind
 from dykeshift.node.together import Together
 from tests.harness import MS, World, entry
-from tests.node.stubs import Node, Stub, answer, node, run, says
+from tests.node.messages import answer
+from tests.node.stubs import Node, Stub, node, run, says
 
 S0 = number_of("s0")
 
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -14,22 +14,8 @@
 from typing import Any
 
 from dykeshift.handover.folder import BANS
-from tests.node.stubs import (
-    Caller,
-    Message,
-    Registry,
-    Stub,
-    answer,
-    configuration,
-    instance,
-    listing,
-    read_message,
-    request,
-    run,
-    says,
-    silent,
-    until,
-)
+from tests.node.messages import Message, answer, instance, listing, read_message, request
+from tests.node.stubs import Caller, Registry, Stub, configuration, run, says, silent, until
 
 READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
 ROOT = Path(__file__).resolve().parents[2]
--- a/tests/mllp/test_carrier.py
+++ b/tests/mllp/test_carrier.py
@@ -14,7 +14,8 @@
 from dykeshift.mllp.message import MessageError
 from dykeshift.standins import hl7
 from tests.mllp.test_front import message, place
-from tests.node.stubs import Message, Stub, request, run, until
+from tests.node.messages import Message, request
+from tests.node.stubs import Stub, run, until
 
 
 def ack(code: str, content: bytes, other: str = "") -> bytes:
--- a/tests/mllp/test_front.py
+++ b/tests/mllp/test_front.py
@@ -23,7 +23,8 @@
 from dykeshift.node.features import Features
 from dykeshift.node.mllp import Options
 from dykeshift.standins.disk import Disk
-from tests.node.stubs import Handler, Node, Stub, answer, node, resets, run, says, silent, until
+from tests.node.messages import answer
+from tests.node.stubs import Handler, Node, Stub, node, resets, run, says, silent, until
 from tests.store.machine import Machine
 
 SECOND = 1_000_000_000
--- a/tests/node/test_agree.py
+++ b/tests/node/test_agree.py
@@ -21,7 +21,8 @@
 from dykeshift.node.features import Features, Host
 from dykeshift.store.disk import MachineDisk
 from dykeshift.store.files import Directory, Files
-from tests.node.stubs import Node, Stub, answer, configuration, node, run, says, until
+from tests.node.messages import answer
+from tests.node.stubs import Node, Stub, configuration, node, run, says, until
 from tests.node.test_view import on as view_on
 from tests.node.test_view import ports
 
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -15,21 +15,8 @@
 
 from dykeshift.engine import connection, server
 from dykeshift.engine.budget import Budget
-from tests.node.stubs import (
-    Caller,
-    Message,
-    Node,
-    Stub,
-    answer,
-    node,
-    read_message,
-    request,
-    run,
-    says,
-    service,
-    settings,
-    until,
-)
+from tests.node.messages import Message, answer, read_message, request
+from tests.node.stubs import Caller, Node, Stub, node, run, says, service, settings, until
 
 BODY = bytes(range(256)) * 4096  # 1 MiB
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/node/test_crowded.py
+++ b/tests/node/test_crowded.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from tests.node.stubs import configuration, instance, listing, request
+from tests.node.messages import instance, listing, request
+from tests.node.stubs import configuration
 from tests.node.test_one_process import FEW, with_few_descriptors
 
 Address = tuple[str, int]
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -15,21 +15,8 @@
 from dykeshift.engine import discovery
 from dykeshift.engine.discovery import GRACE, HOLD_MS, QUIET, Reader, number_of
 from dykeshift.rules import SPREAD, TOLD, UNANSWERED
-from tests.node.stubs import (
-    Node,
-    Registry,
-    Stub,
-    answer,
-    instance,
-    listing,
-    node,
-    read_message,
-    request,
-    run,
-    says,
-    settings,
-    until,
-)
+from tests.node.messages import answer, instance, listing, read_message, request
+from tests.node.stubs import Node, Registry, Stub, node, run, says, settings, until
 
 
 def listen(balancer: Node) -> list[ServerList]:
--- a/tests/node/test_drain.py
+++ b/tests/node/test_drain.py
@@ -9,7 +9,8 @@
 
 from dykeshift.engine import drain as module
 from dykeshift.engine.drain import Drain, State
-from tests.node.stubs import Stub, answer, node, read_message, request, run, says, silent, until
+from tests.node.messages import answer, read_message, request
+from tests.node.stubs import Stub, node, run, says, silent, until
 
 READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
 EVENTS = st.lists(
--- a/tests/node/test_gone.py
+++ b/tests/node/test_gone.py
@@ -13,7 +13,8 @@
 from dykeshift.engine.driver import Job
 from dykeshift.engine.ledger import Tier
 from dykeshift.engine.upstream import Attempt, End
-from tests.node.stubs import Message, Node, Stub, answer, node, request, run, says, settings, until
+from tests.node.messages import Message, answer, request
+from tests.node.stubs import Node, Stub, node, run, says, settings, until
 
 
 def closes(client: socket.socket) -> None:
--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -8,20 +8,8 @@
 
 from dykeshift.engine import driver as engine
 from dykeshift.engine.discovery import number_of
-from tests.node.stubs import (
-    Node,
-    Registry,
-    Stub,
-    answer,
-    instance,
-    listing,
-    node,
-    request,
-    run,
-    says,
-    settings,
-    until,
-)
+from tests.node.messages import answer, instance, listing, request
+from tests.node.stubs import Node, Registry, Stub, node, run, says, settings, until
 
 ROUND = 1000
 
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -17,21 +17,8 @@
 import pytest
 
 from dykeshift.engine import config
-from tests.node.stubs import (
-    Caller,
-    Registry,
-    Stub,
-    answer,
-    configuration,
-    instance,
-    listing,
-    read_message,
-    request,
-    run,
-    says,
-    silent,
-    until,
-)
+from tests.node.messages import answer, instance, listing, read_message, request
+from tests.node.stubs import Caller, Registry, Stub, configuration, run, says, silent, until
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 COMMAND = [sys.executable, "-m", "dykeshift.node"]
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -15,22 +15,8 @@
 from dykeshift.engine import driver, requests, server
 from dykeshift.engine.discovery import number_of
 from dykeshift.engine.driver import Driver
-from tests.node.stubs import (
-    Handler,
-    Message,
-    Stub,
-    answer,
-    instance,
-    listing,
-    node,
-    read_message,
-    request,
-    resets,
-    run,
-    says,
-    silent,
-    until,
-)
+from tests.node.messages import Message, answer, instance, listing, read_message, request
+from tests.node.stubs import Handler, Stub, node, resets, run, says, silent, until
 
 
 MS, SECOND = 1_000_000, 1_000_000_000
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -13,21 +13,8 @@
 from dykeshift.interface import Idempotency, ListKind, Outcome
 from dykeshift.settings import SettingsError, parse_settings, succeed
 from tests.harness import MS, World, entry
-from tests.node.stubs import (
-    Node,
-    Stub,
-    answer,
-    configuration,
-    node,
-    read_message,
-    request,
-    run,
-    says,
-    service,
-    settings,
-    silent,
-    until,
-)
+from tests.node.messages import answer, read_message, request
+from tests.node.stubs import Node, Stub, configuration, node, run, says, service, settings, silent, until
 
 
 def named(*services: dict[str, Any], **bounds: Any) -> dict[str, Any]:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -13,7 +13,8 @@
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.http_carrier import HttpCarrier
 from dykeshift.engine.upstream import Attempt, End, Pool, Staleness
-from tests.node.stubs import Handler, Stub, answer, resets, run, says, silent, until
+from tests.node.messages import answer
+from tests.node.stubs import Handler, Stub, resets, run, says, silent, until
 
 SECOND = 1_000_000_000
 REQUEST = b"POST /api HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\nhello"
--- a/tests/node/test_versions.py
+++ b/tests/node/test_versions.py
@@ -22,20 +22,8 @@
 from dykeshift.node import features
 from dykeshift.node import versions as feature
 from dykeshift.node.features import Features
-from tests.node.stubs import (
-    Node,
-    Stub,
-    answer,
-    instance,
-    listing,
-    node,
-    request,
-    resets,
-    run,
-    says,
-    settings,
-    until,
-)
+from tests.node.messages import answer, instance, listing, request
+from tests.node.stubs import Node, Stub, node, resets, run, says, settings, until
 from tests.node.test_agree import on as agree_on
 from tests.node.test_upstream import REQUEST, make_pool
 from tests.node.test_view import ports
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -19,7 +19,8 @@
 from dykeshift.node import features
 from dykeshift.node import view as feature
 from dykeshift.node.features import Features, Host
-from tests.node.stubs import Node, Stub, answer, configuration, node, run, says, until
+from tests.node.messages import answer
+from tests.node.stubs import Node, Stub, configuration, node, run, says, until
 
 KEYS = {
     "self",
