Scale: what the standing control costs on the virtual clock, lifttrail scale control

Lines of the capacity page on membership, consensus and settings in versions need measurements that no command made: a change that contradicts, changes in a row, what a change carries, a start with places away, membership at rest and at a start. The real cores play them on the virtual clock; what does not come about within a limit is counted as that limit and said so.

--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -61,3 +61,31 @@
     for row in rows:
         click.echo(fits.row_text(row))
     return 0
+
+
+@command.command("control")
+@click.option("--only", default="", metavar="PREFIX", help="Only measurements whose id begins so.")
+@click.option("--seeds", default=3, metavar="N", show_default=True, type=click.IntRange(1, 100))
+@RESULTS
+@JSON
+def control(only: str, seeds: int, path: str, as_json: bool) -> int:
+    """Measure membership, consensus and versions on the virtual clock; merge into the results file."""
+    from dykeshift.scale import control_costs, results
+
+    chosen = [cost for cost in control_costs.costs() if cost.id.startswith(only)]
+    if not chosen:
+        raise Usage(f"lifttrail scale control: no measurement begins with {only}")
+    typed = "lifttrail scale control" + (f" --only {only}" if only else "") + f" --seeds {seeds}"
+    measured = []
+    for cost in chosen:
+        found = control_costs.measure(cost, seeds, typed)
+        try:
+            results.record([found], Path(path))
+        except results.ResultsError as exc:
+            raise Usage(f"lifttrail scale control: {exc}") from None
+        if not as_json:
+            click.echo(results.summary_text(found))
+        measured.append(found)
+    if as_json:
+        click.echo(results.encode(results.ResultsFile(measurements=tuple(measured))), nl=False)
+    return 0
--- a/dykeshift/scale/results.py
+++ b/dykeshift/scale/results.py
@@ -141,6 +141,12 @@
     return Point(size=size, median=median, p99=p99, most=ordered[-1], rounds=len(ordered), seed=seed)
 
 
+def summary_text(measurement: Measurement) -> str:
+    """One line for people: id, unit, and median, 99th percentile and most at each size."""
+    points = (f"{point.size:g}: {_figures_text(point)}" for point in measurement.points)
+    return f"{measurement.id}, {measurement.unit}, by {measurement.parameter}: {'; '.join(points)}"
+
+
 def program_version() -> str:
     """The version, with the commit (and `-dirty`) where the package lies in a repository."""
     command = ["git", "describe", "--always", "--dirty", "--abbrev=10"]
@@ -211,6 +217,11 @@
     return after
 
 
+def _figures_text(point: Point) -> str:
+    figures = (point.median, point.p99, point.most)
+    return " / ".join(f"{figure:.4g}" for figure in figures if figure is not None)
+
+
 def _replace(path: Path, text: bytes) -> None:
     descriptor, name = tempfile.mkstemp(prefix=path.name, suffix=".tmp", dir=path.parent)
     try:
