--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -89,3 +89,25 @@
     if as_json:
         click.echo(results.encode(results.ResultsFile(measurements=tuple(measured))), nl=False)
     return 0
+
+
+@command.command("take")
+@click.argument("runs", nargs=-1, required=True, metavar="RUN.json...")
+@RESULTS
+def take(runs: tuple[str, ...], path: str) -> int:
+    """Take the JSON that `scale run` printed into the results file, as points of its size."""
+    from dykeshift.scale import results, run_results
+
+    held = load_results(path) if Path(path).exists() else results.ResultsFile()
+    for name in runs:
+        try:
+            held = run_results.take(held, run_results.decode(Path(name).read_bytes()))
+        except OSError as exc:
+            raise Usage(f"lifttrail scale take: {name}: {exc.strerror}") from None
+        except results.ResultsError as exc:
+            raise Usage(f"lifttrail scale take: {name}: {exc}") from None
+    try:
+        results.save(held, Path(path))
+    except results.ResultsError as exc:
+        raise Usage(f"lifttrail scale take: {exc}") from None
+    return 0
