Scale run: events by place, measures, verdict, whole daemons beside, lifttrail scale run

A run ends in findings by the members' state. A whole daemon's control cost (with features less without, in a window in which nobody asks it anything) is put beside a hollow member's. Runs whose loops came late are marked starved and not recorded.

--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -111,3 +111,68 @@
     except results.ResultsError as exc:
         raise Usage(f"lifttrail scale take: {exc}") from None
     return 0
+
+
+@command.command("run")
+@click.option("--members", default=930, metavar="N", show_default=True, type=int, help="Hollow members.")
+@click.option(
+    "--real", default=None, metavar="N", type=int, help="Whole daemons beside; 6 on the real clock."
+)
+@click.option("--seconds", default=120.0, metavar="S", show_default=True, help="For all events together.")
+@click.option("--seed", default=1, metavar="N", show_default=True, type=int, help="Of all that is drawn.")
+@click.option(
+    "--clock", default="real", metavar="real|virtual", show_default=True, help="Sockets, or events."
+)
+@click.option("--design", default="membership", metavar="NAME", show_default=True, help="Who is hollow.")
+@click.option("--events", default="", metavar="A,B,...", help="What befalls the fleet; all, in order.")
+@click.option("--start", default="settled", metavar="settled|cold", show_default=True, help="As it begins.")
+@click.option("--processes", default=0, metavar="N", show_default=True, type=int, help="Hosts; 0: by size.")
+@click.option("--out", default="", metavar="FILE", help="Add the figures to this results file.")
+@JSON
+def run(
+    members: int,
+    real: int | None,
+    seconds: float,
+    seed: int,
+    clock: str,
+    design: str,
+    events: str,
+    start: str,
+    processes: int,
+    out: str,
+    as_json: bool,
+) -> int:
+    """Run a fleet of hollow members and whole daemons through faults; 1 where a line does not hold."""
+    import asyncio
+
+    from dykeshift.scale import results, run_results
+    from dykeshift.scale import run as runs
+    from dykeshift.scale.faults import NAMES
+
+    if start not in ("settled", "cold"):
+        raise Usage(f"lifttrail scale run: --start: settled or cold, not {start}")
+    wanted = runs.Wanted(
+        members=members,
+        real=real if real is not None else 6 * (clock == "real"),
+        seconds=seconds,
+        seed=seed,
+        clock=clock,
+        design=design,
+        events=tuple(name.strip() for name in events.split(",")) if events else NAMES,
+        settled=start == "settled",
+        processes=processes,
+    )
+    if out and not Path(out).parent.is_dir():
+        raise Usage(f"lifttrail scale run: --out: {Path(out).parent} is no folder")
+    held = load_results(out) if out and Path(out).exists() else results.ResultsFile()
+    try:
+        result = asyncio.run(runs.play(wanted))
+    except runs.RunError as exc:
+        raise Usage(f"lifttrail scale run: {exc}") from None
+    told = json.dumps(result.json())
+    click.echo(told if as_json else "\n".join(runs.lines(result)))
+    if out and result.starved:
+        click.echo("starved: nothing is recorded", err=True)
+    elif out:
+        results.save(run_results.take(held, run_results.decode(told.encode())), Path(out))
+    return 1 if result.findings else 0
--- a/dykeshift/scale/cluster.py
+++ b/dykeshift/scale/cluster.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import inspect
+import logging
 import multiprocessing
 import time
 import traceback
@@ -137,6 +138,7 @@
 
 
 def _virtual_host(connection: Connection, plan: Plan, numbers: list[int]) -> None:
+    logging.getLogger().setLevel(logging.CRITICAL)
     part = Part(plan.roster.seats, frozenset(numbers))
     shard = Shard(plan, numbers, part)
     while True:
@@ -194,6 +196,7 @@
 def _real_host(connection: Connection, plan: Plan, numbers: list[int]) -> None:
     import uvloop
 
+    logging.getLogger().setLevel(logging.CRITICAL)
     uvloop.run(_serve(connection, plan, numbers))
 
 
--- a/dykeshift/scale/membership.py
+++ b/dykeshift/scale/membership.py
@@ -19,7 +19,8 @@
 from dykeshift.node import agree, features, versions, view
 from dykeshift.node.assembly import assemble
 from dykeshift.rig.installation import settings
-from dykeshift.scale.role import Answered, Life, MemberState, Role
+from dykeshift.scale.role import Answered, Life, MemberState, Role, Roster
+from dykeshift.versions.own import share
 from dykeshift.view.wire import Entry
 
 HISTORY = 0x5CA1E  # of a fleet that starts settled
@@ -67,12 +68,18 @@
 
     def close(self, leave: bool) -> None:
         """As the daemon ends them, or not at all."""
-        if not leave:
-            return
+        if leave:
+            for service in reversed(self.services):
+                service.close()
+
+    def drain(self) -> None:
+        """As the daemon tells them on SIGTERM."""
         for service in self.services:
             service.drain()
-        for service in reversed(self.services):
-            service.close()
+
+    def busy(self) -> bool:
+        """While any hands over what it has."""
+        return any(service.busy() for service in self.services)
 
     # ---- what it holds true ----
 
@@ -98,7 +105,8 @@
             int(member.digest(now), 16),
             member.settled,
             voter.role is VotingRole.LEADER,
-            hashlib.blake2s(book.snapshot(), digest_size=8).hexdigest(),
+            _short(book.snapshot()),
+            _short(book.pages.rules.settings.encode()),
             book.pages.version,
             sum(sent[0] for sent in said),
             sum(sent[1] for sent in said),
@@ -134,6 +142,10 @@
         self.agree.runner.carry(self.agree.core.adopt(now, epoch, Base(wanted=len(voters), now=voters)))
 
 
+def _short(data: bytes) -> str:
+    return hashlib.blake2s(data, digest_size=8).hexdigest()
+
+
 def _no_discovery() -> None:
     """Upstreams belong to the data path: nobody is asked for them."""
 
@@ -173,8 +185,16 @@
         """A balancer with its control features."""
         return Member(life)
 
+    def voters(self, roster: Roster) -> tuple[int, ...]:
+        """As consensus draws them."""
+        return drawn(agree.Options().voters, len(roster.seats))
+
     def change(self, count: int) -> dict[str, Any]:
         """Other settings: every other change also alters what two may not act on differently."""
         changed = settings(GUARDED + (count + 1) // 2, 0)
         changed["services"][-1]["worth"] = 1.0 + count % 7
         return changed
+
+    def digest(self, change: dict[str, Any]) -> str:
+        """Of the text that all share."""
+        return _short(share(change).encode())
--- a/dykeshift/scale/role.py
+++ b/dykeshift/scale/role.py
@@ -90,6 +90,7 @@
     settled: bool = True  # it waits for nothing and takes its picture for whole
     leads: bool = False  # it leads the control's consensus
     content: str = ""  # digest of the configuration that it holds, to compare members by
+    acted: str = ""  # what `Design.digest` says of the change that brought the version acted on
     held: int = 0  # the version of what `content` is the digest of: members that hold the same are equal
     said_datagrams: int = 0  # that it has sent, by its own figures
     said_bytes: int = 0
@@ -113,6 +114,12 @@
     async def start(self) -> None:
         """Open the port and begin. OSError where the port can't be had."""
 
+    def drain(self) -> None:
+        """It will end soon: let others have what it is needed for."""
+
+    def busy(self) -> bool:
+        """Whether it is worth waiting a moment before a drained one ends."""
+
     def close(self, leave: bool) -> None:
         """End; `leave`: with a goodbye, else as killed."""
 
@@ -144,8 +151,14 @@
     def member(self, life: Life) -> Role:
         """A member that is not started yet."""
 
+    def voters(self, roster: Roster) -> tuple[int, ...]:
+        """Who votes at first: a plan of faults never takes a majority of these at once."""
+
     def change(self, count: int) -> dict[str, Any]:
         """The `count`-th change of a run's configuration (0, 1, ...), each different from the one before.
 
         Every other one contradicts the one before.
         """
+
+    def digest(self, change: dict[str, Any]) -> str:
+        """What tells a member that acts on this change from one that acts on another; empty: nothing does."""
--- a/dykeshift/scale/shard.py
+++ b/dykeshift/scale/shard.py
@@ -57,7 +57,7 @@
     members: int
     rss_bytes: int
     idle_rss_bytes: int  # as it was before it had members
-    cpu_ns: int  # of the process
+    cpu_ns: int  # of the process, since it has members
     thread_cpu_ns: int  # of the thread that all members run in
     members_cpu_ns: int  # what is accounted to members, of all lives
     faults: tuple[str, ...]
@@ -83,6 +83,7 @@
         self.answers: list[Answer] = []
         gc.collect()
         self.idle_rss = resident()
+        self.idle_cpu, self.idle_thread_cpu = time.process_time_ns(), time.thread_time_ns()
 
     # ---- lives ----
 
@@ -122,6 +123,17 @@
                 setattr(total, name, getattr(total, name) + getattr(counters, name))
             self.faults += process.loop.faults
 
+    def drain(self, numbers: list[int]) -> None:
+        """Tell each that it will end."""
+        for number in numbers:
+            process = self.processes.get(number)
+            if process is not None:
+                process.loop.run(process.role.drain)
+
+    def busy(self, numbers: list[int]) -> int:
+        """How many of these are worth waiting for."""
+        return sum(self.processes[n].role.busy() for n in numbers if n in self.processes)
+
     def exports(self) -> dict[int, Any]:
         """Of all that are at work, for `settle`."""
         return {number: process.role.export() for number, process in self.processes.items()}
@@ -172,6 +184,10 @@
             )
         return found
 
+    def port_bytes(self) -> dict[int, int]:
+        """Bytes that left the port of each member's present life."""
+        return {number: process.loop.counters.bytes for number, process in self.processes.items()}
+
     def usage(self) -> Usage:
         """Of the process."""
         faults = [*self.faults, *(f for p in self.processes.values() for f in p.loop.faults)]
@@ -179,8 +195,8 @@
             len(self.processes),
             resident(),
             self.idle_rss,
-            time.process_time_ns(),
-            time.thread_time_ns(),
+            time.process_time_ns() - self.idle_cpu,
+            time.thread_time_ns() - self.idle_thread_cpu,
             sum(counters.cpu_ns for counters in self.counters().values()),
             tuple(faults[:8]),
         )
