--- a/dykeshift/scale/run_results.py
+++ b/dykeshift/scale/run_results.py
@@ -89,6 +89,7 @@
     clock: ClockKind
     design: str
     settled: bool = True
+    events: tuple[str, ...] = ()  # none named: all
 
 
 class RunRecord(msgspec.Struct, frozen=True):
@@ -109,6 +110,10 @@
             text += " --clock virtual"
         if wanted.design != STANDING_DESIGN:
             text += f" --design {wanted.design}"
+        if not wanted.settled:
+            text += " --start cold"
+        if wanted.events:
+            text += f" --events {','.join(wanted.events)}"
         return text + " --json"
 
 
--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -136,7 +136,7 @@
         states = await self.states()
         before, began, mark = await self._reading(), self.cluster.now(), len(self.lags)
         hosts, whole = await self._host_times(), self.witness.costs()
-        await self._pass(min(REST, self.limit))
+        await self._pass(min(REST, self.limit / 2))
         seconds = self.cluster.now() - began
         whole_after, hosts_after = self.witness.costs(), await self._host_times()
         members_ns, all_ns = hosts_after[0] - hosts[0], hosts_after[1] - hosts[1]
--- a/dykeshift/scale/shard.py
+++ b/dykeshift/scale/shard.py
@@ -108,7 +108,12 @@
             )
         )
         self.processes[number] = Process(loop, role)
-        await role.start()
+        try:
+            await role.start()
+        except OSError as exc:
+            self.faults.append(f"number {number} can't start: {exc}")
+            del self.processes[number]
+            loop.end()
 
     def end(self, numbers: list[int], leave: bool) -> None:
         """Kill each, or have it say its goodbye first."""
--- a/dykeshift/scale/verdict.py
+++ b/dykeshift/scale/verdict.py
@@ -27,6 +27,9 @@
 )
 
 
+BY_COST = frozenset({"budget-bytes", "budget-cpu", "budget-memory"})  # kinds that hold figures against lines
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """Something that must not be."""
