--- a/dykeshift/scale/run.py
+++ b/dykeshift/scale/run.py
@@ -14,7 +14,7 @@
 from dykeshift.scale.designs import DESIGNS, design_of
 from dykeshift.scale.faults import NAMES, draw
 from dykeshift.scale.measures import Measured, Spread
-from dykeshift.scale.session import Session, Witness
+from dykeshift.scale.session import PATIENCE, Session, Witness
 from dykeshift.scale.shard import Plan, Usage
 from dykeshift.scale.verdict import MB, Finding, member_bytes
 
@@ -22,6 +22,7 @@
 
 MOST_MEMBERS = 4000
 MOST_REAL = 12
+SMALL = 100  # members with which a run can afford to wait
 MEMBERS_EACH = 50  # of a process that hosts them, where there are cores enough
 NETWORKS = (20, 200)  # second numbers of loopback addresses that a run takes one of
 CLOCKS = ("real", "virtual")
@@ -67,6 +68,16 @@
         if self.processes < 0 or self.hosts + self.real + 1 > MOST_PROCESSES:
             raise RunError(f"--processes: at most {MOST_PROCESSES} in all, not {self.hosts + self.real}")
 
+    @property
+    def limit(self) -> float:
+        """Seconds that an event may take."""
+        return self.seconds / len(self.events)
+
+    @property
+    def patience(self) -> float:
+        """Seconds in which all have to settle before the first event and after the last."""
+        return PATIENCE if self.members <= SMALL else min(PATIENCE, self.limit)
+
     @property
     def hosts(self) -> int:
         """Processes that host members."""
@@ -140,8 +151,8 @@
     cluster: Cluster = make(plan, hollow, wanted.hosts)
     began = time.monotonic()
     whole = await _whole(wanted, plan)
-    limit = wanted.seconds / len(wanted.events)
-    session = Session(cluster, plan, design, hollow, limit, whole or Witness())
+    limit = wanted.limit
+    session = Session(cluster, plan, design, hollow, limit, whole or Witness(), patience=wanted.patience)
     try:
         await session.open(wanted.settled)
         voters = design.voters(roster)
