--- a/dykeshift/scale/run.py
+++ b/dykeshift/scale/run.py
@@ -91,7 +91,7 @@
 
     given: int  # of the machine, to this process and its children
     used: float  # by all hosts, while the run's clock ran
-    wanted: float  # by the members' callbacks and the loops, for the run's clock to keep up
+    wanted: float  # for the run's clock to keep up with the machine's; at least so many where it starved
     loop_share: float  # of the hosts' time, that is no member's: sockets, timers, the virtual network
 
 
