--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -126,6 +126,7 @@
 @click.option("--design", default="membership", metavar="NAME", show_default=True, help="Who is hollow.")
 @click.option("--events", default="", metavar="A,B,...", help="What befalls the fleet; all, in order.")
 @click.option("--start", default="settled", metavar="settled|cold", show_default=True, help="As it begins.")
+@click.option("--wall", default=0.0, metavar="S", show_default=True, help="Cut short after; 0: never.")
 @click.option("--processes", default=0, metavar="N", show_default=True, type=int, help="Hosts; 0: by size.")
 @click.option("--out", default="", metavar="FILE", help="Add the figures to this results file.")
 @JSON
@@ -138,6 +139,7 @@
     design: str,
     events: str,
     start: str,
+    wall: float,
     processes: int,
     out: str,
     as_json: bool,
@@ -160,6 +162,7 @@
         design=design,
         events=tuple(name.strip() for name in events.split(",")) if events else NAMES,
         settled=start == "settled",
+        wall_s=wall,
         processes=processes,
     )
     if out and not Path(out).parent.is_dir():
@@ -175,4 +178,4 @@
         click.echo("starved: nothing is recorded", err=True)
     elif out:
         results.save(run_results.take(held, run_results.decode(told.encode())), Path(out))
-    return 1 if result.findings else 0
+    return 0 if result.judged and not result.findings else 1
--- a/dykeshift/scale/run.py
+++ b/dykeshift/scale/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 import socket
 import time
@@ -45,6 +46,7 @@
     design: str = "membership"
     events: tuple[str, ...] = NAMES
     settled: bool = True  # it starts as a fleet long at rest
+    wall_s: float = 0.0  # on the machine's clock, after which a run is cut short; 0: never
     processes: int = 0  # that host members; 0: by members and cores
     options: dict[str, dict[str, Any]] = field(default_factory=dict)  # by section of the feature file
 
@@ -56,6 +58,8 @@
             raise RunError(f"--real: 0 to {MOST_REAL}, not {self.real}")
         if not 0 < self.seconds <= 86_400:
             raise RunError(f"--seconds: more than 0, at most a day, not {self.seconds:g}")
+        if not 0 <= self.wall_s <= 86_400:
+            raise RunError(f"--wall: 0 (never) or seconds up to a day, not {self.wall_s:g}")
         if self.clock not in CLOCKS:
             raise RunError(f"--clock: {' or '.join(CLOCKS)}, not {self.clock}")
         if self.clock == "virtual" and self.real:
@@ -109,6 +113,8 @@
     rss_mb: float  # of all hosts
     wall_s: float
     run_s: float  # on the run's clock
+    judged: bool  # false: it was cut short, and findings say nothing of the members' states
+    cut_short: list[str]  # events that did not end or begin; they are not among `events`
     changes_refused: int  # times that a member would not take a change, and was asked again
     whole: dict[str, Any] = field(default_factory=dict)  # of whole daemons, beside hollow members
 
@@ -153,6 +159,7 @@
     whole = await _whole(wanted, plan)
     limit = wanted.limit
     session = Session(cluster, plan, design, hollow, limit, whole or Witness(), patience=wanted.patience)
+    session.deadline = began + wanted.wall_s if wanted.wall_s else math.inf
     try:
         await session.open(wanted.settled)
         voters = design.voters(roster)
@@ -210,6 +217,8 @@
         round(sum(usage.rss_bytes for usage in usages) / MB, 1),
         round(wall_s, 1),
         round(run_s, 1),
+        session.judged,
+        session.cut_short,
         session.refused,
         compared,
     )
@@ -224,6 +233,8 @@
     ]
     for event in result.events:
         told.append(_line(event))
+    if result.cut_short:
+        told.append(f"cut short: {', '.join(result.cut_short)}")
     told += [f"  {finding.kind}: {finding.text}" for finding in result.findings]
     return told
 
--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import math
+import time
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -89,6 +91,9 @@
     growth: Growth | None = None
     at_rest: AtRest | None = None
     patience: float = PATIENCE
+    deadline: float = math.inf  # of the machine's monotonic clock: what has not ended then is cut short
+    cut_short: list[str] = field(default_factory=list)  # events that were, and those that never began
+    judged: bool = False  # whether all had their time to settle before the verdict
     lags: list[float] = field(default_factory=list)
     living: set[int] = field(default_factory=set)  # hollow members that should be at work
     chance: Random = field(init=False)
@@ -118,8 +123,16 @@
 
     # ---- events ----
 
+    @property
+    def late(self) -> bool:
+        """Whether the run's time on the machine is over."""
+        return time.monotonic() >= self.deadline
+
     async def play(self, event: Event) -> None:
-        """One event, measured."""
+        """One event, measured; none where the run's time is over."""
+        if self.late:
+            self.cut_short.append(event.name)
+            return
         if isinstance(event, Rest):
             await self._rest(event.name)
         elif isinstance(event, Changes):
@@ -192,14 +205,15 @@
     ) -> None:
         before, began, restarted = await self._reading(), self.cluster.now(), 0
         for batch in batches:
-            if self.cluster.now() - began >= self.limit:
+            if self.late or self.cluster.now() - began >= self.limit:
                 break
             await self._end(batch, leave)
             await self._start(batch)
             await self._pass(every_s)
             restarted += len(batch)
         await self._event(name, _nothing, self.whole, since=(before, began))
-        self.measured[-1].restarted, self.measured[-1].to_restart = restarted, sum(map(len, batches))
+        if self.measured[-1].event == name:
+            self.measured[-1].restarted, self.measured[-1].to_restart = restarted, sum(map(len, batches))
 
     # ---- looking ----
 
@@ -259,6 +273,9 @@
             now, states = self.cluster.now() - start, await self.states()
             well = settled(states)
             at = {n: at.get(n, now) for n in well}
+            if self.late:
+                self.cut_short.append(name)
+                return
             if now >= limit or (now >= LEAST and self.expected() <= well):
                 break
         measured = await self._measure(name, before, self.cluster.now() - began, states, mark)
@@ -314,6 +331,9 @@
                 halfway = (finished, await self._resident())
             if finished == event.count or self.cluster.now() - began >= self.limit:
                 break
+            if self.late:
+                self.cut_short.append(event.name)
+                return
         await self.cluster.call("conditions", 0.0, {})
         measured = await self._measure(event.name, before, self.cluster.now() - began, states, mark)
         self._sum_up(measured, asked)
@@ -369,16 +389,17 @@
         return lags is not None and (lags.median > STARVED_MEDIAN or lags.p99 > STARVED_P99)
 
     async def judge(self) -> list[Finding]:
-        """After some time to settle, what must hold and does not."""
+        """After some time to settle, what must hold and does not; states only if there was that time."""
         end = self.cluster.now() + self.patience
         states = await self.states()
-        while not self.expected() <= self.whole(states) and self.cluster.now() < end:
+        while not self.expected() <= self.whole(states) and self.cluster.now() < end and not self.late:
             await self._pass(LOOK)
             states = await self.states()
+        self.judged = not self.late or self.expected() <= self.whole(states)
         counted = {n: b for some in await self.cluster.call("port_bytes") for n, b in some.items()}
         usages: list[Usage] = await self.cluster.call("usage")
         return [
-            *verdict.states(states, self.expected(), self.committed),
+            *(verdict.states(states, self.expected(), self.committed) if self.judged else ()),
             *verdict.budgets(self.measured, self.starved),
             *verdict.memory(usages, self.growth),
             *verdict.accounts(usages, counted, states),
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -196,6 +196,7 @@
         ["--events", "earthquake"],
         ["--start", "warm"],
         ["--processes", "999"],
+        ["--wall", "-1"],
         ["--out", "/dev/null/results.json"],
     ],
     ids=" ".join,
@@ -225,6 +226,13 @@
     assert found is not None and found.sizes == (6, 8)
 
 
+def test_a_run_that_is_cut_short_says_so_and_judges_no_states() -> None:
+    wanted = Wanted(members=6, real=0, seconds=30, clock="virtual", events=("rest", "zone"), wall_s=0.001)
+    result = asyncio.run(play(wanted))
+    assert not result.judged and result.events == []
+    assert result.cut_short == ["settle", "rest", "zone"]
+
+
 def test_a_wanted_run_is_checked_whole() -> None:
     Wanted().check()
     with pytest.raises(RunError, match="--events"):
