--- a/dykeshift/scale/run.py
+++ b/dykeshift/scale/run.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import os
 import socket
 import time
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -21,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 
+DAEMON_LOGGER = "dykeshift.node"
 MOST_MEMBERS = 4000
 MOST_REAL = 12
 SMALL = 100  # members with which a run can afford to wait
@@ -141,9 +144,26 @@
         raise RunError(f"the members take {used // MB} MB, more than half of the machine's memory")
 
 
+@contextlib.contextmanager
+def _quiet() -> Iterator[None]:
+    """What members in this process would log as daemons is not the run's own words."""
+    logger = logging.getLogger(DAEMON_LOGGER)
+    before = logger.level
+    logger.setLevel(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logger.setLevel(before)
+
+
 async def play(wanted: Wanted) -> Result:
     """RunError where it can't be run as asked; nothing has begun then."""
     wanted.check()
+    with _quiet():
+        return await _play(wanted)
+
+
+async def _play(wanted: Wanted) -> Result:
     design = design_of(wanted.design)
     low, high = NETWORKS
     network = low + os.getpid() % (high - low)
