--- a/dykeshift/scale/membership.py
+++ b/dykeshift/scale/membership.py
@@ -189,6 +189,10 @@
         """As consensus draws them."""
         return drawn(agree.Options().voters, len(roster.seats))
 
+    def proposers(self, roster: Roster) -> tuple[int, ...]:
+        """At every balancer."""
+        return tuple(seat.number for seat in roster.seats)
+
     def change(self, count: int) -> dict[str, Any]:
         """Other settings: every other change also alters what two may not act on differently."""
         changed = settings(GUARDED + (count + 1) // 2, 0)
--- a/dykeshift/scale/role.py
+++ b/dykeshift/scale/role.py
@@ -91,7 +91,7 @@
     digest: int | None = None  # of its table of members: equal digests are equal tables
     settled: bool = True  # it waits for nothing and takes its picture for whole
     leads: bool = False  # it leads the control's consensus
-    content: str = ""  # digest of the configuration that it holds, to compare members by
+    content: str = ""  # digest of the configuration that it holds, to compare members by; empty: only a part
     acted: str = ""  # what `Design.digest` says of the change that brought the version acted on
     held: int = 0  # the version of what `content` is the digest of: members that hold the same are equal
     said_datagrams: int = 0  # that it has sent, by its own figures
@@ -156,6 +156,9 @@
     def voters(self, roster: Roster) -> tuple[int, ...]:
         """Who votes at first: a plan of faults never takes a majority of these at once."""
 
+    def proposers(self, roster: Roster) -> tuple[int, ...]:
+        """Where operators ask for changes: at any of these that is at work."""
+
     def change(self, count: int) -> dict[str, Any]:
         """The `count`-th change of a run's configuration (0, 1, ...), each different from the one before.
 
--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -318,7 +318,7 @@
                 under_way.proposed = True
                 await self.cluster.call(
                     "propose",
-                    self.chance.choice(sorted(self.living)),
+                    self._proposer(),
                     under_way.count,
                     self.design.change(under_way.count),
                 )
@@ -340,6 +340,11 @@
         if halfway[0] and finished > halfway[0]:
             self.growth = Growth(finished - halfway[0], len(self.living), halfway[1], await self._resident())
 
+    def _proposer(self) -> int:
+        """Somebody at work; where nobody of the design's is, anybody, who will not know what to do."""
+        able = [n for n in self.design.proposers(self.plan.roster) if n in self.living]
+        return self.chance.choice(able or sorted(self.living))
+
     async def _resident(self) -> int:
         usages: list[Usage] = await self.cluster.call("usage")
         return sum(usage.rss_bytes for usage in usages)
--- a/dykeshift/scale/verdict.py
+++ b/dykeshift/scale/verdict.py
@@ -92,7 +92,8 @@
         findings.append(Finding("members", "tables of members differ"))
     by_version = defaultdict[int, set[str]](set)
     for state in found:
-        by_version[state.held].add(state.content)
+        if state.content:
+            by_version[state.held].add(state.content)
     differing = sorted(version for version, contents in by_version.items() if len(contents) > 1)
     if differing:
         findings.append(Finding("disagreement", f"version {differing[0]} is not the same at all"))
