--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -5,13 +5,14 @@
 import contextlib
 import math
 import time
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 from dykeshift.scale import verdict
+from dykeshift.scale.changes import Queue
 from dykeshift.scale.cluster import Cluster
 from dykeshift.scale.faults import Apart, Changes, Event, Lost, Restarts, Rest, Roll
 from dykeshift.scale.hosting import Counters
@@ -61,18 +62,6 @@
     said_s: dict[str, float]  # datagrams a second by members' own figures, the mean, by kind
 
 
-@dataclass(slots=True)
-class Asked:
-    """A change on its way."""
-
-    count: int
-    due: float
-    proposed: bool = False
-    committed_at: float = 0.0
-    version: int = 0
-    in_force: dict[int, float] = field(default_factory=dict)  # when, by member
-
-
 @dataclass(slots=True)
 class Session:
     """One run; `limit`: seconds that an event may take."""
@@ -303,42 +292,45 @@
     # ---- changes ----
 
     async def _changes(self, event: Changes) -> None:
-        """Asked for at the event's pace, one proposed after the other; what waits, waits."""
+        """Asked for at the event's pace; measured from the first on."""
         before, began, mark = await self._reading(), self.cluster.now(), len(self.lags)
         await self.cluster.call("conditions", event.loss, {})
-        waiting = deque(Asked(self.made + n, began + n * event.every_s) for n in range(event.count))
+        queue = Queue(event, self.made, began)
         self.made += event.count
-        asked, under_way = list(waiting), Asked(-1, 0.0)
-        halfway = (0, 0)
+        halfway: tuple[int, int] | None = None  # changes in force, resident bytes then
         while True:
-            now = self.cluster.now()
-            if waiting and waiting[0].due <= now and (under_way.count < 0 or self._done(under_way)):
-                under_way = waiting.popleft()
-            if under_way.count >= 0 and not under_way.proposed:
-                under_way.proposed = True
-                await self.cluster.call(
-                    "propose",
-                    self._proposer(),
-                    under_way.count,
-                    self.design.change(under_way.count),
-                )
-            await self._pass(LOOK)
-            states = await self.states()
-            await self._take_answers(under_way)
-            self._note_in_force(asked, states)
-            finished = sum(self._done(one) for one in asked)
-            if not halfway[0] and finished >= (event.count + 1) // 2:
-                halfway = (finished, await self._resident())
-            if finished == event.count or self.cluster.now() - began >= self.limit:
+            states = await self._look_at(queue)
+            finished = queue.done(self.expected())
+            if halfway is None and finished >= (event.count + 1) // 2:
+                halfway = finished, await self._resident()
+            if self.late or finished == event.count or self.cluster.now() - began >= self.limit:
                 break
-            if self.late:
-                self.cut_short.append(event.name)
-                return
+        self.refused += queue.refused
         await self.cluster.call("conditions", 0.0, {})
+        if self.late:
+            self.cut_short.append(event.name)
+            return
         measured = await self._measure(event.name, before, self.cluster.now() - began, states, mark)
-        self._sum_up(measured, asked)
-        if halfway[0] and finished > halfway[0]:
-            self.growth = Growth(finished - halfway[0], len(self.living), halfway[1], await self._resident())
+        queue.sum_up(measured, self.expected())
+        if halfway is not None and finished > halfway[0]:
+            count, resident = halfway
+            self.growth = Growth(finished - count, len(self.living), resident, await self._resident())
+
+    async def _look_at(self, queue: Queue) -> list[MemberState]:
+        """Ask for what is due, let some time pass, and note what has come of all."""
+        wanted = queue.next(self.cluster.now())
+        if wanted is not None:
+            change = self.design.change(wanted.count)
+            await self.cluster.call("propose", self._proposer(), wanted.count, change)
+        await self._pass(LOOK)
+        states, now = await self.states(), self.cluster.now()
+        for answers in await self.cluster.call("take_answers"):
+            for answer in answers:
+                if queue.answered(now, answer):
+                    digest = self.design.digest(self.design.change(answer.change))
+                    self.committed.append(Committed(answer.version, digest))
+        queue.look(now, states)
+        return states
 
     def _proposer(self) -> int:
         """Somebody at work; where nobody of the design's is, anybody, who will not know what to do."""
@@ -349,42 +341,6 @@
         usages: list[Usage] = await self.cluster.call("usage")
         return sum(usage.rss_bytes for usage in usages)
 
-    def _done(self, one: Asked) -> bool:
-        """In force everywhere."""
-        return bool(one.version) and self.expected() <= one.in_force.keys()
-
-    async def _take_answers(self, under_way: Asked) -> None:
-        for answers in await self.cluster.call("take_answers"):
-            for answer in answers:
-                if answer.change != under_way.count or under_way.version:
-                    continue
-                if answer.version is None:
-                    self.refused += 1
-                    under_way.proposed = False  # asked for again
-                    continue
-                under_way.version, under_way.committed_at = answer.version, self.cluster.now()
-                digest = self.design.digest(self.design.change(under_way.count))
-                self.committed.append(Committed(answer.version, digest))
-
-    def _note_in_force(self, asked: Sequence[Asked], states: Sequence[MemberState]) -> None:
-        now = self.cluster.now()
-        for one in asked:
-            if one.version:
-                for state in states:
-                    if state.in_force and state.version >= one.version:
-                        one.in_force.setdefault(state.number, now)
-
-    def _sum_up(self, measured: Measured, asked: Sequence[Asked]) -> None:
-        measured.changes = len(asked)
-        measured.committed = sum(bool(one.version) for one in asked)
-        measured.waited_s = Spread.of(one.committed_at - one.due for one in asked if one.version)
-        measured.in_force_s = Spread.of(at - one.due for one in asked for at in one.in_force.values())
-        measured.everywhere_s = Spread.of(
-            max(one.in_force.values()) - one.due for one in asked if self._done(one)
-        )
-        everybody = self.expected()
-        measured.left_behind = sorted({n for one in asked for n in everybody - one.in_force.keys()})
-
     # ---- the end ----
 
     @property
