--- a/dykeshift/scale/run_results.py
+++ b/dykeshift/scale/run_results.py
@@ -3,8 +3,9 @@
 Theory of operation. A run has one size; a measurement has one point for each size. So a run is taken into
 what the file holds: its figures become points, in the place of points of the same size and seed, beside
 those of other sizes. Ids are `run.DESIGN.EVENT.KIND.FIGURE` for what members of one kind cost,
-`run.DESIGN.EVENT.FIGURE` for what the fleet took. The sizes of a measurement may come from several
-programs: `program` is that of the latest run.
+`run.DESIGN.EVENT.FIGURE` for what the fleet took, and `run.DESIGN.control.WHOSE` for a whole daemon's control
+beside a hollow member's; those of the virtual clock begin with `virtual`. The sizes of a measurement may
+come from several programs: `program` is that of the latest run.
 
 Promise: nothing is in the measurement that the run did not print; a spread of no values makes no point.
 """
@@ -39,6 +40,7 @@
     "roll": Situation.WHOLE_ROLL,
     "start": Situation.BACK_FROM_NOTHING,
 }
+RUN_WORDS = {ClockKind.REAL: "run", ClockKind.VIRTUAL: "virtual"}  # with which ids begin
 BACK = "-back"  # at the end of an event's name: those that were lost come back
 STANDING_DESIGN = "membership"  # where balancers are the voters: nobody else bears control
 ROLES = {"voter": Role.VOTER, "replica": Role.REPLICA, "leader": Role.VOTER}
@@ -92,6 +94,19 @@
     events: tuple[str, ...] = ()  # none named: all
 
 
+class RunCosts(msgspec.Struct, frozen=True):
+    """A whole daemon's control beside a hollow member's, at rest: milliseconds a second."""
+
+    whole_control: float
+    hollow_all: float
+
+
+class RunWhole(msgspec.Struct, frozen=True):
+    """What a run with whole daemons says of these."""
+
+    cpu_ms_s: RunCosts | None = None
+
+
 class RunRecord(msgspec.Struct, frozen=True):
     """A run as it was printed; what is not taken over is not named here."""
 
@@ -99,6 +114,7 @@
     starved: bool
     events: tuple[RunEvent, ...]
     memory_mb: RunSpread | None = None
+    whole: RunWhole = RunWhole()
 
     @property
     def command(self) -> str:
@@ -132,7 +148,12 @@
 
 def measurements(record: RunRecord) -> tuple[Measurement, ...]:
     """What the run showed, each with one point."""
-    return tuple(_of_rates(record)) + tuple(_of_times(record)) + tuple(_of_memory(record))
+    return (
+        tuple(_of_rates(record))
+        + tuple(_of_times(record))
+        + tuple(_of_memory(record))
+        + tuple(_of_control(record))
+    )
 
 
 def take(results: ResultsFile, record: RunRecord) -> ResultsFile:
@@ -180,6 +201,22 @@
         yield from _built(record, "rest", "", "memory", "resident memory of a member", "MB", record.memory_mb)
 
 
+def _of_control(record: RunRecord) -> Iterator[Measurement]:
+    """Both on the real clock, in one run: what a hollow member's figures have to be taken times."""
+    costs = record.whole.cpu_ms_s
+    if costs is None:
+        return
+    for whose, value in (("whole", costs.whole_control), ("hollow", costs.hollow_all)):
+        one = RunSpread(value, value, value, 1)
+        quantity = f"processor time of control, {whose}, sockets and loop with it"
+        for built in _built(record, "rest", "", "control", quantity, "ms/s", one):
+            yield msgspec.structs.replace(built, id=f"{_prefix(record)}.control.{whose}")
+
+
+def _prefix(record: RunRecord) -> str:
+    return f"{RUN_WORDS[record.wanted.clock]}.{record.wanted.design}"
+
+
 def _built(
     record: RunRecord, event: str, kind: str, figure: str, quantity: str, unit: str, spread: RunSpread
 ) -> Iterator[Measurement]:
@@ -188,7 +225,7 @@
         return
     standing = wanted.design == STANDING_DESIGN
     yield Measurement(
-        id=".".join(part for part in ("run", wanted.design, event, kind, figure) if part),
+        id=".".join(part for part in (_prefix(record), event, kind, figure) if part),
         name=f"{event}, {kind}" if kind else event,
         role=Role.CONTROL if standing else ROLES.get(kind, Role.CONTROL),
         quantity=quantity,
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -222,7 +222,7 @@
         assert main(["scale", "run", *arguments.split()]) == 0
         told = json.loads(capsys.readouterr().out)
         assert told["events"][-1]["event"] == "rest" and told["findings"] == []
-    found = load(file).find("run.membership.rest.learner.bytes")
+    found = load(file).find("virtual.membership.rest.learner.bytes")
     assert found is not None and found.sizes == (6, 8)
 
 
--- a/tests/scale/test_run_results.py
+++ b/tests/scale/test_run_results.py
@@ -97,3 +97,16 @@
     assert main(["scale", "take", str(run), str(bad), "--file", str(path)]) == 2
     assert capsys.readouterr().err.count("\n") == 1
     assert path.read_bytes() == before
+
+
+def test_a_whole_daemons_control_stands_beside_a_hollow_members_of_the_same_run() -> None:
+    told = run_json()
+    told["whole"] = {"daemons": 2, "cpu_ms_s": {"whole_control": 6.0, "hollow_all": 4.0, "ratio": 0.67}}
+    found = {one.id: one.points[0].median for one in measurements(decode(json.dumps(told).encode()))}
+    assert found["run.membership.control.whole"] == 6.0 and found["run.membership.control.hollow"] == 4.0
+
+
+def test_runs_on_the_virtual_clock_are_measurements_of_their_own() -> None:
+    found = {one.id for one in measurements(decode(encoded(clock="virtual")))}
+    assert "virtual.membership.rest.voter.cpu" in found
+    assert not any(name.startswith("run.") for name in found)
