--- a/dykeshift/scale/verdict.py
+++ b/dykeshift/scale/verdict.py
@@ -124,9 +124,10 @@
             if kind == WHOLE:
                 continue
             told = f"{kind}, {event.event}"
-            if rates.bytes_s is not None and rates.bytes_s.p99 > BYTES_LINE_S:
-                text = f"{told}: {rates.bytes_s.p99:.0f} of {BYTES_LINE_S:.0f} bytes a second"
-                findings.append(Finding("budget-bytes", text))
+            for way, spread in (("sent", rates.bytes_s), ("received", rates.received_bytes_s)):
+                if spread is not None and spread.p99 > BYTES_LINE_S:
+                    text = f"{told}: {spread.p99:.0f} of {BYTES_LINE_S:.0f} bytes a second {way}"
+                    findings.append(Finding("budget-bytes", text))
             if not starved and rates.cpu_ms_s is not None and rates.cpu_ms_s.p99 > CPU_LINE_MS_S:
                 text = f"{told}: {rates.cpu_ms_s.p99:.1f} of {CPU_LINE_MS_S:.0f} ms a second"
                 findings.append(Finding("budget-cpu", text))
--- a/dykeshift/scale/virtual.py
+++ b/dykeshift/scale/virtual.py
@@ -24,8 +24,8 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 EPOCH = 1_750_000_000 * SECOND  # Unix time at which runs begin
-LEAST = 5 * MS  # that a datagram takes
-NEAR = (5 * MS, 15 * MS)  # within a region
+LEAST = 15 * MS  # that a datagram takes; small beside all periods, and parts wait for one another as rarely
+NEAR = (15 * MS, 25 * MS)  # within a region
 FAR = (30 * MS, 50 * MS)  # between regions
 
 
