Scale: lists, settings and one whole daemon measured by the number of upstreams

What a balancer bears at 10,000 upstreams could only be looked at by hand. `lifttrail scale data` measures it at several sizes and writes records of the results file: the decision module alone, the engine's path from discovery's bytes to the module's answer, a settings file with routes and tenants, and one daemon process with a listening socket for each upstream, churn and load, from outside.

--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -9,6 +9,7 @@
 import click
 
 from dykeshift.cli import Usage
+from dykeshift.cli.scale_data import command as data
 
 JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 RESULTS = click.option(
@@ -47,6 +48,9 @@
     """Measure the installation at the size of two years, fit its growth, show whether it fits."""
 
 
+command.add_command(data)
+
+
 @command.command("slopes")
 @RESULTS
 @JSON
