--- a/dykeshift/scale/costs.py
+++ b/dykeshift/scale/costs.py
@@ -9,7 +9,7 @@
 import gc
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -112,10 +112,10 @@
         tracemalloc.stop()
 
 
-def growth_bytes(build: Callable[[], Subject], work: Callable[[Subject], Any]) -> int:
-    """Bytes that what `build` makes holds after the work more than before it; below 0 for less.
+def growth_bytes(build: Callable[[], Subject], works: Sequence[Callable[[Subject], Any]]) -> list[int]:
+    """Bytes that what `build` makes holds after each of the works more than before the first; below 0: less.
 
-    Traced from the building on, so that what the work replaces counts as given back.
+    Traced from the building on, so that what a work replaces counts as given back.
     """
     gc.collect()
     tracemalloc.start()
@@ -123,8 +123,11 @@
         subject = build()
         gc.collect()
         before = tracemalloc.get_traced_memory()[0]
-        work(subject)
-        gc.collect()
-        return tracemalloc.get_traced_memory()[0] - before
+        grown = list[int]()
+        for work in works:
+            work(subject)
+            gc.collect()
+            grown.append(tracemalloc.get_traced_memory()[0] - before)
+        return grown
     finally:
         tracemalloc.stop()
--- a/dykeshift/scale/engine_costs.py
+++ b/dykeshift/scale/engine_costs.py
@@ -241,7 +241,7 @@
                 path.take_batch(batch)
             path.settle()
 
-    return [max(0, growth_bytes(build, churn)) / BYTES_PER_MB]
+    return [max(0, *growth_bytes(build, [churn])) / BYTES_PER_MB]
 
 
 def zone_at_once_ms(size: int, seed: int) -> list[float]:
--- a/dykeshift/scale/module_costs.py
+++ b/dykeshift/scale/module_costs.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from functools import partial
+from functools import cache, partial
 from random import Random
 
 from dykeshift.engine.discovery import number_of
@@ -225,27 +225,33 @@
 
 def settings_kept_mb(size: int, seed: int) -> list[float]:
     """What 300 changes of one class in a row leave held."""
-    return [_changes_kept(size, seed, SETTINGS_CHANGES) / BYTES_PER_MB]
+    return [_changes_kept(size, seed, CHANGE_SIZES)[-1] / BYTES_PER_MB]
 
 
 def settings_kept_by_changes_mb(upstreams: int, changes: int, seed: int) -> list[float]:
-    """What so many changes leave held."""
-    return [_changes_kept(upstreams, seed, changes) / BYTES_PER_MB]
+    """What so many changes, one of `CHANGE_SIZES`, leave held."""
+    kept = _changes_kept(upstreams, seed, CHANGE_SIZES)
+    return [kept[CHANGE_SIZES.index(changes)] / BYTES_PER_MB]
 
 
-def _changes_kept(size: int, seed: int, changes: int) -> int:
-    """Bytes held more after so many changes than before them."""
+@cache
+def _changes_kept(size: int, seed: int, stops: tuple[int, ...]) -> tuple[int, ...]:
+    """Bytes held more after so many changes than before the first."""
 
     def build() -> Subject:
         subject = Subject(size, seed)
         subject.change_class(0)  # whatever the first one sets up is no growth
         return subject
 
-    def change(subject: Subject) -> None:
-        for number in range(changes):
-            subject.change_class(1 + number)
+    def advance(begin: int, end: int) -> Callable[[Subject], None]:
+        def change(subject: Subject) -> None:
+            for number in range(begin, end):
+                subject.change_class(1 + number)
 
-    return max(0, growth_bytes(build, change))
+        return change
+
+    works = [advance(begin, end) for begin, end in zip((0, *stops[:-1]), stops, strict=True)]
+    return tuple(max(0, grown) for grown in growth_bytes(build, works))
 
 
 THREE_CLASSES = {"classes": str(CLASSES)}
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -175,7 +175,7 @@
         with path:
             play(path, second)
 
-    return growth_bytes(build, work) / len(second)
+    return growth_bytes(build, [work])[0] / len(second)
 
 
 def test_memory_is_flat_over_changes_of_the_list(monkeypatch: pytest.MonkeyPatch) -> None:
