--- a/dykeshift/scale/daemon.py
+++ b/dykeshift/scale/daemon.py
@@ -9,6 +9,7 @@
     quiet   no requests, no changes
     churn   changes of the list alone, at a fixed pace
     load    requests alone, through the daemon and directly in turns
+    tenfold requests while restarts come at ten times an ordinary day's pace
     day     requests while a day's worth of restarts and replacements goes by, sped up
     change  configurations with one class changed, each taken at a SIGHUP
     zone    a zone of five leaves the list at once
@@ -53,6 +54,8 @@
 DIRECT_RATE = 50.0
 DIRECT_UPSTREAMS = 20
 CHURN_RESTARTS_A_SECOND = 2.0
+TENFOLD = 10
+DAY_S = 86_400.0
 CONFIGURATION_CHANGES = 20
 SPARE_DESCRIPTORS = 2_000  # beside one for each upstream
 SETTLE_S = 2.0
@@ -73,7 +76,7 @@
 
     quiet_s: float = 5.0
     churn_s: float = 10.0
-    load_s: float = 15.0
+    load_s: float = 20.0
     day_s: float = 40.0
     changes: int = CONFIGURATION_CHANGES
     longest_wait_s: float = LONGEST_WAIT_S  # until a daemon that does not follow is found at fault
@@ -239,14 +242,9 @@
             self.figures.list_steps["churn"] = len(steps)
             await home.churn(steps)
         await self._load("load", timing.load_s, ())
-        steps = self._draw(home.shape.restarts_a_day(), timing.day_s, 2)
-        self.figures.list_steps["day"] = len(steps)
-        churning = asyncio.get_running_loop().create_task(home.churn(steps))
-        try:
-            await self._load("day", timing.day_s, steps)
-            await churning
-        finally:
-            churning.cancel()
+        restarts = home.shape.restarts_a_day() * TENFOLD * timing.load_s / DAY_S
+        await self._load_with_churn("tenfold", max(1, round(restarts)), timing.load_s, 2)
+        await self._load_with_churn("day", home.shape.restarts_a_day(), timing.day_s, 3)
         await self._settled("after a day's churn")
         if timing.changes:
             await self._change_configuration(timing.changes)
@@ -280,6 +278,16 @@
             resident_mb=meter.resident_mb(),
         )
 
+    async def _load_with_churn(self, name: str, restarts: int, seconds: float, turn: int) -> None:
+        steps = self._draw(restarts, seconds, turn)
+        self.figures.list_steps[name] = len(steps)
+        churning = asyncio.get_running_loop().create_task(self.home.churn(steps))
+        try:
+            await self._load(name, seconds, steps)
+            await churning
+        finally:
+            churning.cancel()
+
     async def _load(self, name: str, seconds: float, steps: tuple[ChurnStep, ...]) -> None:
         """Requests through the daemon and, at upstreams that no step touches, directly."""
         touched = {step.slot for step in steps}
--- a/dykeshift/scale/daemon_results.py
+++ b/dykeshift/scale/daemon_results.py
@@ -28,7 +28,7 @@
 
 
 def _timed_phases(figures: DaemonFigures) -> list[PhaseFigures]:
-    return [figures.phases[name] for name in ("load", "day") if name in figures.phases]
+    return [figures.phases[name] for name in ("load", "tenfold", "day") if name in figures.phases]
 
 
 def change_ms(figures: DaemonFigures, phase: str, base: str) -> float:
@@ -144,6 +144,22 @@
         REST,
         lambda run: added_ms(run, "load", 0.99),
     ),
+    Figure(
+        "daemon.latency.tenfold-added-median",
+        "requests, ten times an ordinary day's churn",
+        BEYOND_MEDIAN,
+        "ms",
+        DAY,
+        lambda run: added_ms(run, "tenfold", 0.5),
+    ),
+    Figure(
+        "daemon.latency.tenfold-added-p99",
+        "requests, ten times an ordinary day's churn",
+        BEYOND_P99,
+        "ms",
+        DAY,
+        lambda run: added_ms(run, "tenfold", 0.99),
+    ),
     Figure(
         "daemon.latency.day-added-median",
         "requests, a day's churn sped up",
@@ -160,6 +176,14 @@
         DAY,
         lambda run: added_ms(run, "day", 0.99),
     ),
+    Figure(
+        "daemon.requests.tenfold-not-served",
+        "refused or failed, ten times an ordinary day's churn",
+        "requests",
+        "requests",
+        DAY,
+        lambda run: _not_served(run, "tenfold"),
+    ),
     Figure(
         "daemon.requests.day-not-served",
         "refused or failed, a day's churn sped up",
@@ -206,6 +230,20 @@
 TIMES = (
     ("daemon.latency.through", "requests through the daemon", "load", REST, True),
     ("daemon.latency.direct", "direct calls", "load", REST, False),
+    (
+        "daemon.latency.tenfold-through",
+        "requests through the daemon, ten times an ordinary day's churn",
+        "tenfold",
+        DAY,
+        True,
+    ),
+    (
+        "daemon.latency.tenfold-direct",
+        "direct calls, ten times an ordinary day's churn",
+        "tenfold",
+        DAY,
+        False,
+    ),
     ("daemon.latency.day-through", "requests through the daemon, a day's churn sped up", "day", DAY, True),
     ("daemon.latency.day-direct", "direct calls, a day's churn sped up", "day", DAY, False),
 )
@@ -219,7 +257,8 @@
         "requests": f"{rate:g}/s through the daemon, {DIRECT_RATE:g}/s directly",
     }
     notes = "; ".join(
-        f"{one.upstreams}: {one.list_steps['day']} changes in {one.phases['day'].seconds:.0f} s, "
+        f"{one.upstreams}: day {one.list_steps['day']} changes in {one.phases['day'].seconds:.0f} s, "
+        f"tenfold {one.list_steps['tenfold']} in {one.phases['tenfold'].seconds:.0f} s, "
         f"{one.upstreams_met} upstreams met, {one.zone_upstreams} gone with the zone"
         for one in runs
     )
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -231,6 +231,7 @@
             ("quiet", 0.1, 30.0),
             ("churn", 0.5, 31.0),
             ("load", 2.0, 32.0),
+            ("tenfold", 2.0, 32.0),
             ("day", 3.0, 35.0),
             ("change", 0.4, 41.0),
             ("zone", 0.1, 41.0),
@@ -247,8 +248,8 @@
     return DaemonFigures(
         upstreams,
         phases=phases,
-        probes={"load": probe, "day": probe},
-        list_steps={"churn": 20, "day": 100},
+        probes={"load": probe, "tenfold": probe, "day": probe},
+        list_steps={"churn": 20, "tenfold": 3, "day": 100},
         configuration_changes=20,
         zone_upstreams=8,
     )
@@ -277,7 +278,7 @@
 
 # ---- one whole daemon ----
 
-SHORT = Timing(quiet_s=0.2, churn_s=1.0, load_s=1.0, day_s=3.0, changes=3, longest_wait_s=30.0)
+SHORT = Timing(quiet_s=0.2, churn_s=1.0, load_s=2.0, day_s=3.0, changes=3, longest_wait_s=30.0)
 CHURN_SHAPE = 40  # upstreams; a day of them has 14 restarts
 
 
@@ -286,7 +287,7 @@
 
     def __init__(self, defect: str) -> None:
         timing = Timing(
-            quiet_s=0.1, churn_s=1.0, load_s=0.5, day_s=3.0, changes=0, longest_wait_s=3.0, grace_s=0.2
+            quiet_s=0.1, churn_s=1.0, load_s=1.2, day_s=3.0, changes=0, longest_wait_s=3.0, grace_s=0.2
         )
         super().__init__(CHURN_SHAPE, 1, 100.0, timing)
         program = f"import sys\n{defect}\nfrom dykeshift.node.__main__ import main\nsys.exit(main())"
@@ -308,8 +309,8 @@
     found = uvloop.run(DaemonRun(CHURN_SHAPE, 1, 50.0, SHORT).run())
     assert found.faults == []
     assert found.zone_upstreams == 8 and found.configuration_changes == 3
-    assert found.list_steps == {"churn": 6, "day": 42}
-    assert set(found.phases) == {"start", "quiet", "churn", "load", "day", "change", "zone"}
+    assert found.list_steps == {"churn": 6, "tenfold": 3, "day": 42}
+    assert set(found.phases) == {"start", "quiet", "churn", "load", "tenfold", "day", "change", "zone"}
     for probe in found.probes.values():
         assert probe.through and probe.direct
     check(ResultsFile(measurements=tuple(measurements([found], RUN, 50.0))))
