--- a/dykeshift/cli/scale_data.py
+++ b/dykeshift/cli/scale_data.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import asyncio
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -174,6 +175,8 @@
                 runs.append(uvloop.run(played.run()))
             except DaemonError as exc:
                 raise click.ClickException(str(exc)) from None
+            except asyncio.CancelledError:
+                raise click.Abort from None
     faults = [f"{one.upstreams} upstreams: {fault}" for one in runs for fault in one.faults]
     return measurements(runs, run, rate), faults
 
--- a/dykeshift/scale/daemon.py
+++ b/dykeshift/scale/daemon.py
@@ -211,7 +211,13 @@
         self.figures = DaemonFigures(upstreams)
 
     async def run(self) -> DaemonFigures:
-        """All phases; DaemonError where the daemon does not come up or does not follow."""
+        """All phases; DaemonError where the daemon does not come up or does not follow.
+
+        At a SIGTERM the daemon's process ends with this one.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         began = time.monotonic()
         try:
             await self.home.start()
