--- a/dykeshift/scale/engine_costs.py
+++ b/dykeshift/scale/engine_costs.py
@@ -187,6 +187,22 @@
         return timed(ROUNDS, lambda: lambda: path.take(text))
 
 
+def tenants_ms(size: int, seed: int) -> list[float]:
+    """Who lives at which address, from a whole list."""
+    population = Population(PopulationShape(size), seed)
+    with ListPath(population.shape, seed) as path:
+        _, _, listed = path.reader.read(update(1, True, population.first))
+        return timed(ROUNDS, lambda: lambda: path.driver.tenants.settle(True, listed))
+
+
+def tenants_mb(size: int, seed: int) -> list[float]:
+    """What is held of who lives at which address, beside the entries themselves."""
+    population = Population(PopulationShape(size), seed)
+    with ListPath(population.shape, seed) as path:
+        _, _, listed = path.reader.read(update(1, True, population.first))
+        return [held_bytes(lambda: path.driver.tenants.settle(True, listed)) / BYTES_PER_MB]
+
+
 def memory_mb(size: int, seed: int) -> list[float]:
     """What reader, driver, pool and module hold of a whole list."""
     population = Population(PopulationShape(size), seed)
@@ -359,6 +375,8 @@
         Cost("engine.list.read", "whole list read", "processor time", "ms", read_ms),
         Cost("engine.list.full", "first whole list taken over", "processor time", "ms", full_list_ms),
         Cost("engine.list.same", "whole list once more, unchanged", "processor time", "ms", same_list_ms),
+        Cost("engine.addresses.settle", "who lives where, whole list", "processor time", "ms", tenants_ms),
+        Cost("engine.addresses.memory", "held of who lives where", "memory", "MB", tenants_mb),
         Cost("engine.list.memory", "held of a whole list", "memory", "MB", memory_mb),
         Cost(
             "engine.list.day-change",
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import ipaddress
+import json
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -27,7 +29,7 @@
 from dykeshift.scale.daemon_results import added_ms, change_ms, measurements, starved
 from dykeshift.scale.engine_costs import ListPath, body, faults_of
 from dykeshift.scale.probe import ProbeReport
-from dykeshift.scale.results import ResultsFile, check
+from dykeshift.scale.results import ResultsFile, check, load
 from dykeshift.scale.slots import Slots
 from dykeshift.scale.upstreams import (
     ChurnStep,
@@ -386,3 +388,25 @@
     assert main(["scale", "data", *arguments]) == 2
     told = capsys.readouterr().err
     assert said in told and told.count("\n") == 1
+
+
+def test_the_command_prints_and_merges_what_it_measured(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from dykeshift.cli import main
+
+    few = (module_costs.costs(60)[5], module_costs.costs(60)[-2])
+    monkeypatch.setattr(module_costs, "costs", lambda largest: few)
+    path = tmp_path / "capacity.json"
+    arguments = ["scale", "data", "--sizes", "20,40,60", "--part", "module", "--out", str(path), "--json"]
+    for variant in ("", "before"):
+        assert main([*arguments, "--variant", variant]) == 0
+        told = json.loads(capsys.readouterr().out)
+        assert told["faults"] == [] and len(told["measurements"]) == 2
+    assert [one.id for one in load(path).measurements] == [
+        "module.state",
+        "module.state.before",
+        "module.sweep",
+        "module.sweep.before",
+    ]
+    assert load(path).measurements[1].command.endswith("--part module --variant before")
