--- a/dykeshift/scale/engine_costs.py
+++ b/dykeshift/scale/engine_costs.py
@@ -50,8 +50,8 @@
 ROUNDS = 5
 CALLS = 20
 LONGEST_COLD_S = 600  # seconds, above any `coldNs`: nobody is cold after it
-BATCH_S = 600.0  # seconds of churn told at once where only memory is looked at
-DAY_SIZES = (1, 2, 4)
+BATCH_S = 3_600.0  # seconds of churn told at once where only memory is looked at
+DAY_SIZES = (1, 4, 16)
 TENANT_SIZES = (3_000, 15_000, TARGET_TENANTS)
 
 
