--- a/dykeshift/cli/scale_data.py
+++ b/dykeshift/cli/scale_data.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import click
 
@@ -16,7 +16,7 @@
 from dykeshift.cli.terminal import Progress
 
 if TYPE_CHECKING:
-    from dykeshift.scale.costs import Run
+    from dykeshift.scale.costs import Cost, Run
     from dykeshift.scale.results import Measurement
 
 PARTS = ("module", "engine", "daemon")
@@ -81,6 +81,7 @@
     metavar="S",
     help="Seconds in which the whole daemon sees a day's restarts; the other phases go with it.",
 )
+@click.option("--only", multiple=True, metavar="PREFIX", help="Of module and engine, only ids that begin so.")
 @click.option("--variant", default="", metavar="WORD", help="Put behind each id: figures of another program.")
 @click.option("--out", type=click.Path(path_type=Path), metavar="FILE", help="Merge into this results file.")
 @click.option("--json", "as_json", is_flag=True, help="Print the measurements as one JSON object.")
@@ -90,6 +91,7 @@
     parts: tuple[str, ...],
     rate: float,
     day_s: float,
+    only: tuple[str, ...],
     variant: str,
     out: Path | None,
     as_json: bool,
@@ -107,28 +109,34 @@
     check_out(out)
     if "daemon" in chosen:
         _check_daemon(found_sizes)
-    run = Run(found_sizes, seed, _command(sizes, seed, parts, rate, day_s, variant), variant)
+    run = Run(found_sizes, seed, _command(sizes, seed, parts, rate, day_s, only, variant), variant)
+    costs = _chosen_costs(run, chosen, only)
     found, faults = list["Measurement"](), list[str]()
-    if "module" in chosen or "engine" in chosen:
-        found += _costs(run, chosen)
+    if costs:
+        found += _costs(run, costs, out)
     if "daemon" in chosen:
         measured, faults = _daemon(run, rate, day_s)
         found += measured
-    if out is not None:
-        record(found, out)
+        if out is not None:
+            record(measured, out)
     _show(found, faults, as_json)
     return 1 if faults else 0
 
 
-def _command(sizes: str, seed: int, parts: tuple[str, ...], rate: float, day_s: float, variant: str) -> str:
-    words = [
-        "lifttrail scale data",
-        f"--sizes {sizes}",
-        f"--seed {seed}",
-        *(f"--part {part}" for part in parts),
-    ]
+def _command(
+    sizes: str,
+    seed: int,
+    parts: tuple[str, ...],
+    rate: float,
+    day_s: float,
+    only: tuple[str, ...],
+    variant: str,
+) -> str:
+    words = ["lifttrail scale data", f"--sizes {sizes}", f"--seed {seed}"]
+    words += [f"--part {part}" for part in parts]
     if "daemon" in (parts or PARTS):
         words += [f"--rate {rate:g}", f"--day {day_s:g}"]
+    words += [f"--only {prefix}" for prefix in only]
     return " ".join(words + ([f"--variant {variant}"] if variant else []))
 
 
@@ -141,17 +149,33 @@
         raise Usage(f"lifttrail scale data: {exc}") from None
 
 
-def _costs(run: Run, parts: tuple[str, ...]) -> list[Measurement]:
+def _chosen_costs(run: Run, parts: tuple[str, ...], only: tuple[str, ...]) -> list[Cost]:
+    """The costs of these parts; `Usage` for a prefix that no id has."""
     from dykeshift.scale import engine_costs, module_costs
-    from dykeshift.scale.costs import measure
 
-    makers: dict[str, Callable[[int], Any]] = {"module": module_costs.costs, "engine": engine_costs.costs}
+    makers: dict[str, Callable[[int], tuple[Cost, ...]]] = {
+        "module": module_costs.costs,
+        "engine": engine_costs.costs,
+    }
     costs = [cost for part, maker in makers.items() if part in parts for cost in maker(run.sizes[-1])]
+    for prefix in only:
+        if not any(cost.id.startswith(prefix) for cost in costs):
+            raise Usage(f"lifttrail scale data: --only {prefix}: no id of these parts begins so")
+    return [cost for cost in costs if not only or cost.id.startswith(only)]
+
+
+def _costs(run: Run, costs: list[Cost], out: Path | None) -> list[Measurement]:
+    """Each is in the file as soon as it is measured."""
+    from dykeshift.scale.costs import measure
+    from dykeshift.scale.results import record
+
     found = list["Measurement"]()
     with Progress(len(costs), "costs") as progress:
         for number, cost in enumerate(costs):
             progress.show(number, cost.id)
             found.append(measure(cost, run))
+            if out is not None:
+                record(found[-1:], out)
     return found
 
 
--- a/dykeshift/scale/module_costs.py
+++ b/dykeshift/scale/module_costs.py
@@ -34,6 +34,7 @@
 SECOND = 1_000_000_000  # nanoseconds
 START = 1_000 * SECOND  # on the module's clock
 CLASSES = 3
+FAILURES = 20  # requests of each class
 CLASS_SIZES = (3, 24, 510)
 ROUNDS = 5
 CALLS = 20  # a round, where one call is too short for the clock
@@ -103,6 +104,21 @@
             end = AttemptEnd(name, attempt, send.server, outcome, ANSWER_TIME, True)
             self.module.on_attempt_end(self.now, end)
 
+    def fail(self, number: int) -> None:
+        """One request that fails at each server that it is sent to."""
+        self.now += REQUEST_GAP
+        name = str(number)
+        request = Request(name, number % len(self.settings.classes), self.now + SECOND)
+        actions = self.module.on_request(self.now, request)
+        sent = 0
+        while sends := [one for one in actions if isinstance(one, Send)]:
+            actions = []
+            for send in sends:
+                end = AttemptEnd(name, sent, send.server, Outcome.ERROR, ANSWER_TIME, False)
+                actions += self.module.on_attempt_end(self.now, end)
+                sent += 1
+        self.module.on_client_gone(self.now, name)
+
 
 # ---- processor time ----
 
@@ -223,6 +239,18 @@
     return held_bytes(build)
 
 
+def failing_state_mb(upstreams: int, classes: int, seed: int) -> list[float]:
+    """The same after requests of each class that failed wherever they were sent."""
+
+    def build() -> Subject:
+        subject = Subject(upstreams, seed, classes)
+        for number in range(classes * FAILURES):
+            subject.fail(number)
+        return subject
+
+    return [held_bytes(build) / BYTES_PER_MB]
+
+
 def settings_kept_mb(size: int, seed: int) -> list[float]:
     """What 300 changes of one class in a row leave held."""
     return [_changes_kept(size, seed, CHANGE_SIZES)[-1] / BYTES_PER_MB]
@@ -367,4 +395,15 @@
             sizes=CLASS_SIZES,
             conditions=at_largest,
         ),
+        Cost(
+            "module.state.failing-by-classes",
+            "state of all upstreams after 20 requests of each class that failed everywhere",
+            "memory, the list's entries counted",
+            "MB",
+            partial(failing_state_mb, largest),
+            parameter="classes",
+            parameter_unit="classes",
+            sizes=CLASS_SIZES,
+            conditions=at_largest,
+        ),
     )
