--- a/dykeshift/scale/module_costs.py
+++ b/dykeshift/scale/module_costs.py
@@ -194,6 +194,22 @@
     return timed(ROUNDS, lambda: sweeps, CALLS)
 
 
+def day_sweep_ms(size: int, seed: int) -> list[float]:
+    """One sweep while one upstream in a hundred leaves and another is cold."""
+    subject = Subject(size, seed)
+    some = max(1, size // 100)
+    chosen = subject.random.sample(subject.entries, 2 * some)
+    subject.tell(*(replace(entry, state=ServerState.DRAINING) for entry in chosen[:some]))
+    subject.tell(*(replace(entry, started=subject.now) for entry in chosen[some:]))
+
+    def sweeps() -> None:
+        for _ in range(CALLS):
+            subject.now += 1  # they stay cold
+            subject.module.on_timer(subject.now, "sweep")
+
+    return timed(ROUNDS, lambda: sweeps, CALLS)
+
+
 def request_us(size: int, seed: int) -> list[float]:
     """One request with its attempts, sweeps not counted."""
     subject = Subject(size, seed)
@@ -336,6 +352,15 @@
             sweep_ms,
             conditions=THREE_CLASSES,
         ),
+        Cost(
+            "module.sweep.day",
+            "one sweep (each 0.75 s), one upstream in a hundred leaving, one cold",
+            "processor time a sweep",
+            "ms",
+            day_sweep_ms,
+            situation=Situation.ORDINARY_DAY,
+            conditions=THREE_CLASSES,
+        ),
         Cost(
             "module.request",
             "one request with its attempts",
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -410,12 +410,14 @@
     for variant in ("", "before"):
         assert main([*arguments, "--variant", variant]) == 0
         told = json.loads(capsys.readouterr().out)
-        assert told["faults"] == [] and len(told["measurements"]) == 2
+        assert told["faults"] == [] and len(told["measurements"]) == 3
     assert [one.id for one in load(path).measurements] == [
         "module.list.zone-at-once",
         "module.list.zone-at-once.before",
         "module.sweep",
         "module.sweep.before",
+        "module.sweep.day",
+        "module.sweep.day.before",
     ]
     assert load(path).measurements[1].command == (
         "lifttrail scale data --sizes 20,40,60 --seed 1 --part module"
