--- a/dykeshift/scale/control_costs.py
+++ b/dykeshift/scale/control_costs.py
@@ -22,7 +22,7 @@
 from dykeshift.rig.agreement import Agreement
 from dykeshift.rig.ruled import Ruled, worded
 from dykeshift.rig.virtual import MS, SECOND, Spot, World
-from dykeshift.scale.results import ClockKind, Measurement, Role, Situation, program_version, summarise
+from dykeshift.scale.results import ClockKind, Measurement, Point, Role, Situation, program_version, summarise
 from dykeshift.versions.changes import Propose
 from dykeshift.versions.own import share
 from dykeshift.view.core import Options as MembershipOptions
@@ -66,7 +66,7 @@
 
 def measure(cost: ControlCost, seeds: int, command: str) -> Measurement:
     """Play all sizes for seeds 1 to `seeds`; the samples of one size are one point."""
-    points = []
+    program, points = program_version(), list[Point]()
     for size in cost.sizes:
         samples = [value for seed in range(1, seeds + 1) for value in cost.sample(size, seed)]
         points.append(summarise(samples, size=size, seed=seeds))
@@ -81,7 +81,7 @@
         parameter_unit=cost.parameter_unit,
         points=tuple(points),
         command=command,
-        program=program_version(),
+        program=program,
         clock=cost.clock,
         conditions={**cost.conditions, "seeds": f"1 to {seeds}"},
         notes=cost.notes,
--- /dev/null
+++ b/dykeshift/scale/lines.py
@@ -0,0 +1,733 @@
+"""The lines of the capacity page: one quantity of one role in one situation, held against its target.
+
+Theory of operation. A line is worked out as a sum of terms, each a measurement's value at a size times a
+factor. It may have several ways, the newest mechanism first: the verdict is of the first way whose
+measurements are there; what the others give is shown beside it. No figure of a measurement is in this file.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from dykeshift.scale.results import Role, Situation
+from dykeshift.scale.slopes import Statistic
+from dykeshift.scale.targets import (
+    BYTES,
+    BYTES_PER_MB,
+    CHANGES_A_DAY,
+    CHANGES_A_SECOND,
+    DISCOVERY_BYTES,
+    DISCOVERY_RETURN,
+    IN_FORCE,
+    KEPT,
+    LATENCY,
+    LINK_BYTES,
+    LIST_CHANGES_A_RESTART,
+    LIST_CHANGES_A_SECOND,
+    TAKEN_LENGTH,
+    MACHINE_BYTES,
+    MACHINE_MEMORY,
+    MACHINE_PROCESSOR,
+    MEASURED_CHANGES,
+    MEMBERS,
+    MEMORY,
+    MS_A_SECOND,
+    NOBODY_BEHIND,
+    OPERATOR_WAIT,
+    PART_OF_TEN,
+    PERCENT,
+    POOL_SWEEP_SECONDS,
+    PROCESSOR,
+    RATE,
+    RESTARTS_A_DAY,
+    RETURN,
+    ROLL_SECONDS,
+    SECONDS_A_DAY,
+    SERVICES,
+    SETTLE,
+    STALL,
+    SWEEP_SECONDS,
+    TENANTS,
+    UPSTREAMS,
+    ZONE_WORK,
+    Bound,
+    Target,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """A measurement's value at a size, times a factor."""
+
+    measurement: str
+    at: float
+    factor: float = 1.0
+    statistic: Statistic = Statistic.MEDIAN
+    factor_text: str = ""
+    """What the factor is, in words; empty for 1."""
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """One way in which a line is carried: a sum of terms."""
+
+    name: str
+    terms: tuple[Term, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One quantity of one role in one situation, against its target."""
+
+    id: str
+    role: Role
+    situation: Situation
+    quantity: str
+    target: Target
+    mechanism: str
+    ways: tuple[Way, ...]
+    """Newest first."""
+
+
+STANDING = "as it stands"
+BEFORE = "before"
+TIER = "control tier"
+ALL_VOTE = "consensus of all balancers"
+TIER_DESIGN = "tier"
+STANDING_DESIGN = "membership"
+BEFORE_VARIANT = "before"
+"""Put behind a measurement's id where it is of the program before a mechanism."""
+
+DATA, CONTROL = Role.DATA_PATH, Role.CONTROL
+REST, DAY, ZONE = Situation.AT_REST, Situation.ORDINARY_DAY, Situation.ZONE_GONE
+APART, ROLL = Situation.REGIONS_APART, Situation.WHOLE_ROLL
+NOTHING, TENFOLD = Situation.BACK_FROM_NOTHING, Situation.TEN_TIMES_CHANGES
+P99, MOST = Statistic.P99, Statistic.MOST
+
+
+def _stands(*terms: Term) -> tuple[Way, ...]:
+    return (Way(STANDING, terms),)
+
+
+def _with_before(*terms: Term) -> tuple[Way, ...]:
+    """As it stands now, and as it was measured before the mechanism."""
+    before = tuple(
+        Term(f"{one.measurement}.{BEFORE_VARIANT}", one.at, one.factor, one.statistic, one.factor_text)
+        for one in terms
+    )
+    return Way(STANDING, terms), Way(BEFORE, before)
+
+
+def _data_lines() -> tuple[Line, ...]:
+    ups = float(UPSTREAMS)
+    day_kept = CHANGES_A_DAY / MEASURED_CHANGES
+    kept_text = f"{CHANGES_A_DAY:,} / {MEASURED_CHANGES} changes"
+    list_rate = f"{LIST_CHANGES_A_SECOND:.3f} list changes/s"
+    return (
+        Line(
+            "data.latency",
+            DATA,
+            REST,
+            "added to a request, 99 in 100",
+            LATENCY,
+            "engine",
+            _stands(Term("daemon.latency.added-p99", ups)),
+        ),
+        Line(
+            "data.request",
+            DATA,
+            REST,
+            "decision module, processor time a request",
+            STALL,
+            "engine",
+            _stands(Term("module.request", ups, 1 / MS_A_SECOND, P99, "ms for us")),
+        ),
+        Line(
+            "data.sweeps",
+            DATA,
+            REST,
+            "sweeps over all upstreams",
+            RATE,
+            "services",
+            _stands(
+                Term("module.sweep", ups, 1 / SWEEP_SECONDS, factor_text=f"one each {SWEEP_SECONDS:g} s"),
+                Term(
+                    "engine.pool.sweep",
+                    ups,
+                    1 / POOL_SWEEP_SECONDS,
+                    factor_text=f"one each {POOL_SWEEP_SECONDS:g} s",
+                ),
+            ),
+        ),
+        Line(
+            "data.state",
+            DATA,
+            REST,
+            "state by server, three classes",
+            MEMORY,
+            "services",
+            _stands(Term("module.state", ups)),
+        ),
+        Line(
+            "data.state.classes",
+            DATA,
+            REST,
+            "state by server and class, a class for each service",
+            MEMORY,
+            "services",
+            _stands(Term("module.state.by-classes", SERVICES)),
+        ),
+        Line(
+            "data.list.memory",
+            DATA,
+            REST,
+            "list held by the engine",
+            MEMORY,
+            "services",
+            _stands(Term("engine.list.memory", ups)),
+        ),
+        Line(
+            "data.latency.day",
+            DATA,
+            DAY,
+            "added to a request, 99 in 100, lists change",
+            LATENCY,
+            "list-deltas",
+            _stands(Term("daemon.latency.day-added-p99", ups)),
+        ),
+        Line(
+            "data.entry",
+            DATA,
+            DAY,
+            "one changed entry of the list",
+            STALL,
+            "list-deltas",
+            _stands(Term("module.list.entry", ups)),
+        ),
+        Line(
+            "data.entry.rate",
+            DATA,
+            DAY,
+            "list changes of 3,500 restarts",
+            RATE,
+            "list-deltas",
+            _stands(Term("engine.list.day-change", ups, LIST_CHANGES_A_SECOND, factor_text=list_rate)),
+        ),
+        Line(
+            "data.list.kept",
+            DATA,
+            DAY,
+            "kept after a day's list changes",
+            KEPT,
+            "list-deltas",
+            _stands(Term("engine.list.day-kept", ups)),
+        ),
+        Line(
+            "data.terms.stall",
+            DATA,
+            DAY,
+            "a class's terms change",
+            STALL,
+            "returned-terms",
+            _with_before(Term("module.settings.change", ups)),
+        ),
+        Line(
+            "data.terms.kept",
+            DATA,
+            DAY,
+            "kept after a day's changes of terms",
+            MEMORY,
+            "returned-terms",
+            _with_before(Term("module.settings.kept", ups, day_kept, factor_text=kept_text)),
+        ),
+        Line(
+            "data.settings.load",
+            DATA,
+            DAY,
+            "configuration of all tenants read",
+            STALL,
+            "configuration",
+            _stands(Term("engine.settings.load", TENANTS)),
+        ),
+        Line(
+            "data.settings.memory",
+            DATA,
+            DAY,
+            "configuration of all tenants held",
+            MEMORY,
+            "configuration",
+            _stands(Term("engine.settings.memory", TENANTS)),
+        ),
+        Line(
+            "data.zone.single",
+            DATA,
+            ZONE,
+            "a zone's 2,000 upstreams off the list, told one by one",
+            ZONE_WORK,
+            "list-deltas",
+            _stands(Term("engine.list.zone-one-by-one", ups, 1 / MS_A_SECOND, factor_text="s for ms")),
+        ),
+        Line(
+            "data.zone.once",
+            DATA,
+            ZONE,
+            "the same, told in one change",
+            ZONE_WORK,
+            "list-deltas",
+            _stands(Term("engine.list.zone-at-once", ups, 1 / MS_A_SECOND, factor_text="s for ms")),
+        ),
+        Line(
+            "data.zone.daemon",
+            DATA,
+            ZONE,
+            "a whole daemon has a zone off its list",
+            ZONE_WORK,
+            "list-deltas",
+            _stands(Term("daemon.zone.time", ups)),
+        ),
+        Line(
+            "data.apart",
+            DATA,
+            APART,
+            "added to a request, 99 in 100, regions apart",
+            LATENCY,
+            "regions",
+            _stands(Term("daemon.latency.apart-added-p99", ups)),
+        ),
+        Line(
+            "data.roll",
+            DATA,
+            ROLL,
+            "list changes of all upstreams replaced in an hour",
+            RATE,
+            "list-deltas",
+            _stands(
+                Term(
+                    "engine.list.day-change",
+                    ups,
+                    UPSTREAMS * LIST_CHANGES_A_RESTART / ROLL_SECONDS,
+                    factor_text=f"{UPSTREAMS * LIST_CHANGES_A_RESTART / ROLL_SECONDS:.2f} list changes/s",
+                )
+            ),
+        ),
+        Line(
+            "data.start",
+            DATA,
+            NOTHING,
+            "a daemon starts and takes requests",
+            RETURN,
+            "engine",
+            _stands(Term("daemon.start.ready", ups)),
+        ),
+        Line(
+            "data.start.list",
+            DATA,
+            NOTHING,
+            "first whole list taken over",
+            STALL,
+            "list-deltas",
+            _stands(Term("engine.list.full", ups)),
+        ),
+        Line(
+            "data.tenfold",
+            DATA,
+            TENFOLD,
+            "changes of terms, processor time",
+            RATE,
+            "returned-terms",
+            _with_before(
+                Term(
+                    "module.settings.change",
+                    ups,
+                    CHANGES_A_SECOND * PART_OF_TEN,
+                    factor_text=f"{CHANGES_A_SECOND * PART_OF_TEN:.2f} changes/s",
+                )
+            ),
+        ),
+        Line(
+            "data.tenfold.kept",
+            DATA,
+            TENFOLD,
+            "kept after a day's changes of terms",
+            MEMORY,
+            "returned-terms",
+            _with_before(
+                Term(
+                    "module.settings.kept",
+                    ups,
+                    day_kept * PART_OF_TEN,
+                    factor_text=f"ten times {kept_text}",
+                )
+            ),
+        ),
+    )
+
+
+EVENTS: tuple[tuple[str, Situation], ...] = (
+    ("rest", REST),
+    ("changes", DAY),
+    ("restarts", DAY),
+    ("machines", DAY),
+    ("zone", ZONE),
+    ("regions", APART),
+    ("roll", ROLL),
+    ("start", NOTHING),
+    ("changes-tenfold", TENFOLD),
+)
+RATE_TARGETS = (("cpu", "processor time", PROCESSOR), ("bytes", "bytes sent", BYTES))
+
+
+def _run_term(design: str, event: str, kind: str, figure: str, statistic: Statistic = P99) -> Term:
+    name = ".".join(part for part in ("run", design, event, kind, figure) if part)
+    return Term(name, MEMBERS, statistic=statistic)
+
+
+def _control_ways(event: str, kind: str, figure: str, statistic: Statistic = P99) -> tuple[Way, ...]:
+    """A subscriber's, and a balancer's in the consensus of all."""
+    here, before = ("subscriber", "learner") if kind else ("", "")
+    return (
+        Way(TIER, (_run_term(TIER_DESIGN, event, here, figure, statistic),)),
+        Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, before, figure, statistic),)),
+    )
+
+
+def _control_rates() -> tuple[Line, ...]:
+    return tuple(
+        Line(
+            f"control.{event}.{figure}",
+            CONTROL,
+            situation,
+            f"{word}, {event}",
+            target,
+            "configuration",
+            _control_ways(event, "any", figure),
+        )
+        for event, situation in EVENTS
+        for figure, word, target in RATE_TARGETS
+    )
+
+
+def _control_times() -> tuple[Line, ...]:
+    settled = (("machines", DAY), ("zone", ZONE), ("regions", APART), ("start", NOTHING))
+    lines = [
+        Line(
+            f"control.{event}.settled",
+            CONTROL,
+            situation,
+            f"time until settled, {event}",
+            RETURN if situation is NOTHING else SETTLE,
+            "membership",
+            _control_ways(event, "", "settled", MOST),
+        )
+        for event, situation in settled
+    ]
+    lines += [
+        Line(
+            f"control.{event}.left-behind",
+            CONTROL,
+            situation,
+            f"members left behind, {event}",
+            NOBODY_BEHIND,
+            "configuration",
+            _control_ways(event, "", "left-behind"),
+        )
+        for event, situation in (
+            ("restarts", DAY),
+            ("zone-back", ZONE),
+            ("regions-back", APART),
+            ("roll", ROLL),
+        )
+    ]
+    return tuple(lines)
+
+
+def _settings_term(factor: float, text: str) -> Term:
+    return Term("engine.settings.bytes", TENANTS, factor * BYTES_PER_MB, factor_text=text)
+
+
+def _control_lines() -> tuple[Line, ...]:
+    return (
+        Line(
+            "control.memory",
+            CONTROL,
+            REST,
+            "resident memory",
+            MEMORY,
+            "configuration",
+            _control_ways("rest", "", "memory"),
+        ),
+        Line(
+            "control.membership.cpu",
+            CONTROL,
+            REST,
+            "membership alone, processor time",
+            PROCESSOR,
+            "membership",
+            _stands(Term("membership.quiet.cpu", MEMBERS)),
+        ),
+        Line(
+            "control.membership.bytes",
+            CONTROL,
+            REST,
+            "membership alone, bytes sent",
+            BYTES,
+            "membership",
+            _stands(Term("membership.quiet.bytes", MEMBERS)),
+        ),
+        Line(
+            "control.membership.start",
+            CONTROL,
+            NOTHING,
+            "all start, until all know all",
+            RETURN,
+            "membership",
+            _stands(Term("membership.start", MEMBERS, statistic=MOST)),
+        ),
+        Line(
+            "control.consensus.start",
+            CONTROL,
+            NOTHING,
+            "all start, until there is a leader",
+            RETURN,
+            "configuration",
+            _stands(Term("consensus.start", MEMBERS, statistic=MOST)),
+        ),
+        Line(
+            "control.consensus.missing",
+            CONTROL,
+            NOTHING,
+            "all start but one place, until there is a leader",
+            RETURN,
+            "configuration",
+            _stands(Term("consensus.start.missing", 1)),
+        ),
+        Line(
+            "control.change.contradicting",
+            CONTROL,
+            DAY,
+            "a change that contradicts, in force everywhere",
+            IN_FORCE,
+            "configuration",
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, "changes", "", "everywhere"),)),
+                Way(ALL_VOTE, (Term("versions.change.contradicting", MEMBERS, statistic=P99),)),
+            ),
+        ),
+        Line(
+            "control.change.free",
+            CONTROL,
+            DAY,
+            "a change that contradicts nothing, in force everywhere",
+            IN_FORCE,
+            "configuration",
+            (Way(ALL_VOTE, (Term("versions.change.free", MEMBERS, statistic=P99),)),),
+        ),
+        Line(
+            "control.change.rate",
+            CONTROL,
+            DAY,
+            "one change at a time: share of the time that changes take",
+            Target("of the time", 100.0, "%", reason="over it, the queue grows without end"),
+            "configuration",
+            (
+                Way(
+                    ALL_VOTE,
+                    (
+                        Term(
+                            "versions.change.contradicting",
+                            MEMBERS,
+                            CHANGES_A_SECOND * PERCENT,
+                            factor_text=f"{CHANGES_A_SECOND:.3f} changes/s, in %",
+                        ),
+                    ),
+                ),
+            ),
+        ),
+        Line(
+            "control.change.length",
+            CONTROL,
+            DAY,
+            "what a change carries: the whole settings of all tenants",
+            TAKEN_LENGTH,
+            "configuration",
+            (Way(ALL_VOTE, (_settings_term(1.0, "bytes for MB"),)),),
+        ),
+        Line(
+            "control.change.carried",
+            CONTROL,
+            DAY,
+            "a change carried to one balancer at 12 KB/s",
+            IN_FORCE,
+            "configuration",
+            (Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),),
+        ),
+        Line(
+            "control.restart.carried",
+            CONTROL,
+            NOTHING,
+            "the settings carried to one that restarts, at 12 KB/s",
+            RETURN,
+            "configuration",
+            (Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),),
+        ),
+        Line(
+            "control.rejoin",
+            CONTROL,
+            NOTHING,
+            "one comes back from nothing, state of a whole file's longest length (16 KB)",
+            RETURN,
+            "configuration",
+            (
+                Way(TIER, (Term("configuration.rejoin", MEMBERS),)),
+                Way(ALL_VOTE, (Term("consensus.rejoin", 16, statistic=MOST),)),
+            ),
+        ),
+    )
+
+
+def _tier_lines() -> tuple[Line, ...]:
+    targets = (
+        ("cpu", "processor time", MACHINE_PROCESSOR),
+        ("bytes", "bytes sent", MACHINE_BYTES),
+    )
+    rates = tuple(
+        Line(
+            f"{kind}.{event}.{figure}",
+            role,
+            situation,
+            f"{word}, {event}",
+            target,
+            "configuration",
+            (Way(TIER, (_run_term(TIER_DESIGN, event, kind, figure, MOST),)),),
+        )
+        for kind, role in (("voter", Role.VOTER), ("replica", Role.REPLICA))
+        for event, situation in EVENTS
+        for figure, word, target in targets
+    )
+    memory = tuple(
+        Line(
+            f"{kind}.memory",
+            role,
+            REST,
+            "resident memory",
+            MACHINE_MEMORY,
+            "configuration",
+            (Way(TIER, (_run_term(TIER_DESIGN, "rest", kind, "memory", MOST),)),),
+        )
+        for kind, role in (("voter", Role.VOTER), ("replica", Role.REPLICA))
+    )
+    return rates + memory
+
+
+def _discovery_lines() -> tuple[Line, ...]:
+    restarts = RESTARTS_A_DAY * MEMBERS / (MEMBERS + UPSTREAMS) / SECONDS_A_DAY
+    whole = Term(
+        "engine.list.bytes",
+        UPSTREAMS,
+        restarts * BYTES_PER_MB,
+        factor_text=f"{restarts:.5f} restarts of balancers a second, bytes for MB",
+    )
+    all_lists = Term(
+        "engine.list.bytes",
+        UPSTREAMS,
+        MEMBERS * BYTES_PER_MB / LINK_BYTES,
+        factor_text=f"{MEMBERS} lists over {LINK_BYTES / BYTES_PER_MB:g} MB/s",
+    )
+    held = "watches held, calls answered"
+    calls = Target(
+        held, MEMBERS, "watches", Bound.AT_LEAST, reason="each balancer holds one watch on the whole list"
+    )
+    lines = [
+        Line(
+            "discovery.rest",
+            Role.DISCOVERY,
+            REST,
+            held,
+            calls,
+            "discovery-fan-out",
+            _stands(Term("discovery.watches", MEMBERS)),
+        ),
+        Line(
+            "discovery.day",
+            Role.DISCOVERY,
+            DAY,
+            "whole lists to balancers that restart",
+            DISCOVERY_BYTES,
+            "discovery-fan-out",
+            _stands(whole),
+        ),
+        Line(
+            "discovery.start",
+            Role.DISCOVERY,
+            NOTHING,
+            "whole lists to all balancers at once",
+            DISCOVERY_RETURN,
+            "discovery-fan-out",
+            _stands(all_lists),
+        ),
+    ]
+    worst = (("zone", ZONE), ("apart", APART), ("roll", ROLL), ("tenfold", TENFOLD))
+    lines += [
+        Line(
+            f"discovery.{name}",
+            Role.DISCOVERY,
+            situation,
+            f"bytes of changed entries to all balancers, {situation}",
+            DISCOVERY_BYTES,
+            "discovery-fan-out",
+            _stands(Term(f"discovery.bytes.{name}", MEMBERS)),
+        )
+        for name, situation in worst
+    ]
+    return tuple(lines)
+
+
+def _operator_lines() -> tuple[Line, ...]:
+    def waits(name: str, situation: Situation, event: str, queue: str) -> Line:
+        return Line(
+            name,
+            Role.OPERATOR,
+            situation,
+            "waits for a change, those before it included (the last of 80)",
+            OPERATOR_WAIT,
+            "configuration",
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                Way(ALL_VOTE, (Term(queue, 80),)),
+            ),
+        )
+
+    def everywhere(name: str, situation: Situation, event: str, mechanism: str) -> Line:
+        return Line(
+            name,
+            Role.OPERATOR,
+            situation,
+            f"a change in force at all that can be reached, {event}",
+            OPERATOR_WAIT,
+            mechanism,
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "", "everywhere"),)),
+            ),
+        )
+
+    return (
+        everywhere("operator.rest", REST, "loss", "configuration"),
+        waits("operator.day", DAY, "changes", "versions.queue"),
+        everywhere("operator.zone", ZONE, "zone", "configuration"),
+        everywhere("operator.apart", APART, "regions", "regions"),
+        everywhere("operator.roll", ROLL, "roll", "configuration"),
+        everywhere("operator.start", NOTHING, "start", "configuration"),
+        waits("operator.tenfold", TENFOLD, "changes-tenfold", "versions.queue.ten-times"),
+    )
+
+
+LINES: tuple[Line, ...] = (
+    *_data_lines(),
+    *_control_lines(),
+    *_control_rates(),
+    *_control_times(),
+    *_tier_lines(),
+    *_discovery_lines(),
+    *_operator_lines(),
+)
--- a/dykeshift/scale/results.py
+++ b/dykeshift/scale/results.py
@@ -20,6 +20,7 @@
 import tempfile
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
+from functools import cache
 from pathlib import Path
 
 import msgspec
@@ -147,17 +148,26 @@
     return f"{measurement.id}, {measurement.unit}, by {measurement.parameter}: {'; '.join(points)}"
 
 
+@cache
 def program_version() -> str:
-    """The version, with the commit (and `-dirty`) where the package lies in a repository."""
-    command = ["git", "describe", "--always", "--dirty", "--abbrev=10"]
-    folder = Path(__file__).resolve().parent
+    """The version, with the commit (and `-dirty` where the package is not as committed) in a repository.
+
+    As it was when it was first asked for: what runs was loaded then.
+    """
+    folder = Path(__file__).resolve().parent.parent
     try:
-        answer = subprocess.run(
-            command, cwd=folder, capture_output=True, text=True, check=True, timeout=LONGEST_GIT
-        )
+        commit = _git(folder, "rev-parse", "--short=10", "HEAD")
+        changed = _git(folder, "status", "--porcelain", "--", ".")
     except (OSError, subprocess.SubprocessError):
         return __version__
-    return f"{__version__}+{answer.stdout.strip()}"
+    return f"{__version__}+{commit}{'-dirty' if changed else ''}"
+
+
+def _git(folder: Path, *arguments: str) -> str:
+    answer = subprocess.run(
+        ["git", *arguments], cwd=folder, capture_output=True, text=True, check=True, timeout=LONGEST_GIT
+    )
+    return answer.stdout.strip()
 
 
 def check(results: ResultsFile) -> None:
