--- a/dykeshift/scale/control_costs.py
+++ b/dykeshift/scale/control_costs.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
+from functools import cache, partial
 from random import Random
 from typing import Any
 
@@ -270,6 +270,7 @@
     return all(spot.view is not None and spot.view.standing.at_least == count for spot in world.spots)
 
 
+@cache
 def _quiet(members: int, seed: int) -> tuple[list[float], float]:
     """Processor milliseconds a second of each core, and bytes a second of a member, at rest."""
     world = TimedWorld(seed, members, MembershipOptions())
