Scale: what discovery bears of all balancers: answers by entries, first lists to all at once

Lines on discovery towards 930 had no measurement. Answers of the stand-in discovery are measured by changed entries; first lists are played on the virtual clock with the decision modules that ask.

--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -74,10 +74,11 @@
 @RESULTS
 @JSON
 def control(only: str, seeds: int, path: str, as_json: bool) -> int:
-    """Measure membership, consensus and versions on the virtual clock; merge into the results file."""
-    from dykeshift.scale import control_costs, results
+    """Measure membership, consensus, versions, discovery on the virtual clock, into the results file."""
+    from dykeshift.scale import control_costs, discovery_costs, results
 
-    chosen = [cost for cost in control_costs.costs() if cost.id.startswith(only)]
+    costs = control_costs.costs() + discovery_costs.costs()
+    chosen = [cost for cost in costs if cost.id.startswith(only)]
     if not chosen:
         raise Usage(f"lifttrail scale control: no measurement begins with {only}")
     typed = "lifttrail scale control" + (f" --only {only}" if only else "") + f" --seeds {seeds}"
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -13,6 +13,7 @@
 from dykeshift.scale.slopes import Statistic
 from dykeshift.scale.targets import (
     BYTES,
+    BYTES_PER_KB,
     BYTES_PER_MB,
     CHANGES_A_DAY,
     CHANGES_A_SECOND,
@@ -39,18 +40,21 @@
     POOL_SWEEP_SECONDS,
     PROCESSOR,
     RATE,
+    REGIONS,
     RESTARTS_A_DAY,
     RETURN,
     ROLL_SECONDS,
     SECONDS_A_DAY,
+    SECONDS_AN_HOUR,
     SERVICES,
     SETTLE,
     STALL,
     SWEEP_SECONDS,
     TENANTS,
     UPSTREAMS,
+    WATCHES,
     ZONE_WORK,
-    Bound,
+    ZONES,
     Target,
 )
 
@@ -619,67 +623,109 @@
     return rates + memory
 
 
+def _answers_term(entries: float, factor: float, text: str) -> Term:
+    """Bytes a second of answers with so many changed entries."""
+    return Term("discovery.answer", entries, factor * BYTES_PER_KB, factor_text=f"{text}, bytes for KB")
+
+
+def _discovery_line(
+    name: str,
+    situation: Situation,
+    quantity: str,
+    target: Target,
+    *terms: Term,
+    mechanism: str = "discovery-fan-out",
+) -> Line:
+    return Line(name, Role.DISCOVERY, situation, quantity, target, mechanism, _stands(*terms))
+
+
 def _discovery_lines() -> tuple[Line, ...]:
     restarts = RESTARTS_A_DAY * MEMBERS / (MEMBERS + UPSTREAMS) / SECONDS_A_DAY
-    whole = Term(
-        "engine.list.bytes",
-        UPSTREAMS,
-        restarts * BYTES_PER_MB,
-        factor_text=f"{restarts:.5f} restarts of balancers a second, bytes for MB",
-    )
-    all_lists = Term(
-        "engine.list.bytes",
-        UPSTREAMS,
-        MEMBERS * BYTES_PER_MB / LINK_BYTES,
-        factor_text=f"{MEMBERS} lists over {LINK_BYTES / BYTES_PER_MB:g} MB/s",
-    )
-    held = "watches held, calls answered"
-    calls = Target(
-        held, MEMBERS, "watches", Bound.AT_LEAST, reason="each balancer holds one watch on the whole list"
-    )
-    lines = [
-        Line(
+    roll = UPSTREAMS * LIST_CHANGES_A_RESTART / ROLL_SECONDS
+    zone, hour = UPSTREAMS / ZONES, LIST_CHANGES_A_SECOND * SECONDS_AN_HOUR
+    one_by_one = "bytes of changed entries to all balancers, one by one"
+    return (
+        _discovery_line(
             "discovery.rest",
-            Role.DISCOVERY,
             REST,
-            held,
-            calls,
-            "discovery-fan-out",
-            _stands(Term("discovery.watches", MEMBERS)),
+            "watches that are held",
+            WATCHES,
+            Term("discovery.watches", MEMBERS),
         ),
-        Line(
+        _discovery_line(
             "discovery.day",
-            Role.DISCOVERY,
+            DAY,
+            one_by_one,
+            DISCOVERY_BYTES,
+            _answers_term(1, LIST_CHANGES_A_SECOND * MEMBERS, f"{LIST_CHANGES_A_SECOND:.3f}/s to {MEMBERS}"),
+        ),
+        _discovery_line(
+            "discovery.day.lists",
             DAY,
             "whole lists to balancers that restart",
             DISCOVERY_BYTES,
-            "discovery-fan-out",
-            _stands(whole),
+            Term(
+                "engine.list.bytes",
+                UPSTREAMS,
+                restarts * BYTES_PER_MB,
+                factor_text=f"{restarts:.5f} restarts of balancers a second, bytes for MB",
+            ),
         ),
-        Line(
+        _discovery_line(
+            "discovery.zone",
+            ZONE,
+            "a zone's 2,000 entries to all balancers within 10 s",
+            DISCOVERY_BYTES,
+            _answers_term(zone, MEMBERS / SETTLE.value, f"to {MEMBERS} in {SETTLE.value:g} s"),
+        ),
+        _discovery_line(
+            "discovery.apart",
+            APART,
+            "an hour's changed entries to one region's balancers within 60 s",
+            DISCOVERY_BYTES,
+            _answers_term(
+                hour, MEMBERS / REGIONS / RETURN.value, f"to {MEMBERS // REGIONS} in {RETURN.value:g} s"
+            ),
+            mechanism="regions",
+        ),
+        _discovery_line(
+            "discovery.roll",
+            ROLL,
+            one_by_one,
+            DISCOVERY_BYTES,
+            _answers_term(1, roll * MEMBERS, f"{roll:.2f}/s to {MEMBERS}"),
+        ),
+        _discovery_line(
             "discovery.start",
-            Role.DISCOVERY,
             NOTHING,
-            "whole lists to all balancers at once",
+            "all balancers ask at once, until the last has a list (10 ms a call)",
+            RETURN,
+            Term("discovery.first-list", MEMBERS, statistic=MOST),
+        ),
+        _discovery_line(
+            "discovery.start.link",
+            NOTHING,
+            "whole lists to all balancers at once, over the link",
             DISCOVERY_RETURN,
-            "discovery-fan-out",
-            _stands(all_lists),
+            Term(
+                "engine.list.bytes",
+                UPSTREAMS,
+                MEMBERS * BYTES_PER_MB / LINK_BYTES,
+                factor_text=f"{MEMBERS} lists over {LINK_BYTES / BYTES_PER_MB:g} MB/s",
+            ),
         ),
-    ]
-    worst = (("zone", ZONE), ("apart", APART), ("roll", ROLL), ("tenfold", TENFOLD))
-    lines += [
-        Line(
-            f"discovery.{name}",
-            Role.DISCOVERY,
-            situation,
-            f"bytes of changed entries to all balancers, {situation}",
+        _discovery_line(
+            "discovery.tenfold",
+            TENFOLD,
+            one_by_one,
             DISCOVERY_BYTES,
-            "discovery-fan-out",
-            _stands(Term(f"discovery.bytes.{name}", MEMBERS)),
-        )
-        for name, situation in worst
-    ]
-    return tuple(lines)
+            _answers_term(
+                1,
+                LIST_CHANGES_A_SECOND * PART_OF_TEN * MEMBERS,
+                f"{LIST_CHANGES_A_SECOND * PART_OF_TEN:.2f}/s to {MEMBERS}",
+            ),
+        ),
+    )
 
 
 def _operator_lines() -> tuple[Line, ...]:
--- a/dykeshift/scale/page_text.py
+++ b/dykeshift/scale/page_text.py
@@ -9,10 +9,9 @@
     MACHINES_LOST_A_DAY,
     MEMBERS,
     REGIONS,
+    SECONDS_AN_HOUR,
 )
 
-SECONDS_AN_HOUR = 3_600
-
 HEAD = """
 # Capacity: the size in two years
 
--- a/dykeshift/scale/targets.py
+++ b/dykeshift/scale/targets.py
@@ -34,6 +34,7 @@
 """Of balancers and upstreams together."""
 CONTROL_MACHINES = 9
 SECONDS_A_DAY = 86_400
+SECONDS_AN_HOUR = 3_600
 LIST_CHANGES_A_RESTART = 3
 """Gone, started, ready."""
 LIST_CHANGES_A_SECOND = RESTARTS_A_DAY * LIST_CHANGES_A_RESTART / SECONDS_A_DAY
@@ -127,6 +128,14 @@
 LINK_BYTES = 125_000_000.0
 """A second, of discovery's link; set here."""
 BYTES_PER_MB = 1_000_000.0
+BYTES_PER_KB = 1_000.0
+WATCHES = Target(
+    "watches that discovery holds",
+    MEMBERS,
+    "watches",
+    Bound.AT_LEAST,
+    reason="each balancer holds one on the whole list",
+)
 OPERATOR_WAIT = Target("an operator's change in force", 10.0, "s")
 
 GIVEN_TARGETS: tuple[tuple[str, str], ...] = (
