--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -51,14 +51,26 @@
 
 command.add_command(data)
 
+RUNS = ("data", "run")
+"""Commands that measure at sizes: `data` at all of them, `run` at one."""
 
-@command.command("slopes")
+
+@command.command("slopes", context_settings={"ignore_unknown_options": True})
 @RESULTS
 @JSON
-def slopes(path: str, as_json: bool) -> int:
+@click.option("--run", "kind", type=click.Choice(RUNS), help="First measure at --sizes by that command.")
+@click.option("--sizes", default="40,200,930", metavar="A,B,C", show_default=True, help="Three or more.")
+@click.argument("further", nargs=-1, metavar="[-- OPTIONS of that command]")
+def slopes(path: str, as_json: bool, kind: str | None, sizes: str, further: tuple[str, ...]) -> int:
     """Fit how each measured quantity grows with size; refuse what has fewer than three sizes."""
     from dykeshift.scale import slopes as fits
 
+    if kind is not None:
+        code = measure_at(kind, read_sizes(sizes), path, further)
+        if code:
+            return code
+    elif further:
+        raise Usage(f"lifttrail scale slopes: {further[0]} is of no use without --run")
     rows = [fits.fit_row(one) for one in load_results(path).measurements]
     if as_json:
         click.echo(json.dumps({"file": path, "fits": rows}))
@@ -68,6 +80,21 @@
     return 0
 
 
+def measure_at(kind: str, sizes: tuple[int, ...], path: str, further: tuple[str, ...]) -> int:
+    """Run the measuring command at these sizes, into the file; its exit code, the first that is not 0."""
+    from dykeshift.cli import main
+    from dykeshift.scale.slopes import LEAST_SIZES
+
+    if len(sizes) < LEAST_SIZES:
+        raise Usage(f"lifttrail scale slopes: a fit needs {LEAST_SIZES} sizes, not {len(sizes)}")
+    if kind == "run":
+        calls = [["--members", str(size), "--out", path] for size in sizes]
+    else:
+        calls = [["--sizes", ",".join(map(str, sizes)), "--out", path]]
+    codes = (main(["scale", kind, *call, *further]) for call in calls)
+    return next((code for code in codes if code), 0)
+
+
 @command.command("control")
 @click.option("--only", default="", metavar="PREFIX", help="Only measurements whose id begins so.")
 @click.option("--seeds", default=3, metavar="N", show_default=True, type=click.IntRange(1, 100))
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -411,6 +411,26 @@
     )
 
 
+def _control_voters() -> tuple[Line, ...]:
+    """The balancer that bears most: a voter where balancers vote, a subscriber where none does."""
+    return tuple(
+        Line(
+            f"control.{event}.{figure}.most",
+            CONTROL,
+            situation,
+            f"{word} of the balancer that bears most, {event}",
+            target,
+            "configuration",
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, event, "subscriber", figure, MOST),)),
+                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "voter", figure, MOST),)),
+            ),
+        )
+        for event, situation in (("rest", REST), ("changes", DAY), ("changes-tenfold", TENFOLD))
+        for figure, word, target in RATE_TARGETS
+    )
+
+
 def _control_times() -> tuple[Line, ...]:
     settled = (("machines", DAY), ("zone", ZONE), ("regions", APART), ("start", NOTHING))
     lines = [
@@ -772,6 +792,7 @@
     *_data_lines(),
     *_control_lines(),
     *_control_rates(),
+    *_control_voters(),
     *_control_times(),
     *_tier_lines(),
     *_discovery_lines(),
--- a/tests/scale/test_cli.py
+++ b/tests/scale/test_cli.py
@@ -53,3 +53,47 @@
     for text in ("", "40,", "a", "40,40", "0", "-3", "4.5"):
         with pytest.raises(Usage):
             read_sizes(text)
+
+
+def test_slopes_measures_first_where_it_is_asked_to(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, calls = tmp_path / "capacity.json", list[list[str]]()
+
+    def measures(arguments: list[str]) -> int:
+        calls.append(arguments)
+        sizes = [float(word) for word in arguments[3].split(",")]
+        record([measurement("grows", points=tuple(point(size, size) for size in sizes))], path)
+        return 0
+
+    monkeypatch.setattr("dykeshift.cli.main", measures)
+    asked = ["scale", "slopes", "--run", "run", "--sizes", "4,8,12", "--file", str(path), "--", "--seed", "7"]
+    assert main(asked) == 0
+    assert calls[2] == ["scale", "run", "--members", "12", "--out", str(path), "--seed", "7"]
+    assert len(calls) == 3
+    assert main(["scale", "slopes", "--run", "data", "--sizes", "4,8,12", "--file", str(path)]) == 0
+    assert calls[3] == ["scale", "data", "--sizes", "4,8,12", "--out", str(path)]
+    assert "grows" in capsys.readouterr().out
+
+
+def test_slopes_stops_where_a_measurement_fails(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    calls = list[list[str]]()
+
+    def fails(arguments: list[str]) -> int:
+        calls.append(arguments)
+        return 1
+
+    monkeypatch.setattr("dykeshift.cli.main", fails)
+    asked = ["scale", "slopes", "--run", "run", "--file", str(tmp_path / "none.json")]
+    assert main(asked) == 1
+    assert len(calls) == 1
+
+
+@pytest.mark.parametrize(
+    "arguments", [["--run", "run", "--sizes", "4,8"], ["--seed", "7"], ["--run", "melt"]]
+)
+def test_slopes_refuses_in_a_line(
+    arguments: list[str], results: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["scale", "slopes", "--file", results, *arguments]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
