--- a/dykeshift/scale/evaluate.py
+++ b/dykeshift/scale/evaluate.py
@@ -45,6 +45,8 @@
     factor: float
     """How many times the target it is; one is on the line."""
     basis: Basis
+    growth: tuple[str, ...]
+    """Of the terms that have a fit, by size: flat, log n, n, n log n, n squared."""
     worked_out: bool
     """More than a single measurement's value."""
     reach: float
@@ -163,6 +165,7 @@
         value=value,
         factor=_factor_of(value, target),
         basis=next(basis for basis in WEAKEST_FIRST if any(one.basis is basis for one in estimates)),
+        growth=tuple(one.fit.shape.value for one in estimates if one.fit is not None),
         worked_out=len(way.terms) > 1 or way.terms[0].factor != 1.0,
         reach=max(one.reach for one in estimates),
         starved=any(_lengthened(one) for one in measurements),
--- a/dykeshift/scale/page.py
+++ b/dykeshift/scale/page.py
@@ -27,6 +27,7 @@
     "quantity",
     "at the target",
     "basis",
+    "growth",
     "target",
     "verdict",
     "factor",
@@ -142,9 +143,10 @@
     target = _target_text(line.target)
     if value is None:
         reason = "; ".join(worked.missing)
-        return (*head, NOTHING, reason, target, worked.verdict.value, NOTHING, *tail)
+        return (*head, NOTHING, reason, NOTHING, target, worked.verdict.value, NOTHING, *tail)
     shown = _value_text(value, line.target)
-    return (*head, shown, _basis_text(value), target, worked.verdict.value, _factor_text(value), *tail)
+    basis, growth = _basis_text(value), " and ".join(value.growth) or "no fit"
+    return (*head, shown, basis, growth, target, worked.verdict.value, _factor_text(value), *tail)
 
 
 def _value_text(value: Value, target: Target) -> str:
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -196,7 +196,7 @@
     return text.replace(row, "|".join(cells))
 
 
-CELLS = {"at the target": 3, "basis": 4, "verdict": 6, "factor": 7}
+CELLS = {heading: place for place, heading in enumerate(page.LINE_HEADINGS)}
 NAME = "control.membership.cpu"
 
 
