Capacity: lines of the control tier by the measurements of its play; modules as commands

Lines name what the tier's measurements are called (configuration.*, tier.*); where one is not there yet the line falls back to the consensus of all balancers, or is not shown.

--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -262,8 +262,11 @@
     from dykeshift.cli import cli
 
     words = shlex.split(text)
+    if words[:2] == ["python", "-m"] and len(words) > 2:
+        there = Path(*words[2].split(".")).with_suffix(".py").exists()
+        return None if there else "no such module"
     if not words or words[0] != "lifttrail":
-        return "not a command of lifttrail"
+        return "not a command of this repository"
     group: click.Command = cli
     context = click.Context(cli)
     rest = words[1:]
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -95,7 +95,8 @@
 
 STANDING = "as it stands"
 BEFORE = "before"
-TIER = "control tier"
+TIER = "control tier, scale run"
+TIER_VIRTUAL = "control tier, virtual clock"
 ALL_VOTE = "consensus of all balancers"
 TIER_DESIGN = "tier"
 STANDING_DESIGN = "membership"
@@ -109,6 +110,15 @@
 P99, MOST = Statistic.P99, Statistic.MOST
 
 
+PLAYED_EVENTS = {
+    "rest": "at-rest",
+    "changes": "ordinary",
+    "changes-tenfold": "tenfold",
+    "start": "from-nothing",
+}
+"""Events of a scale run as the control tier's measurements on the virtual clock name them."""
+
+
 def _stands(*terms: Term) -> tuple[Way, ...]:
     return (Way(STANDING, terms),)
 
@@ -381,6 +391,18 @@
 RATE_TARGETS = (("cpu", "processor time", PROCESSOR), ("bytes", "bytes sent", BYTES))
 
 
+def _tier_term(name: str, statistic: Statistic = MOST) -> Term:
+    """Of the control tier played on the virtual clock."""
+    return Term(name, MEMBERS, statistic=statistic)
+
+
+def _tier_rate(event: str, kind: str, figure: str) -> Term:
+    """What a host of that kind spends a second in that event."""
+    if event in PLAYED_EVENTS:
+        return _tier_term(f"configuration.{kind}s.{figure}.{PLAYED_EVENTS[event]}")
+    return _tier_term(f"tier.{event}.{kind}.{figure}")
+
+
 def _run_term(design: str, event: str, kind: str, figure: str, statistic: Statistic = P99) -> Term:
     name = ".".join(part for part in ("run", design, event, kind, figure) if part)
     return Term(name, MEMBERS, statistic=statistic)
@@ -389,8 +411,10 @@
 def _control_ways(event: str, kind: str, figure: str, statistic: Statistic = P99) -> tuple[Way, ...]:
     """A subscriber's, and a balancer's in the consensus of all."""
     here, before = ("subscriber", "learner") if kind else ("", "")
+    played = _tier_rate(event, "subscriber", figure) if kind else _tier_term(f"tier.{event}.{figure}")
     return (
         Way(TIER, (_run_term(TIER_DESIGN, event, here, figure, statistic),)),
+        Way(TIER_VIRTUAL, (played,)),
         Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, before, figure, statistic),)),
     )
 
@@ -423,6 +447,7 @@
             "configuration",
             (
                 Way(TIER, (_run_term(TIER_DESIGN, event, "subscriber", figure, MOST),)),
+                Way(TIER_VIRTUAL, (_tier_rate(event, "subscriber", figure),)),
                 Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "voter", figure, MOST),)),
             ),
         )
@@ -475,10 +500,32 @@
             "control.memory",
             CONTROL,
             REST,
-            "resident memory",
+            "memory (the tier's: objects of ten services; the consensus's: resident)",
             MEMORY,
             "configuration",
-            _control_ways("rest", "", "memory"),
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, "rest", "", "memory"),)),
+                Way(TIER_VIRTUAL, (Term("configuration.subscribers.memory.state", 10),)),
+                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, "rest", "", "memory"),)),
+            ),
+        ),
+        Line(
+            "control.start.peak",
+            CONTROL,
+            NOTHING,
+            "bytes of the busiest second, from nothing",
+            BYTES,
+            "configuration",
+            (Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.peak-bytes.from-nothing"),)),),
+        ),
+        Line(
+            "control.hour",
+            CONTROL,
+            APART,
+            "back after an hour away, until it holds the newest version",
+            RETURN,
+            "configuration",
+            (Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.time.after-an-hour"),)),),
         ),
         Line(
             "control.membership.cpu",
@@ -533,7 +580,8 @@
             IN_FORCE,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, "changes", "", "everywhere"),)),
+                Way(TIER, (_run_term(TIER_DESIGN, "changes-guarded", "", "everywhere"),)),
+                Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.in-force.guarded"),)),
                 Way(ALL_VOTE, (Term("versions.change.contradicting", MEMBERS, statistic=P99),)),
             ),
         ),
@@ -544,16 +592,31 @@
             "a change that contradicts nothing, in force everywhere",
             IN_FORCE,
             "configuration",
-            (Way(ALL_VOTE, (Term("versions.change.free", MEMBERS, statistic=P99),)),),
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, "changes", "", "everywhere", MOST),)),
+                Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.in-force.ordinary"),)),
+                Way(ALL_VOTE, (Term("versions.change.free", MEMBERS, statistic=P99),)),
+            ),
         ),
         Line(
             "control.change.rate",
             CONTROL,
             DAY,
-            "one change at a time: share of the time that changes take",
+            "changes one after the other: share of the time that they take",
             Target("of the time", 100.0, "%", reason="over it, the queue grows without end"),
             "configuration",
             (
+                Way(
+                    TIER_VIRTUAL,
+                    (
+                        Term(
+                            "configuration.subscribers.in-force.ordinary",
+                            MEMBERS,
+                            CHANGES_A_SECOND * PERCENT,
+                            factor_text=f"{CHANGES_A_SECOND:.3f} changes/s, in %",
+                        ),
+                    ),
+                ),
                 Way(
                     ALL_VOTE,
                     (
@@ -574,7 +637,10 @@
             "what a change carries: the whole settings of all tenants",
             TAKEN_LENGTH,
             "configuration",
-            (Way(ALL_VOTE, (_settings_term(1.0, "bytes for MB"),)),),
+            (
+                Way(TIER_VIRTUAL, (Term("tier.change.length", 1),)),
+                Way(ALL_VOTE, (_settings_term(1.0, "bytes for MB"),)),
+            ),
         ),
         Line(
             "control.change.carried",
@@ -583,7 +649,13 @@
             "a change carried to one balancer at 12 KB/s",
             IN_FORCE,
             "configuration",
-            (Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),),
+            (
+                Way(
+                    TIER_VIRTUAL,
+                    (Term("tier.change.length", 1, 1 / BYTES.value, factor_text="at 12,000 bytes/s"),),
+                ),
+                Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
+            ),
         ),
         Line(
             "control.restart.carried",
@@ -592,17 +664,31 @@
             "the settings carried to one that restarts, at 12 KB/s",
             RETURN,
             "configuration",
-            (Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),),
+            (
+                Way(
+                    TIER_VIRTUAL,
+                    (
+                        Term(
+                            "configuration.subscribers.total-bytes.from-nothing",
+                            MEMBERS,
+                            1 / BYTES.value,
+                            MOST,
+                            "at 12,000 bytes/s",
+                        ),
+                    ),
+                ),
+                Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
+            ),
         ),
         Line(
             "control.rejoin",
             CONTROL,
             NOTHING,
-            "one comes back from nothing, state of a whole file's longest length (16 KB)",
+            "one comes back from nothing (before: a state of 16 KB, the longest there is)",
             RETURN,
             "configuration",
             (
-                Way(TIER, (Term("configuration.rejoin", MEMBERS),)),
+                Way(TIER_VIRTUAL, (_tier_term("tier.rejoin.time"),)),
                 Way(ALL_VOTE, (Term("consensus.rejoin", 16, statistic=MOST),)),
             ),
         ),
@@ -622,7 +708,10 @@
             f"{word}, {event}",
             target,
             "configuration",
-            (Way(TIER, (_run_term(TIER_DESIGN, event, kind, figure, MOST),)),),
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, event, kind, figure, MOST),)),
+                Way(TIER_VIRTUAL, (_tier_rate(event, kind, figure),)),
+            ),
         )
         for kind, role in (("voter", Role.VOTER), ("replica", Role.REPLICA))
         for event, situation in EVENTS
@@ -633,14 +722,26 @@
             f"{kind}.memory",
             role,
             REST,
-            "resident memory",
+            "memory (on the virtual clock: objects of the store)",
             MACHINE_MEMORY,
             "configuration",
-            (Way(TIER, (_run_term(TIER_DESIGN, "rest", kind, "memory", MOST),)),),
+            (
+                Way(TIER, (_run_term(TIER_DESIGN, "rest", kind, "memory", MOST),)),
+                Way(TIER_VIRTUAL, (Term("configuration.control.memory.store", TENANTS),)),
+            ),
         )
         for kind, role in (("voter", Role.VOTER), ("replica", Role.REPLICA))
     )
-    return rates + memory
+    peak = Line(
+        "replica.start.peak",
+        Role.REPLICA,
+        NOTHING,
+        "bytes of the busiest second, all from nothing",
+        MACHINE_BYTES,
+        "configuration",
+        (Way(TIER_VIRTUAL, (_tier_term("configuration.control.peak-bytes.from-nothing"),)),),
+    )
+    return (*rates, *memory, peak)
 
 
 def _answers_term(entries: float, factor: float, text: str) -> Term:
@@ -748,6 +849,14 @@
     )
 
 
+PLAYED_TIMES = {
+    "zone": "tier.zone-change.time",
+    "regions": "tier.regions-home.time",
+    "start": "configuration.subscribers.time.from-nothing",
+}
+"""What of the control tier's play on the virtual clock is the time until a change is in force."""
+
+
 def _operator_lines() -> tuple[Line, ...]:
     def waits(name: str, situation: Situation, event: str, queue: str) -> Line:
         return Line(
@@ -759,6 +868,9 @@
             "configuration",
             (
                 Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                Way(
+                    TIER_VIRTUAL, (_tier_term(f"configuration.subscribers.in-force.{PLAYED_EVENTS[event]}"),)
+                ),
                 Way(ALL_VOTE, (Term(queue, 80),)),
             ),
         )
@@ -773,6 +885,7 @@
             mechanism,
             (
                 Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                Way(TIER_VIRTUAL, (_tier_term(PLAYED_TIMES.get(event, f"tier.{event}.time")),)),
                 Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "", "everywhere"),)),
             ),
         )
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -54,7 +54,8 @@
     assert faults(PAGE.read_text(encoding="utf-8"), load(RESULTS)) == []
 
 
-def test_every_command_of_the_file_exists() -> None:
+def test_every_command_of_the_file_exists(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(ROOT)
     assert stale_commands(load(RESULTS)) == []
 
 
@@ -282,10 +283,13 @@
         ("lifttrail scale gone", "no such command"),
         ("lifttrail scale", "no such command"),
         ("lifttrail scale control --melt 3", "no option --melt"),
-        ("python measure.py", "not a command of lifttrail"),
+        ("python -m benchmarks.versions --seeds 3", None),
+        ("python -m benchmarks.gone --seeds 3", "no such module"),
+        ("python measure.py", "not a command of this repository"),
     ],
 )
-def test_seeded_a_stale_command(command: str, fault: str | None) -> None:
+def test_seeded_a_stale_command(command: str, fault: str | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(ROOT)
     assert command_fault(command) == fault
     one = msgspec.structs.replace(quiet(), command=command)
     assert bool(stale_commands(held(one))) == (fault is not None)
