--- a/dykeshift/scale/evaluate.py
+++ b/dykeshift/scale/evaluate.py
@@ -96,8 +96,10 @@
             missing.append(str(exc))
     if not values:
         return Worked(line, Verdict.NOT_SHOWN, None, (), tuple(missing))
-    value = values[0]
-    return Worked(line, _verdict_of(value), value, tuple(values[1:]), ())
+    shown = [value for value in values if _verdict_of(value) is not Verdict.NOT_SHOWN]
+    value = (shown or values)[0]
+    others = tuple(one for one in values if one is not value)
+    return Worked(line, _verdict_of(value), value, others, ())
 
 
 def work_out_all(results: ResultsFile, lines: Sequence[Line] = LINES) -> tuple[Worked, ...]:
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -95,10 +95,13 @@
 
 STANDING = "as it stands"
 BEFORE = "before"
-TIER = "control tier, scale run"
-TIER_VIRTUAL = "control tier, virtual clock"
-ALL_VOTE = "consensus of all balancers"
-TIER_DESIGN = "tier"
+TIER = "control tier, sockets"
+TIER_RUN_VIRTUAL = "control tier, virtual clock"
+TIER_VIRTUAL = "control tier played, virtual clock"
+ALL_VOTE = "consensus of all, sockets"
+ALL_VOTE_VIRTUAL = "consensus of all, virtual clock"
+WHOLE_FILE = "the whole file in each change"
+TIER_DESIGN = "subscribers"
 STANDING_DESIGN = "membership"
 BEFORE_VARIANT = "before"
 """Put behind a measurement's id where it is of the program before a mechanism."""
@@ -403,6 +406,14 @@
     return _tier_term(f"tier.{event}.{kind}.{figure}")
 
 
+def _run_ways(design: str, event: str, kind: str, figure: str, statistic: Statistic) -> tuple[Way, ...]:
+    """Of a scale run: on sockets, and on the virtual clock."""
+    on_sockets = _run_term(design, event, kind, figure, statistic)
+    virtual = Term(on_sockets.measurement.replace("run.", "virtual.", 1), MEMBERS, statistic=statistic)
+    names = (TIER, TIER_RUN_VIRTUAL) if design == TIER_DESIGN else (ALL_VOTE, ALL_VOTE_VIRTUAL)
+    return Way(names[0], (on_sockets,)), Way(names[1], (virtual,))
+
+
 def _run_term(design: str, event: str, kind: str, figure: str, statistic: Statistic = P99) -> Term:
     name = ".".join(part for part in ("run", design, event, kind, figure) if part)
     return Term(name, MEMBERS, statistic=statistic)
@@ -413,9 +424,9 @@
     here, before = ("subscriber", "learner") if kind else ("", "")
     played = _tier_rate(event, "subscriber", figure) if kind else _tier_term(f"tier.{event}.{figure}")
     return (
-        Way(TIER, (_run_term(TIER_DESIGN, event, here, figure, statistic),)),
+        *_run_ways(TIER_DESIGN, event, here, figure, statistic),
         Way(TIER_VIRTUAL, (played,)),
-        Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, before, figure, statistic),)),
+        *_run_ways(STANDING_DESIGN, event, before, figure, statistic),
     )
 
 
@@ -446,9 +457,9 @@
             target,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, event, "subscriber", figure, MOST),)),
+                *_run_ways(TIER_DESIGN, event, "subscriber", figure, MOST),
                 Way(TIER_VIRTUAL, (_tier_rate(event, "subscriber", figure),)),
-                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "voter", figure, MOST),)),
+                *_run_ways(STANDING_DESIGN, event, "voter", figure, MOST),
             ),
         )
         for event, situation in (("rest", REST), ("changes", DAY), ("changes-tenfold", TENFOLD))
@@ -504,9 +515,9 @@
             MEMORY,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, "rest", "", "memory"),)),
+                *_run_ways(TIER_DESIGN, "rest", "", "memory", P99),
                 Way(TIER_VIRTUAL, (Term("configuration.subscribers.memory.state", 10),)),
-                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, "rest", "", "memory"),)),
+                *_run_ways(STANDING_DESIGN, "rest", "", "memory", P99),
             ),
         ),
         Line(
@@ -527,6 +538,18 @@
             "configuration",
             (Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.time.after-an-hour"),)),),
         ),
+        Line(
+            "control.whole",
+            CONTROL,
+            REST,
+            "control of a whole daemon, sockets and loop with it",
+            PROCESSOR,
+            "configuration",
+            (
+                Way(TIER, (Term(f"run.{TIER_DESIGN}.control.whole", MEMBERS),)),
+                Way(ALL_VOTE, (Term(f"run.{STANDING_DESIGN}.control.whole", MEMBERS),)),
+            ),
+        ),
         Line(
             "control.membership.cpu",
             CONTROL,
@@ -580,9 +603,9 @@
             IN_FORCE,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, "changes-guarded", "", "everywhere"),)),
+                *_run_ways(TIER_DESIGN, "changes-guarded", "", "everywhere", P99),
                 Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.in-force.guarded"),)),
-                Way(ALL_VOTE, (Term("versions.change.contradicting", MEMBERS, statistic=P99),)),
+                Way(ALL_VOTE_VIRTUAL, (Term("versions.change.contradicting", MEMBERS, statistic=P99),)),
             ),
         ),
         Line(
@@ -593,9 +616,9 @@
             IN_FORCE,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, "changes", "", "everywhere", MOST),)),
+                *_run_ways(TIER_DESIGN, "changes", "", "everywhere", MOST),
                 Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.in-force.ordinary"),)),
-                Way(ALL_VOTE, (Term("versions.change.free", MEMBERS, statistic=P99),)),
+                Way(ALL_VOTE_VIRTUAL, (Term("versions.change.free", MEMBERS, statistic=P99),)),
             ),
         ),
         Line(
@@ -618,7 +641,7 @@
                     ),
                 ),
                 Way(
-                    ALL_VOTE,
+                    ALL_VOTE_VIRTUAL,
                     (
                         Term(
                             "versions.change.contradicting",
@@ -639,7 +662,7 @@
             "configuration",
             (
                 Way(TIER_VIRTUAL, (Term("tier.change.length", 1),)),
-                Way(ALL_VOTE, (_settings_term(1.0, "bytes for MB"),)),
+                Way(WHOLE_FILE, (_settings_term(1.0, "bytes for MB"),)),
             ),
         ),
         Line(
@@ -654,7 +677,7 @@
                     TIER_VIRTUAL,
                     (Term("tier.change.length", 1, 1 / BYTES.value, factor_text="at 12,000 bytes/s"),),
                 ),
-                Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
+                Way(WHOLE_FILE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
             ),
         ),
         Line(
@@ -677,7 +700,7 @@
                         ),
                     ),
                 ),
-                Way(ALL_VOTE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
+                Way(WHOLE_FILE, (_settings_term(1 / BYTES.value, "bytes for MB, at 12,000 bytes/s"),)),
             ),
         ),
         Line(
@@ -689,7 +712,7 @@
             "configuration",
             (
                 Way(TIER_VIRTUAL, (_tier_term("tier.rejoin.time"),)),
-                Way(ALL_VOTE, (Term("consensus.rejoin", 16, statistic=MOST),)),
+                Way(ALL_VOTE_VIRTUAL, (Term("consensus.rejoin", 16, statistic=MOST),)),
             ),
         ),
     )
@@ -709,7 +732,7 @@
             target,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, event, kind, figure, MOST),)),
+                *_run_ways(TIER_DESIGN, event, kind, figure, MOST),
                 Way(TIER_VIRTUAL, (_tier_rate(event, kind, figure),)),
             ),
         )
@@ -726,7 +749,7 @@
             MACHINE_MEMORY,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, "rest", kind, "memory", MOST),)),
+                *_run_ways(TIER_DESIGN, "rest", kind, "memory", MOST),
                 Way(TIER_VIRTUAL, (Term("configuration.control.memory.store", TENANTS),)),
             ),
         )
@@ -867,11 +890,11 @@
             OPERATOR_WAIT,
             "configuration",
             (
-                Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                *_run_ways(TIER_DESIGN, event, "", "everywhere", P99),
                 Way(
                     TIER_VIRTUAL, (_tier_term(f"configuration.subscribers.in-force.{PLAYED_EVENTS[event]}"),)
                 ),
-                Way(ALL_VOTE, (Term(queue, 80),)),
+                Way(ALL_VOTE_VIRTUAL, (Term(queue, 80),)),
             ),
         )
 
@@ -884,9 +907,9 @@
             OPERATOR_WAIT,
             mechanism,
             (
-                Way(TIER, (_run_term(TIER_DESIGN, event, "", "everywhere"),)),
+                *_run_ways(TIER_DESIGN, event, "", "everywhere", P99),
                 Way(TIER_VIRTUAL, (_tier_term(PLAYED_TIMES.get(event, f"tier.{event}.time")),)),
-                Way(ALL_VOTE, (_run_term(STANDING_DESIGN, event, "", "everywhere"),)),
+                *_run_ways(STANDING_DESIGN, event, "", "everywhere", P99),
             ),
         )
 
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -125,6 +125,21 @@
     assert [one.way for one in after.others] == ["old"]
 
 
+def test_a_way_that_shows_nothing_leaves_the_verdict_to_the_next() -> None:
+    ways = (Way("new", (Term("new", 40),)), Way("old", (Term(QUIET, 40),)))
+    starved = measurement("new", unit="s", quantity="time", points=(point(40, 99.0),), starved=True)
+    worked = work_out(replace(line(), ways=ways), held(quiet(), starved))
+    assert worked.value is not None
+    assert (worked.value.way, worked.verdict) == ("old", Verdict.FITS)
+    assert [one.way for one in worked.others] == ["new"]
+
+
+def test_ways_of_a_line_have_names_of_their_own() -> None:
+    for one in LINES:
+        names = [way.name for way in one.ways]
+        assert len(set(names)) == len(names), one.id
+
+
 def test_at_least_turns_the_factor_round() -> None:
     wanted = Target("length", 10.0, "KB", Bound.AT_LEAST)
     worked = work_out(
