Configuration: what a balancer acts on, settings files as resources, a stateful test

The stateful test drives a store beside a plain model and lets subscribers and a replica follow it; it found that the digest of a service with tombstones alone differed from that of one never seen, mended here. Digests say the same of both now.

--- a/dykeshift/configuration/index.py
+++ b/dykeshift/configuration/index.py
@@ -55,6 +55,9 @@
         return takewhile(lambda resource: resource.version > version, reversed(self.entries.values()))
 
 
+_EMPTY = Table()  # of a service of which nothing is held
+
+
 class ResourceIndex:
     """What a store, a replica or a subscriber holds."""
 
@@ -143,8 +146,7 @@
 
     def _found(self, scope: Scope) -> list[Table]:
         names: list[TableName] = [ALL] if scope.whole else [EVERYONE, *sorted(scope.services - {EVERYONE})]
-        tables = (self.tables.get(name) for name in names)
-        return [table for table in tables if table is not None]
+        return [self.tables.get(name) or _EMPTY for name in names]
 
     def snapshot_needed(self, version: int) -> bool:
         """Whether the changes since a version are not known any more."""
--- a/dykeshift/configuration/store.py
+++ b/dykeshift/configuration/store.py
@@ -86,8 +86,12 @@
 class ConfigStore:
     """The configuration as of `version`; a state machine of the log."""
 
-    def __init__(self, most_tombstones: int = MOST_TOMBSTONES) -> None:
+    def __init__(
+        self, most_tombstones: int = MOST_TOMBSTONES, deletion_window: int = DELETION_WINDOW
+    ) -> None:
+        """Both bounds decide what is refused or guarded: they have to be the same on every member."""
         self.version = 0
+        self.deletion_window = deletion_window
         self.unknown_entries = 0  # entries of this process's log that are nobody's transaction
         self._reset(most_tombstones)
 
@@ -199,20 +203,20 @@
         return self.counts[kind]
 
     def established(self, key: Key) -> bool:
-        """Whether a resource was not written within `DELETION_WINDOW` versions."""
+        """Whether a resource was not written within `deletion_window` versions."""
         held = self.index.get(key)
-        return held is not None and held.version <= self.version - DELETION_WINDOW
+        return held is not None and held.version <= self.version - self.deletion_window
 
     def deleted_lately(self, kind: Kind) -> int:
-        """How many established ones of a kind were deleted within `DELETION_WINDOW` versions."""
+        """How many established ones of a kind were deleted within `deletion_window` versions."""
         return sum(one.count for one in self._lately(kind))
 
     def most_lately(self, kind: Kind) -> int:
-        """The most of a kind that there were within `DELETION_WINDOW` versions."""
+        """The most of a kind that there were within `deletion_window` versions."""
         return max([self.counts[kind], *(one.before for one in self._lately(kind))])
 
     def _lately(self, kind: Kind) -> Iterator[Deletions]:
-        first = self.version - DELETION_WINDOW
+        first = self.version - self.deletion_window
         return (one for one in self.deletions if one.kind is kind and one.version > first)
 
     # ---- transactions ----
@@ -305,7 +309,7 @@
         for kind in sorted({key.kind for key in transaction.deletes}):
             established = [k for k in transaction.deletes if k.kind is kind and self.established(k)]
             self.deletions.append(Deletions(self.version, kind, len(established), self.counts[kind]))
-        while self.deletions and self.deletions[0].version <= self.version - DELETION_WINDOW:
+        while self.deletions and self.deletions[0].version <= self.version - self.deletion_window:
             self.deletions.popleft()
         for put in transaction.puts:
             self._write(put.key, put.body)
--- a/dykeshift/configuration/translate.py
+++ b/dykeshift/configuration/translate.py
@@ -1,4 +1,4 @@
-"""Between the words of a settings file and the resources, and from resources to what a balancer acts on.
+"""Between the words of a settings file (and the book of `dykeshift.versions`) and the resources.
 
 A settings file speaks of one service: its `services` are classes of requests here, everything else is the
 terms of the service. The words of `dykeshift.versions.own.MINE` (where a balancer stands, how it asks
@@ -11,18 +11,20 @@
 from typing import Any
 
 from dykeshift.configuration.resources import (
+    Ban,
     ClassTerms,
     Key,
     Kind,
-    Resource,
+    ListWord,
     Service,
-    decode_body,
+    ban_key,
     encode_body,
+    list_word_key,
 )
 from dykeshift.configuration.transactions import Put
 from dykeshift.interface import Settings
 from dykeshift.settings import parse_settings
-from dykeshift.versions.terms import meet
+from dykeshift.versions.book import Pages
 
 Words = dict[str, Any]
 NOT_TOLD: Words = {"discovery": ""}  # of a balancer's own words, what its reader wants to find
@@ -119,28 +121,22 @@
 def settings_of(
     service: Service, classes: Iterable[tuple[str, ClassTerms]], own: Words | None = None
 ) -> Settings:
-    """What a balancer acts on; `own`: the words that are its own. SettingsError where it can't."""
+    """The settings that they make, with the words that are a balancer's `own`; SettingsError where they make
+    none."""
     return parse_settings({**NOT_TOLD, **words_of(service, classes), **(own or {})})
 
 
-def acting_settings(resources: Iterable[Resource], service: str, own: Words | None = None) -> Settings | None:
-    """What a balancer acts on for one service by the resources that it holds: the meet of old and new where
-    they are in their joint phase. None where the service is not in force."""
-    held = [r for r in resources if r.key.kind is Kind.CLASS or r.key == Key(Kind.SERVICE, service)]
-    old = _settings_from({r.key: r.body for r in held}, service, own)
-    if old is None or all(r.joint is None for r in held):
-        return old
-    new = _settings_from({r.key: r.joint.body if r.joint else r.body for r in held}, service, own)
-    return old if new is None else meet(old, new)
-
-
-def _settings_from(bodies: dict[Key, bytes | None], service: str, own: Words | None) -> Settings | None:
-    terms: Service | None = None
-    classes = list[tuple[str, ClassTerms]]()
-    for key, data in bodies.items():
-        body = decode_body(key.kind, data) if data is not None else None
-        if isinstance(body, Service):
-            terms = body
-        elif isinstance(body, ClassTerms):
-            classes.append((key.name, body))
-    return settings_of(terms, classes, own) if terms is not None else None
+def puts_of_lists(pages: Pages, service: str) -> tuple[Put, ...]:
+    """The bans and list words of a book of `dykeshift.versions`, for the one service that it speaks of."""
+    puts = [
+        Put(ban_key(service, server), encode_body(Ban(service, server, out.by)))
+        for server, out in pages.out.items()
+    ]
+    words = [
+        ListWord("preferred", pages.preferred, service),
+        ListWord("closed", pages.closed, service),
+        ListWord("wary", pages.wary, service),
+        ListWord("doubt", (pages.doubt,), service),
+    ]
+    puts += [Put(list_word_key(one.word, service), encode_body(one)) for one in words if one.names]
+    return tuple(puts)
--- a/dykeshift/configuration/validation.py
+++ b/dykeshift/configuration/validation.py
@@ -202,6 +202,8 @@
             return "its name is not that of its word and service"
         if len(body.names) > MOST_LIST_NAMES:
             return f"{len(body.names)} names are more than {MOST_LIST_NAMES}"
+        if body.word == "doubt" and body.names not in (("serve",), ("refuse",)):
+            return "doubt is to serve or to refuse"
     return ""
 
 
