--- /dev/null
+++ b/tests/configuration/defects.py
@@ -0,0 +1,135 @@
+"""Defects put into the store on purpose, each by what it undoes; test_defects has what finds them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from dykeshift.configuration import index, meets, store, validation
+from dykeshift.configuration.index import ResourceIndex, Table
+from dykeshift.configuration.references import ReferenceIndex
+from dykeshift.configuration.resources import Key, Resource, resource_digest
+from dykeshift.configuration.store import ConfigStore
+from dykeshift.configuration.transactions import Advance, Outcome, Pending, Phase, Transaction
+from tests.seeded import Defect, patched
+
+
+def without_check(name: str) -> Defect:
+    """Validation with one of its checks left out."""
+    left = tuple(check for check in validation._CHECKS if check.__name__ != name)
+    assert len(left) == len(validation._CHECKS) - 1
+    return patched(validation, "_CHECKS", left)
+
+
+def _commits_half(self: ConfigStore, transaction: Transaction) -> None:
+    half = msgspec.structs.replace(transaction, puts=transaction.puts[: max(1, len(transaction.puts) // 2)])
+    _commit(self, half)
+
+
+def _loses_the_tombstone(self: ResourceIndex, name: index.TableName, resource: Resource) -> None:
+    if resource.live or name is index.ALL:
+        _insert(self, name, resource)
+
+
+def _forgets_nothing(self: ResourceIndex) -> None:
+    pass
+
+
+def _keeps_all_outcomes(self: ConfigStore, ident: int, phase: Phase, reason: str = "") -> None:
+    self.outcomes[ident] = Outcome(ident, phase, self.version, reason)
+
+
+def _keeps_all_deletions(self: ConfigStore, transaction: Transaction) -> None:
+    kept = list(self.deletions)
+    _commit(self, transaction)
+    gone = [one for one in kept if one not in self.deletions]
+    self.deletions.extendleft(reversed(gone))
+
+
+def _digest_blind_to_deletions(self: ResourceIndex, key: Key) -> Resource | None:
+    before = self.get(key)
+    after = _take_out(self, key)
+    if before is not None:
+        for name in index._tables_of(before):
+            self.tables[name].digest ^= resource_digest(before)
+    return after
+
+
+def _commits_without_joint(self: ConfigStore, advance: Advance) -> None:
+    pending = self.pending.get(advance.ident)
+    if pending is not None and advance.phase is Phase.COMMITTED:
+        self._release(pending)
+        self._commit(pending.transaction)
+        self._end(advance.ident, Phase.COMMITTED)
+    else:
+        _advance(self, advance)
+
+
+def _aborts_and_stays_joint(self: ConfigStore, pending: Pending, reason: str) -> None:
+    self._release(pending)
+    self._end(pending.transaction.ident, Phase.ABORTED, reason)
+
+
+def _releases_its_keys_alone(self: ConfigStore, pending: Pending) -> None:
+    ident = pending.transaction.ident
+    del self.pending[ident]
+    for key in pending.transaction.written_keys():
+        del self._writers[key]
+
+
+def _snapshot_without_pending(self: ConfigStore) -> bytes:
+    state = msgspec.msgpack.decode(_snapshot(self), type=store.State)
+    state.pending = []
+    return msgspec.msgpack.encode(state)
+
+
+def _keeps_its_place(self: ResourceIndex, name: index.TableName, resource: Resource) -> None:
+    """A resource that is written again stays where it was in the order of its table."""
+    table = self.tables.setdefault(name, Table())
+    order = list(table.entries)
+    _insert(self, name, resource)
+    if resource.key in order:
+        table.entries = {key: table.entries[key] for key in order}
+
+
+def _references_stay(self: ReferenceIndex, key: Key, body: Any) -> None:
+    pass
+
+
+def _never_meant_before(self: ConfigStore, key: Key) -> bool:
+    return False
+
+
+def _compacts_silently(self: ResourceIndex, version: int) -> bool:
+    return False
+
+
+def _guards_no_route(*_: Any) -> bool:
+    return False
+
+
+_commit, _insert, _take_out = ConfigStore._commit, ResourceIndex._insert, ResourceIndex._take_out
+_advance, _snapshot = ConfigStore._advance, ConfigStore.snapshot
+
+DEFECTS: dict[str, Defect] = {
+    "expected versions not checked": without_check("_expected"),
+    "parallel transactions on one key": without_check("_conflict"),
+    "a reference left dangling": without_check("_references"),
+    "half of the tenants may go": without_check("_deletions"),
+    "half a transaction applied": patched(ConfigStore, "_commit", _commits_half),
+    "a tombstone lost": patched(ResourceIndex, "_insert", _loses_the_tombstone),
+    "tombstones without end": patched(ResourceIndex, "_forget", _forgets_nothing),
+    "outcomes without end": patched(ConfigStore, "_end", _keeps_all_outcomes),
+    "deletions counted without end": patched(ConfigStore, "_commit", _keeps_all_deletions),
+    "digest blind to a deletion": patched(ResourceIndex, "_take_out", _digest_blind_to_deletions),
+    "in force without the joint phase": patched(ConfigStore, "_advance", _commits_without_joint),
+    "aborted and still joint": patched(ConfigStore, "_abort", _aborts_and_stays_joint),
+    "what it names stays taken": patched(ConfigStore, "_release", _releases_its_keys_alone),
+    "a snapshot forgets what is under way": patched(ConfigStore, "snapshot", _snapshot_without_pending),
+    "changes out of order": patched(ResourceIndex, "_insert", _keeps_its_place),
+    "references stay behind": patched(ReferenceIndex, "remove", _references_stay),
+    "a name used again at once": patched(ConfigStore, "_meant_before", _never_meant_before),
+    "old changes missing in silence": patched(ResourceIndex, "snapshot_needed", _compacts_silently),
+    "a route moved at once": patched(meets, "_route", _guards_no_route),
+}
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -234,6 +234,19 @@
     assert one.store.digest(MAIL) == digests[1]
 
 
+def test_the_digest_tells_a_joint_phase() -> None:
+    driver = small_store()
+    before = driver.store.digest(CART)
+    ident = driver.begin(put(class_key("read"), UNSAFE))
+    assert driver.store.digest(CART) == before
+    driver.advance(ident, Phase.JOINT)
+    assert driver.store.digest(CART) != before
+    driver.advance(ident, Phase.ABORTED)
+    held = driver.store.get(class_key("read"))
+    assert held is not None
+    assert held.joint is None
+
+
 def test_old_tombstones_go_and_who_is_older_is_told_so() -> None:
     driver = Driver(ConfigStore(most_tombstones=8))
     driver.through(put(service_key("cart"), SERVICE))
