--- a/dykeshift/configuration/index.py
+++ b/dykeshift/configuration/index.py
@@ -88,12 +88,13 @@
         old = self._take_out(resource.key)
         old_tables = _tables_of(old) if old is not None else ()
         new_tables = _tables_of(resource)
-        for name in new_tables:
-            self._insert(name, resource if resource.live else _tombstone(resource, name))
-        for name in old_tables:
-            if name not in new_tables:
-                self._insert(name, _tombstone(resource, name))
-        self.count += resource.live
+        if resource.live:
+            self._insert_live(resource)
+            left = [name for name in old_tables if name not in new_tables]
+        else:
+            left = [*new_tables, *(name for name in old_tables if name not in new_tables)]
+        for name in left:
+            self._insert_tombstone(name, _tombstone(resource, name))
         self._forget()
 
     def merge(self, resources: Iterable[Resource], tombstones: Iterable[tuple[TableName, Resource]]) -> None:
@@ -105,9 +106,10 @@
         for _, resource in found:
             self._take_out(resource.key)
         for name, resource in found:
-            for table in _tables_of(resource) if resource.live else (name,):
-                self._insert(table, resource)
-            self.count += resource.live
+            if resource.live:
+                self._insert_live(resource)
+            else:
+                self._insert_tombstone(name, resource)
         self._forget()
 
     def _take_out(self, key: Key) -> Resource | None:
@@ -123,15 +125,28 @@
         self.count -= 1
         return old
 
-    def _insert(self, name: TableName, resource: Resource) -> None:
-        table = self.tables.setdefault(name, Table())
-        table.entries.pop(resource.key, None)
-        table.entries[resource.key] = resource
-        self.tombstones.pop((name, resource.key), None)
-        if resource.live:
-            table.digest ^= resource_digest(resource)
-        else:
-            self.tombstones[name, resource.key] = resource.version
+    def _insert_live(self, resource: Resource) -> None:
+        """Into each of its tables, at the end."""
+        digest = resource_digest(resource)
+        for name in _tables_of(resource):
+            table = self._without(name, resource.key)
+            table.entries[resource.key] = resource
+            table.digest ^= digest
+        self.count += 1
+
+    def _insert_tombstone(self, name: TableName, tombstone: Resource) -> None:
+        """Into one table, at the end."""
+        self._without(name, tombstone.key).entries[tombstone.key] = tombstone
+        self.tombstones[name, tombstone.key] = tombstone.version
+
+    def _without(self, name: TableName, key: Key) -> Table:
+        """A table, without the tombstone of a key."""
+        table = self.tables.get(name)
+        if table is None:
+            table = self.tables[name] = Table()
+        if self.tombstones.pop((name, key), None) is not None:
+            del table.entries[key]
+        return table
 
     def _forget(self) -> None:
         while len(self.tombstones) > self.most_tombstones:
--- a/dykeshift/configuration/store.py
+++ b/dykeshift/configuration/store.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter, deque
 from collections.abc import Iterator
 
@@ -56,6 +57,8 @@
     find_objection,
 )
 
+COMPRESSION = 1  # of snapshots: zlib's level
+MOST_STATE_BYTES = 64_000_000  # of a snapshot, decompressed
 MOST_OUTCOMES = 1024  # of the last transactions that were decided
 
 
@@ -119,7 +122,7 @@
             self.unknown_entries += 1
 
     def snapshot(self) -> bytes:
-        """The whole state."""
+        """The whole state, compressed: a piece of the log's transfer may have a megabyte."""
         state = State(
             self.index.compacted,
             list(self.index.live()),
@@ -128,15 +131,15 @@
             list(self.outcomes.values()),
             list(self.deletions),
         )
-        return _state_encoder.encode(state)
+        return zlib.compress(_state_encoder.encode(state), COMPRESSION)
 
     def restore(self, version: int, state: bytes) -> None:
         """Begin anew with a snapshot; bytes that are none leave an empty store."""
         self._reset(self.index.most_tombstones)
         self.version = version
         try:
-            kept = _state_decoder.decode(state)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+            kept = _state_decoder.decode(zlib.decompressobj().decompress(state, MOST_STATE_BYTES))
+        except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
             return
         self.index.merge(kept.resources, kept.tombstones)
         self.index.compacted = kept.compacted
--- a/tests/configuration/defects.py
+++ b/tests/configuration/defects.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import msgspec
 
 from dykeshift.configuration import index, meets, store, validation
-from dykeshift.configuration.index import ResourceIndex, Table
+from dykeshift.configuration.index import ResourceIndex
 from dykeshift.configuration.references import ReferenceIndex
 from dykeshift.configuration.resources import Key, Resource, resource_digest
 from dykeshift.configuration.store import ConfigStore
@@ -27,9 +28,9 @@
     _commit(self, half)
 
 
-def _loses_the_tombstone(self: ResourceIndex, name: index.TableName, resource: Resource) -> None:
-    if resource.live or name is index.ALL:
-        _insert(self, name, resource)
+def _loses_the_tombstone(self: ResourceIndex, name: index.TableName, tombstone: Resource) -> None:
+    if name is index.ALL:
+        _insert_tombstone(self, name, tombstone)
 
 
 def _forgets_nothing(self: ResourceIndex) -> None:
@@ -79,18 +80,17 @@
 
 
 def _snapshot_without_pending(self: ConfigStore) -> bytes:
-    state = msgspec.msgpack.decode(_snapshot(self), type=store.State)
+    state = msgspec.msgpack.decode(zlib.decompress(_snapshot(self)), type=store.State)
     state.pending = []
-    return msgspec.msgpack.encode(state)
+    return zlib.compress(msgspec.msgpack.encode(state))
 
 
-def _keeps_its_place(self: ResourceIndex, name: index.TableName, resource: Resource) -> None:
-    """A resource that is written again stays where it was in the order of its table."""
-    table = self.tables.setdefault(name, Table())
-    order = list(table.entries)
-    _insert(self, name, resource)
-    if resource.key in order:
-        table.entries = {key: table.entries[key] for key in order}
+def _keeps_its_place(self: ResourceIndex, resource: Resource) -> None:
+    """A resource that is written again goes to the beginning of its tables."""
+    _insert_live(self, resource)
+    for name in index._tables_of(resource):
+        table = self.tables[name]
+        table.entries = {resource.key: resource, **table.entries}
 
 
 def _references_stay(self: ReferenceIndex, key: Key, body: Any) -> None:
@@ -109,7 +109,8 @@
     return False
 
 
-_commit, _insert, _take_out = ConfigStore._commit, ResourceIndex._insert, ResourceIndex._take_out
+_commit, _take_out = ConfigStore._commit, ResourceIndex._take_out
+_insert_live, _insert_tombstone = ResourceIndex._insert_live, ResourceIndex._insert_tombstone
 _advance, _snapshot = ConfigStore._advance, ConfigStore.snapshot
 
 DEFECTS: dict[str, Defect] = {
@@ -118,7 +119,7 @@
     "a reference left dangling": without_check("_references"),
     "half of the tenants may go": without_check("_deletions"),
     "half a transaction applied": patched(ConfigStore, "_commit", _commits_half),
-    "a tombstone lost": patched(ResourceIndex, "_insert", _loses_the_tombstone),
+    "a tombstone lost": patched(ResourceIndex, "_insert_tombstone", _loses_the_tombstone),
     "tombstones without end": patched(ResourceIndex, "_forget", _forgets_nothing),
     "outcomes without end": patched(ConfigStore, "_end", _keeps_all_outcomes),
     "deletions counted without end": patched(ConfigStore, "_commit", _keeps_all_deletions),
@@ -127,7 +128,7 @@
     "aborted and still joint": patched(ConfigStore, "_abort", _aborts_and_stays_joint),
     "what it names stays taken": patched(ConfigStore, "_release", _releases_its_keys_alone),
     "a snapshot forgets what is under way": patched(ConfigStore, "snapshot", _snapshot_without_pending),
-    "changes out of order": patched(ResourceIndex, "_insert", _keeps_its_place),
+    "changes out of order": patched(ResourceIndex, "_insert_live", _keeps_its_place),
     "references stay behind": patched(ReferenceIndex, "remove", _references_stay),
     "a name used again at once": patched(ConfigStore, "_meant_before", _never_meant_before),
     "old changes missing in silence": patched(ResourceIndex, "snapshot_needed", _compacts_silently),
