--- a/dykeshift/configuration/store.py
+++ b/dykeshift/configuration/store.py
@@ -58,6 +58,7 @@
 )
 
 COMPRESSION = 1  # of snapshots: zlib's level
+ZLIB_HEADER = b"\x78"  # the first byte of what is compressed; no plain snapshot begins with it
 MOST_STATE_BYTES = 64_000_000  # of a snapshot, decompressed
 MOST_OUTCOMES = 1024  # of the last transactions that were decided
 
@@ -86,6 +87,18 @@
 _state_decoder = msgspec.msgpack.Decoder(State)
 
 
+def encode_state(state: State) -> bytes:
+    """A snapshot's bytes."""
+    return zlib.compress(_state_encoder.encode(state), COMPRESSION)
+
+
+def decode_state(data: bytes) -> State:
+    """A snapshot, compressed or plain; an error of zlib or msgspec where it is none."""
+    if data[:1] == ZLIB_HEADER:
+        data = zlib.decompressobj().decompress(data, MOST_STATE_BYTES)
+    return _state_decoder.decode(data)
+
+
 class ConfigStore:
     """The configuration as of `version`; a state machine of the log."""
 
@@ -131,14 +144,14 @@
             list(self.outcomes.values()),
             list(self.deletions),
         )
-        return zlib.compress(_state_encoder.encode(state), COMPRESSION)
+        return encode_state(state)
 
     def restore(self, version: int, state: bytes) -> None:
         """Begin anew with a snapshot; bytes that are none leave an empty store."""
         self._reset(self.index.most_tombstones)
         self.version = version
         try:
-            kept = _state_decoder.decode(zlib.decompressobj().decompress(state, MOST_STATE_BYTES))
+            kept = decode_state(state)
         except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
             return
         self.index.merge(kept.resources, kept.tombstones)
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from dykeshift.configuration.index import CompactedError
@@ -16,7 +17,7 @@
     encode_body,
 )
 from dykeshift.configuration.scope import Scope
-from dykeshift.configuration.store import ConfigStore
+from dykeshift.configuration.store import ConfigStore, decode_state, encode_state
 from dykeshift.configuration.transactions import Phase
 from tests.configuration.words import (
     SAFE,
@@ -288,6 +289,14 @@
         assert copy.store.changes_since(3, scope) == driver.store.changes_since(3, scope)
 
 
+def test_a_plain_snapshot_is_taken_too() -> None:
+    driver = small_store()
+    state = decode_state(driver.store.snapshot())
+    copy = ConfigStore()
+    copy.restore(driver.store.version, msgspec.msgpack.encode(state))
+    assert copy.snapshot() == driver.store.snapshot() == encode_state(state)
+
+
 def test_a_snapshot_that_is_none_leaves_an_empty_store() -> None:
     driver = small_store()
     driver.store.restore(7, b"\x93nonsense")
