Configuration: subscribers and a control tier by sealed datagrams, leases, catching up

Now a few voters and replicas hold the store, and each balancer subscribes to one of them for the services that it serves.

--- /dev/null
+++ b/dykeshift/configuration/control.py
@@ -0,0 +1,75 @@
+"""One control machine: the consensus with the store as its state machine, and the replica that reads it.
+
+Sans-I/O like its parts: time and datagrams in, datagrams out. A datagram is the consensus's or the replica's
+by its kind. Whenever the store has a later version the replica is told at once.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from dykeshift.agree.core import Agree
+from dykeshift.agree.wire import is_ours as is_consensus
+from dykeshift.configuration.replica import Out, Replica, ReplicaOptions
+from dykeshift.configuration.store import ConfigStore
+from dykeshift.view.table import Address
+from dykeshift.view.wire import Seal
+
+
+def freshness_age(core: Agree, now: int) -> int | None:
+    """How many nanoseconds ago all that was committed was in this process's store; None: it is not known."""
+    if not core.spread.lease_left(now) or core.spread.fresh_at is None:
+        return None
+    return max(0, now - core.spread.fresh_at)
+
+
+class ControlMachine:
+    """The cores of one of the machines set aside for control."""
+
+    def __init__(
+        self, core: Agree, store: ConfigStore, options: ReplicaOptions, seal: Seal, rng: Random
+    ) -> None:
+        """`store` is the state machine of `core`."""
+        self.core, self.store = core, store
+        self.replica = Replica(options, seal, store, lambda now: freshness_age(core, now), rng, 0)
+        self.told = store.version
+        self.next_at = 0
+
+    def start(self, now: int) -> Out:
+        """Begin."""
+        self._note_lineage(now)
+        out = self.core.start(now) + self.replica.start(now)
+        return self._done(now, out)
+
+    def on_timer(self, now: int) -> Out:
+        """To be called at `next_at` or later."""
+        out: Out = []
+        if now >= self.core.next_at:
+            out += self.core.on_timer(now)
+        if now >= self.replica.next_at:
+            out += self.replica.on_timer(now)
+        return self._done(now, out)
+
+    def on_datagram(self, now: int, data: bytes, address: Address) -> Out:
+        """Whatever arrived on the port."""
+        if is_consensus(data):
+            out = self.core.on_datagram(now, data, address)
+        else:
+            out = self.replica.on_datagram(now, data, address)
+        return self._done(now, out)
+
+    def after(self, now: int, out: Out) -> Out:
+        """After a call of the core by somebody else, such as a proposal: `out` is what it returned."""
+        return self._done(now, out)
+
+    def _note_lineage(self, now: int) -> None:
+        history, epoch, founder = self.core.shared.epoch
+        self.replica.enter(now, history << 32 | (epoch & 0xFFFF) << 16 | founder & 0xFFFF)
+
+    def _done(self, now: int, out: Out) -> Out:
+        self._note_lineage(now)
+        if self.store.version != self.told:
+            self.told = self.store.version
+            out = out + self.replica.on_change(now)
+        self.next_at = min(self.core.next_at, self.replica.next_at)
+        return out
