Configuration: 27 defects seeded into subscribers and replicas, each found

Four tests are new for it (a late grant, an old HELLO, a HELLO played at another replica, a process that stands still while its name has a new session).

A "grant that counts twice" is no defect: it counts from the same question.

--- /dev/null
+++ b/tests/configuration/subscriber_defects.py
@@ -0,0 +1,249 @@
+"""Defects put into subscribers and replicas on purpose, each by what it undoes; the tests and drawn days that
+find them are in test_subscriber_defects."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from dykeshift.configuration import catch_up, control, transfer, wire
+from dykeshift.configuration.admission import AdmissionQueue
+from dykeshift.configuration.audit import Auditor
+from dykeshift.configuration.catch_up import Part, Position, Staging
+from dykeshift.configuration.lease import SubscriberLease
+from dykeshift.configuration.replica import Replica
+from dykeshift.configuration.resources import Resource
+from dykeshift.configuration.sessions import Session
+from dykeshift.configuration.state import SubscriberState
+from dykeshift.configuration.subscriber import Applied, Subscriber
+from tests.seeded import Defect, patched
+
+
+def _shows_each_part(self: Subscriber, now: int, whole: bytes) -> bool:
+    """What has arrived is shown as if it were all."""
+    part = catch_up.unpack_part(whole)
+    staged = self.staging
+    last = staged.take(part)
+    index = self.state.index
+    for resource in part.resources:
+        index.write(resource)
+    if last:
+        self.state.version, self.state.lineage = part.target, self.lineage
+        staged.reset(part.target)
+        self.lease.on_shown(part.target)
+        self.events.append(Applied(part.target, None))
+    self.progress_at = now
+    return True
+
+
+def _says_more_than_it_shows(self: Subscriber, now: int, data: wire.Data) -> None:
+    """The last chunk is acknowledged, and the version as shown, before the part is taken."""
+    if data.number == data.total - 1 and self.receiver.whole is None and self.stamp:
+        self._send(
+            now, wire.Ack(self.token, data.transfer, data.total, 0, max(self.stamp, self.shown)), self.address
+        )
+    _on_data(self, now, data)
+
+
+_on_data = Subscriber._on_data
+
+
+def _whole_counts_as_taken(self: transfer.Receiver) -> int:
+    return self.total if self.finished else len(self.chunks)
+
+
+def _no_digest(self: SubscriberState, version: int, digest: int, resources: Any) -> None:
+    for resource in sorted(resources, key=lambda one: one.version):
+        self.index.write(resource)
+    self.version = version
+
+
+def _skips_the_rest_of_a_version(resource: Resource, position: Position) -> bool:
+    return resource.version > position.version
+
+
+def _without_tombstones(source: Any, scope: Any, position: Position) -> list[Resource]:
+    return [resource for resource in _remaining(source, scope, position) if resource.live]
+
+
+_remaining = catch_up.remaining
+
+
+def _forgets_the_floor(source: Any, position: Position) -> Position:
+    """Goes on from a position whose tombstones the store has forgotten."""
+    if position.version == 0:
+        return Position(floor=source.version)
+    if source.snapshot_needed(position.floor):
+        return Position(source.version, position.version, position.key, position.fresh)
+    return position
+
+
+def _free_repetitions(self: Replica, now: int, session: Session) -> None:
+    """A chunk that goes again costs the budgets nothing."""
+    sender = session.sender
+    while sender is not None and (number := sender.due(now)) is not None:
+        data = wire.Data(session.token, sender.number, number, len(sender.chunks), sender.chunks[number])
+        if number in sender.sent:
+            self.out.append((wire.encode(data, self.seal), session.address))
+        elif not self._send(now, session.address, data, bulk=True, bucket=session.bucket):
+            return
+        sender.on_sent(now, number)
+
+
+def _never_over(self: Replica, now: int) -> None:
+    """Sessions stay, whether anybody answers or not."""
+    self.leases = [lease for lease in self.leases if lease.until > now]
+    self._raise_fence(now)
+
+
+def _takes_any_hello(self: Replica, hello: wire.Hello) -> bool:
+    return False
+
+
+def _confirmed_by_a_hello(self: Replica, now: int, session: Session) -> None:
+    _admit(self, now, session)
+    if session.token in self.sessions:
+        self._confirm(now, session)
+
+
+_admit = Replica._admit
+
+
+_on_grant = SubscriberLease.on_grant
+
+
+def _any_nonce(self: Subscriber, now: int, grant: wire.Grant) -> None:
+    self.lease.asked.setdefault(grant.nonce, now)
+    _subscriber_on_grant(self, now, grant)
+
+
+_subscriber_on_grant = Subscriber._on_grant
+
+
+def _counts_from_the_answer(self: Subscriber, now: int, grant: wire.Grant) -> None:
+    if grant.nonce in self.lease.asked:
+        self.lease.asked[grant.nonce] = now
+    _subscriber_on_grant(self, now, grant)
+
+
+def _counts_before_it_is_shown(
+    self: SubscriberLease, nonce: int, stamp: int, age_ms: int, shown: int
+) -> bool:
+    return _on_grant(self, nonce, min(stamp, max(1, shown)), age_ms, shown)
+
+
+def _always_fresh(core: Any, now: int) -> int | None:
+    """The age of the store is not looked at."""
+    return 0
+
+
+def _always_unchanged(self: Replica, session: Session, shown: int) -> int:
+    return shown
+
+
+def _sees_at_once(self: Replica, now: int) -> Any:
+    out = _start(self, now)
+    self.blind_until = now
+    return out
+
+
+_start = Replica.start
+
+
+def _fences_what_it_has(self: Replica, now: int) -> None:
+    self.fenced = max(self.fenced, self.source.version)
+
+
+def _forgets_leases(self: Replica, now: int, session: Session, release: bool = True) -> None:
+    _close(self, now, session, release)
+    self.leases.clear()
+
+
+_close = Replica._close
+
+
+def _no_jitter(self: Subscriber, time: int) -> int:
+    return time
+
+
+def _admits_all(self: AdmissionQueue, now: int, name: str) -> int:
+    self.holders[name] = now
+    return 0
+
+
+def _believes(self: Subscriber, now: int) -> None:
+    """What others contradict is shown as before."""
+    self.auditor.settle()
+
+
+def _claims_nothing(self: Any, now: int, version: int, address: Any) -> None:
+    return
+
+
+def _takes_any_history(self: Subscriber, now: int, message: wire.Welcome | wire.Wait) -> None:
+    held, self.lease.fresh_at = self.lease.fresh_at, None
+    _on_greeted(self, now, message)
+    self.lease.fresh_at = held
+
+
+_on_greeted = Subscriber._on_greeted
+
+
+def _acknowledged_ahead(self: transfer.Sender, following: int, ahead: int) -> None:
+    """A last chunk that has arrived ahead of others never goes again."""
+    _on_ack(self, following, ahead)
+    last = len(self.chunks) - 1
+    if ahead >> max(0, last - following - 1) & 1 and last > following:
+        self.sent.pop(last, None)
+
+
+_on_ack = transfer.Sender.on_ack
+
+
+def _staged_over(self: Staging, part: Part) -> bool:
+    """A part is taken wherever it begins."""
+    for resource in part.resources:
+        self.resources[resource.key] = resource
+    self.position = part.after if part.after is not None else part.start
+    return part.after is None
+
+
+def _begins_again(self: Subscriber, now: int, reason: wire.ByeReason) -> None:
+    """What is staged is forgotten with the replica that sent it."""
+    self.staging.reset(self.shown)
+    _leave(self, now, reason)
+
+
+_leave = Subscriber._leave
+
+
+DEFECTS: dict[str, Defect] = {
+    "half a version is shown": patched(Subscriber, "_take", _shows_each_part),
+    "acknowledged before it is shown": patched(Subscriber, "_on_data", _says_more_than_it_shows),
+    "a whole part counts as taken": patched(transfer.Receiver, "following", property(_whole_counts_as_taken)),
+    "a digest is not looked at": patched(SubscriberState, "change", _no_digest),
+    "goes on behind the rest of a version": patched(catch_up, "_is_behind", _skips_the_rest_of_a_version),
+    "tombstones are not sent": patched(catch_up, "remaining", _without_tombstones),
+    "goes on where tombstones are forgotten": patched(catch_up, "start_of", _forgets_the_floor),
+    "repetitions cost nothing": patched(Replica, "_pump_one", _free_repetitions),
+    "sessions are never over": patched(Replica, "_look_round", _never_over),
+    "an old hello begins a session": patched(Replica, "_is_old", _takes_any_hello),
+    "a hello alone confirms a session": patched(Replica, "_admit", _confirmed_by_a_hello),
+    "a grant counts unasked": patched(Subscriber, "_on_grant", _any_nonce),
+    "a lease counts from the answer": patched(Subscriber, "_on_grant", _counts_from_the_answer),
+    "a lease counts before its stamp is shown": patched(
+        SubscriberLease, "on_grant", _counts_before_it_is_shown
+    ),
+    "a replica that lags renews leases": patched(control, "freshness_age", _always_fresh),
+    "a change is told as none": patched(Replica, "_unchanged_since", _always_unchanged),
+    "leases of an earlier life are forgotten": patched(Replica, "start", _sees_at_once),
+    "fenced what only the replica has": patched(Replica, "_raise_fence", _fences_what_it_has),
+    "leases of an earlier session are forgotten": patched(Replica, "_close", _forgets_leases),
+    "no jitter": patched(Subscriber, "_jittered", _no_jitter),
+    "no admission": patched(AdmissionQueue, "request", _admits_all),
+    "two who contradict are not believed": patched(Subscriber, "_disbelieve", _believes),
+    "what another replica has is not asked": patched(Auditor, "note_claim", _claims_nothing),
+    "another history under a lease": patched(Subscriber, "_on_greeted", _takes_any_history),
+    "a chunk that arrived ahead never goes again": patched(transfer.Sender, "on_ack", _acknowledged_ahead),
+    "a part is taken wherever it begins": patched(Staging, "take", _staged_over),
+    "staged parts are forgotten with a replica": patched(Subscriber, "_leave", _begins_again),
+}
--- a/tests/configuration/test_subscribers.py
+++ b/tests/configuration/test_subscribers.py
@@ -9,6 +9,7 @@
 from dykeshift.configuration.replica import Replica, ReplicaOptions
 from dykeshift.configuration.resources import Resource, Tenant, encode_body
 from dykeshift.configuration.scope import Scope
+from dykeshift.configuration.scope_codec import pack_scope, scope_digest
 from dykeshift.configuration.store import ConfigStore
 from dykeshift.configuration.subscriber import Applied, LeaseChanged, Left, Phase
 from dykeshift.configuration.transactions import Put
@@ -467,12 +468,86 @@
     world.network.cut(host.name, "east", both=False)
     world.run(0.1)
     fresh_at = host.core.lease.fresh_at
-    world.run(4)
+    world.run(2)
     for _ in range(3):
         world.network.deliver(world.replicas[0].address, host, grant)
     assert host.core.lease.fresh_at == fresh_at
 
 
+def test_a_grant_that_arrives_late_is_worth_less() -> None:
+    world = SmallWorld(40, replicas=1)
+    host = world.subscribe()
+    world.settle()
+    tap = Tap(world)
+    world.network.cut("replica-0", host.name, both=False)
+    assert world.network.run(2, lambda: bool(tap.messages(wire.Grant, target=host)))
+    asked_at = tap.sent[0][0]
+    grant = next(data for _, _, target, data in tap.sent if target is host)
+    world.run(1.2)
+    world.network.cuts.clear()
+    world.network.deliver(world.replicas[0].address, host, grant)
+    ends = world.network.now + host.core.lease_left(world.network.clock(host))
+    assert ends <= asked_at + world.subscriber_options.lease
+
+
+def test_an_old_hello_does_not_end_a_session_that_begins() -> None:
+    world = SmallWorld(41, replicas=1)
+    replica: Replica = world.replicas[0].core
+    now, address = world.network.clock(world.replicas[0]), ("10.9.9.9", 1)
+    scope = pack_scope(Scope(frozenset("a")))
+    replica.scopes.put(scope_digest(scope), Scope(frozenset("a")))
+
+    def hello(birth: int) -> list[wire.Message]:
+        message = wire.Hello(birth, birth, 1, 0, 0, scope_digest(scope), len(scope), "twice")
+        return [
+            wire.decode(d, SEAL) for d, _ in replica.on_datagram(now, wire.encode(message, SEAL), address)
+        ]
+
+    welcome = hello(2)[0]
+    assert isinstance(welcome, wire.Welcome)
+    assert not hello(1)
+    out = replica.on_datagram(now, wire.encode(wire.Renew(welcome.token, 5, 0), SEAL), address)
+    assert isinstance(wire.decode(out[-1][0], SEAL), wire.Grant)
+
+
+def test_a_hello_that_is_played_at_another_replica_draws_no_parts() -> None:
+    world = SmallWorld(42, replicas=2)
+    tap = Tap(world)
+    host = world.subscribe()
+    world.settle()
+    hello = next(data for _, source, _, data in tap.sent if source is host)
+    other = next(replica for replica in world.replicas if replica is not world.serving(host))
+    scope = pack_scope(host.core.scope)
+    other.core.scopes.put(scope_digest(scope), host.core.scope)
+    stranger = world.subscribe(start=False)
+    tap.sent.clear()
+    world.network.deliver(stranger.address, other, hello)
+    world.run(5)
+    assert tap.messages(wire.Welcome, target=stranger)
+    assert not tap.messages(wire.Data, target=stranger)
+    assert not other.core.sessions
+
+
+def test_the_lease_of_a_process_that_stands_still_counts_though_its_name_has_a_new_session() -> None:
+    world = SmallWorld(43, replicas=1)
+    host = world.subscribe()
+    world.settle()
+    world.run(6)
+    world.network.stop(host)
+    twin = world.subscribe(start=False)
+    twin.name = host.name
+    world.network.start(twin)
+    version = world.put(0, ("a",), 2.0)
+    assert world.network.run(3, lambda: bool(twin.core.state.version == version))
+    world.run(0.6)
+    replica: Replica = world.replicas[0].core
+    assert replica.by_name[host.name].address == twin.address
+    while world.leased(host):
+        assert replica.fenced < version
+        world.run(0.1)
+    assert world.network.run(3, lambda: replica.fenced == version)
+
+
 # ---- bounds ----
 
 
@@ -531,7 +606,7 @@
     replica: Replica = world.replicas[0].core
     now = world.network.clock(world.replicas[0])
     scope = b"\xc1 is no scope"
-    hello = wire.Hello(5, 1, 1, 0, 0, wire_digest(scope), len(scope), "stranger")
+    hello = wire.Hello(5, 1, 1, 0, 0, scope_digest(scope), len(scope), "stranger")
     out = replica.on_datagram(now, wire.encode(hello, SEAL), ("10.9.9.9", 1))
     welcome = wire.decode(out[0][0], SEAL)
     assert isinstance(welcome, wire.Welcome)
@@ -541,12 +616,6 @@
     assert not replica.scopes.scopes
 
 
-def wire_digest(data: bytes) -> int:
-    from dykeshift.configuration.scope_codec import scope_digest
-
-    return scope_digest(data)
-
-
 # ---- catching up ----
 
 
