--- a/dykeshift/configuration/sessions.py
+++ b/dykeshift/configuration/sessions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dykeshift.configuration.admission import TokenBucket
@@ -131,3 +132,15 @@
     def behind(self, version: int) -> list[str]:
         """Who has not said that it shows this version or a later one."""
         return sorted(name for name, known in self.known.items() if known.shown < version)
+
+
+def left_behind(rolls: Iterable[Roll], version: int) -> list[str]:
+    """The subscribers that no replica of the tier knows to have shown this version or a later one.
+
+    Who moved from one replica to another is counted by what it said last to either, whichever is more.
+    """
+    furthest: dict[str, int] = {}
+    for roll in rolls:
+        for name, known in roll.known.items():
+            furthest[name] = max(known.shown, furthest.get(name, 0))
+    return sorted(name for name, shown in furthest.items() if shown < version)
--- a/dykeshift/configuration/virtual.py
+++ b/dykeshift/configuration/virtual.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
-from time import perf_counter_ns
+from time import thread_time_ns
 from typing import Any, Protocol
 
 from dykeshift.configuration.replica import Out
@@ -184,9 +184,9 @@
 
     def _step(self, host: Host, call: Callable[..., Out], *arguments: Any) -> None:
         now = self.clock(host)
-        began = perf_counter_ns()
+        began = thread_time_ns()
         out = call(now, *arguments)
-        host.cost.busy_ns += perf_counter_ns() - began
+        host.cost.busy_ns += thread_time_ns() - began
         self.carry(host, out)
 
     def _on_timer(self, host: Host, timer: int) -> None:
--- a/tests/configuration/test_campaign.py
+++ b/tests/configuration/test_campaign.py
@@ -8,6 +8,7 @@
 
 from dykeshift.configuration.campaign import SMALL, play
 from dykeshift.configuration.checker import Checker
+from dykeshift.configuration.sessions import left_behind
 from dykeshift.configuration.tier import Tier
 
 SEEDS = range(8)
@@ -79,3 +80,26 @@
     tier.network.mend()
     assert tier.network.run(30, tier.settled)
     assert not checker.broken
+
+
+def test_those_left_behind_are_named_and_nobody_else() -> None:
+    tier = Tier("named", SMALL)
+    checker = Checker(tier)
+    tier.start_control()
+    tier.start_subscribers()
+    assert tier.network.run(20, tier.settled)
+    cut, dead, *others = tier.subscribers
+    remembered = {cut.core.address, dead.core.address}
+    moved = next(host for host in others if host.core.address not in remembered)
+    for region in ("east", "west"):
+        tier.network.cut(cut.name, region)
+    tier.network.kill(dead)
+    tier.network.kill(tier.network.hosts[moved.core.address])
+    tier.network.run(8)
+    tier.change_tenant(1, "service-003", 3.0)
+    tier.network.run(6)
+    version = tier.newest().version
+    rolls = [host.core.replica.roll for host in tier.control if host.up]
+    assert left_behind(rolls, version) == sorted((cut.name, dead.name))
+    assert moved.core.state.version == version
+    assert not checker.broken
