--- a/dykeshift/configuration/subscriber.py
+++ b/dykeshift/configuration/subscriber.py
@@ -24,7 +24,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -35,7 +35,7 @@
 from dykeshift.configuration.catch_up import Part, PartError, Staging, pack_position, unpack_part
 from dykeshift.configuration.choice import Place, ReplicaChoice
 from dykeshift.configuration.lease import SubscriberLease
-from dykeshift.configuration.resources import Key
+from dykeshift.configuration.resources import Key, Resource
 from dykeshift.configuration.scope import Scope
 from dykeshift.configuration.scope_codec import pack_scope, scope_digest
 from dykeshift.configuration.state import DigestError, SubscriberState
@@ -207,6 +207,15 @@
         """For how many nanoseconds what is shown may be acted on in full; 0: the subscriber is degraded."""
         return self.lease.left(now)
 
+    def adopt(self, lineage: int, version: int, digest: int, resources: Iterable[Resource]) -> None:
+        """Show what was handed over otherwise than by datagrams, before any replica has answered.
+
+        DigestError where the resources do not add up.
+        """
+        self.state.replace(lineage, version, digest, resources)
+        self.staged_lineage = lineage
+        self.staging.reset(version)
+
     def take_events(self) -> list[Event]:
         """What has happened, in order, each once."""
         events, self.events = self.events, []
--- a/dykeshift/scale/designs.py
+++ b/dykeshift/scale/designs.py
@@ -9,6 +9,7 @@
 
 DESIGNS = {
     "membership": "dykeshift.scale.membership:Membership",  # everybody knows everybody, voters among them
+    "subscribers": "dykeshift.scale.subscribers:Subscribers",  # a control tier of nine machines
 }
 
 
