--- a/dykeshift/configuration/replica.py
+++ b/dykeshift/configuration/replica.py
@@ -55,7 +55,7 @@
 from dykeshift.configuration.transfer import Sender
 from dykeshift.configuration.wire import NO_AGE, Message, WaitReason
 from dykeshift.view.table import Address
-from dykeshift.view.wire import Bad, Seal
+from dykeshift.view.wire import MOST, Bad, Seal
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -203,23 +203,29 @@
 
         A part's chunk (`bulk`) leaves some of both to whatever else there is to say.
         """
+        if bulk and not self._allows(now, MOST, bulk, bucket):
+            return False  # a chunk is mostly as long as a datagram: it is not sealed in vain
         data = wire.encode(message, self.seal)
-        reserve = self.options.reserve if bulk else 0.0
-        size = len(data)
-        allowed = self.bytes.allows(now, size, int(reserve * self.bytes.burst))
-        allowed = self.datagrams.allows(now, 1, int(reserve * self.datagrams.burst)) and allowed
-        if bucket is not None:
-            allowed = bucket.allows(now, size, int(reserve * bucket.burst)) and allowed
-        if not allowed:
-            self._drop("budget")
+        if not self._allows(now, len(data), bulk, bucket):
             return False
-        self.bytes.spend(size)
+        self.bytes.spend(len(data))
         self.datagrams.spend(1)
         if bucket is not None:
-            bucket.spend(size)
+            bucket.spend(len(data))
         self.out.append((data, address))
         return True
 
+    def _allows(self, now: int, size: int, bulk: bool, bucket: TokenBucket | None) -> bool:
+        reserve = self.options.reserve if bulk else 0.0
+        allowed = (
+            (bucket is None or bucket.allows(now, size, int(reserve * bucket.burst)))
+            and self.bytes.allows(now, size, int(reserve * self.bytes.burst))
+            and self.datagrams.allows(now, 1, int(reserve * self.datagrams.burst))
+        )
+        if not allowed:
+            self._drop("budget")
+        return allowed
+
     def _send_to(self, now: int, session: Session, message: Message) -> bool:
         """To a session, within its budget."""
         return self._send(now, session.address, message, bucket=session.bucket)
--- a/dykeshift/configuration/wire.py
+++ b/dykeshift/configuration/wire.py
@@ -15,9 +15,10 @@
 
 from __future__ import annotations
 
+import inspect
 import struct
 from collections.abc import Callable
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
 
@@ -227,6 +228,10 @@
     Hello: Kind.HELLO
 }
 
+_FIELDS: dict[Kind, tuple[str, ...]] = {
+    kind: tuple(inspect.signature(layout.made).parameters)[1:] for kind, layout in _LAYOUTS.items()
+}
+
 
 def _most(kind: Kind) -> int:
     return MOST - SEAL - HEAD.size - _LAYOUTS[kind].fixed.size
@@ -254,7 +259,7 @@
 
 def _pack(kind: Kind, message: Message) -> bytes:
     layout = _LAYOUTS[kind]
-    values = astuple(message)[1:]
+    values = [getattr(message, name) for name in _FIELDS[kind]]
     if layout.chunked:
         return layout.fixed.pack(*values[:-1]) + bytes(values[-1])
     return layout.fixed.pack(*values)
