Module: a class's place is used again once nothing holds it; lanes only where used

Change: - rules.py: `on_settings` takes the settings as they are worded and places the classes itself (`assign_places`, before: `settings.succeed` in the driver). A place is held while a request of its class is open in the module, while the driver has a request that names it, or while a front names it for good (`held`; the routes of [mllp]). A free place goes to the next class of its name, else to another once it is the one out of force for longest; free ones at the end that outnumber the classes in force are dropped. - What is learned of a class is one object (`ClassStats`: usual latency, hint, value, lanes by server), which requests under way keep. A lane exists only while attempts are out or failures in a row are noted; without one a server is as new to the class, as a fresh lane was. So a changed class copies the lanes of failing servers only, and nothing passes over all servers. Before, it had the old terms whole.

The test that held "a place means one class for good" is replaced: that law was the leak. Its successor holds that a place means one class while it is in force or held, that classes in force are all placed once, and a bound on the places.

Ruled out: lanes as slots of a list, used again (a change passes over all servers); a counter of holders for each place (a cost for each request, where a look at the open ones for each change does); places.py beside rules.py (rules.py imports interface.py alone, by its test).

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -37,7 +37,7 @@
 from dykeshift.engine.terms import FAILED, LATE, Asked, Final, How
 from dykeshift.engine.upstream import Attempt, End, Pool
 from dykeshift.rules import Balancer
-from dykeshift.settings import narrower, succeed
+from dykeshift.settings import narrower
 
 log = logging.getLogger(__name__)
 
@@ -83,6 +83,7 @@
         self.watch = watch
         self.ledger = pool.ledger
         self.tiers = [self.ledger.tier(c.name) for c in balancer.settings.classes]
+        self.kept_places: set[int] = set()  # of classes that a front names for as long as it runs
         self.jobs: dict[str, Job] = {}
         self.tenants = Tenants()
         self.ready: set[int] = set()  # upstreams that the list held shows as running
@@ -93,14 +94,16 @@
     # ---- events ----
 
     def take_settings(self, new: Settings, narrow: bool = False) -> Settings:
-        """Others from now on, with the places of all classes known so far.
+        """Others from now on; returns them with their classes at the places that the module gave them.
 
         Requests under way keep their terms; with `narrow` only what the new ones allow of them, too.
         """
-        merged = succeed(self.balancer.settings, new)
-        self.tiers = [self.ledger.tier(c.name) for c in merged.classes]
-        self._tell(self.balancer.on_settings, merged, narrower if narrow else None)
-        return merged
+        # A request that the module has not seen yet is among the jobs: what it waits for may be this change.
+        held = self.kept_places.union(job.incoming.klass for job in self.jobs.values())
+        self._tell(self.balancer.on_settings, new, narrower if narrow else None, held)
+        placed = self.balancer.settings
+        self.tiers = [self.ledger.tier(c.name) for c in placed.classes]
+        return placed
 
     def take_word(self, word: Word) -> None:
         self._tell(self.balancer.on_word, word)
--- a/dykeshift/engine/requests.py
+++ b/dykeshift/engine/requests.py
@@ -79,7 +79,7 @@
         retired: frozenset[int],
         forms: dict[str, frozenset[Idempotency]] | None = None,
     ) -> None:
-        """The classes at their places; those retired are not accepted any more.
+        """The classes at their places; those `retired` are not accepted any more.
 
         `forms`: of classes, by name, whose clients may ask in the form of one kind or of another.
         """
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -91,7 +91,7 @@
     worth_by_work: bool = False  # worth counts for each unit of work, not for each request
     fairness: float = 0.0  # weight of the worst-served class, as a multiple of that of all requests
     retry_advice_limit: int = 0  # longest wait that a client respects; 0: advice does not reach clients
-    retired: frozenset[int] = frozenset()  # places of classes that only requests under way still have
+    retired: frozenset[int] = frozenset()  # places whose classes are not in force: docs/module.md
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -148,11 +148,13 @@
 async def start(options: Options, host: Host) -> MllpService:
     memory = Memory[Waiter](host.clock.time_ns(), bounds(options.memory), complete=bool(options.journal))
     journal = _journal(options.journal, host, memory) if options.journal else None
+    routes = mapping(options, host.given.settings)
+    host.driver.kept_places.update(rule.klass for rule in routes.rules.values())
     front = MllpFront(
         host.loop,
         host.clock,
         host.driver,
-        mapping(options, host.given.settings),
+        routes,
         memory,
         host.given.name,
         journal,
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -73,6 +73,23 @@
     rest_until: int = 0
 
 
+@dataclass(slots=True, eq=False)
+class ClassStats:
+    """One class of requests: its terms, and what was learned of it.
+
+    `lanes` has only servers with attempts of this class out or failures in a row: without one, a server is
+    as good as new to the class.
+    """
+
+    klass: RequestClass  # of a retired class: with no more than what the one in force of its name allows
+    usual: float  # running mean of good answers' latency
+    since: int  # in the order in which the classes came
+    hint: float = 0.0  # running mean of the cost hints
+    value: float = 1.0  # worth per work, as a share of the dearest class's
+    retired: int = 0  # which change of the settings retired it; 0: in force
+    lanes: dict[Server, Lane] = field(default_factory=dict)
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """One server as this instance sees it."""
@@ -82,7 +99,6 @@
     rank: float  # the servers that rank lowest are the pool
     credit: float  # attempts that it may be sent while cold
     credited: int  # requests that its credit has grown with
-    lanes: list[Lane]
     in_flight: int = 0
     cut_at: int = 0
     rest_until: int = 0
@@ -110,6 +126,7 @@
 
     request: Request
     klass: RequestClass
+    stats: ClassStats  # of its class, as long as it is open
     arrived: int
     most: int  # attempts
     attempts: list[Attempt] = field(default_factory=list)
@@ -122,6 +139,66 @@
         return next((a for a in self.attempts if a.end not in NOT_RUN), None)
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """At which places the classes stand after a change of the settings, and which of them are new there."""
+
+    classes: tuple[RequestClass, ...]
+    retired: frozenset[int]  # places that are held or free
+    fresh: dict[int, int | None]  # new classes in the order given; where the last of the name stood, if any
+
+
+def assign_places(
+    known: Sequence[RequestClass],
+    recency: Sequence[float],
+    wanted: Iterable[RequestClass],
+    held: Collection[int],
+) -> Placement:
+    """Places for the classes that are `wanted` in force from now on.
+
+    A request names its class by a place, an index in `Settings.classes`. A place that is held, or in force
+    before and after the change, means the same class before and after; all others are free. The very same
+    terms come back to the place that still has them. A free place is taken by the next class of its name,
+    else by another once it has been out of force for longest; free ones at the end that outnumber the classes
+    in force are dropped. So there are never more places than were in force or held at once.
+
+    `known`: the class at each place so far. `recency`: of each place, the larger the later it was in force.
+    `held`: places that requests under way or still to come name.
+    """
+    in_force = dict.fromkeys(wanted)
+    place_of = {one: place for place, one in enumerate(known)}
+    kept = {place_of[one] for one in in_force if one in place_of}
+    by_recency = sorted(range(len(known)), key=recency.__getitem__)
+    latest = {known[place].name: place for place in by_recency}
+    free = dict.fromkeys(place for place in by_recency if place not in kept and place not in held)
+    arriving = [one for one in in_force if one not in place_of]
+
+    chosen: dict[RequestClass, int] = {}
+    for one in arriving:
+        before = latest.get(one.name)
+        if before in free:
+            del free[before]
+            chosen[one] = before
+    classes = list(known)
+    for one in arriving:
+        if one not in chosen:
+            chosen[one] = next(iter(free), len(classes))
+            free.pop(chosen[one], None)
+            if chosen[one] == len(classes):
+                classes.append(one)
+    for one, place in chosen.items():
+        classes[place] = one
+
+    while len(free) > len(in_force) and len(classes) - 1 in free:
+        del free[len(classes) - 1]
+        classes.pop()
+    return Placement(
+        classes=tuple(classes),
+        retired=frozenset(range(len(classes))) - kept - set(chosen.values()),
+        fresh={chosen[one]: latest.get(one.name) for one in arriving},
+    )
+
+
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
@@ -138,12 +215,16 @@
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
         self.open: dict[str, Open] = {}
-        self.usual = [c.aim * FIRST_GUESS for c in settings.classes]  # running mean of good answers' latency
+        self.stats = [
+            ClassStats(c, c.aim * FIRST_GUESS, n) for n, c in enumerate(settings.classes)
+        ]  # by place
+        self.live = list(self.stats)  # of the classes in force, in the order in which they came
+        self.came = len(self.stats)  # classes since the start
+        self.changes = 0  # of the settings
+        self.replaced = False  # some server is another one, or gone, since the last sweep
         self.easy = EASY
         self.admit = 1.0  # part of the requests let in: falls while most answers of the whole pool are slow
         self.crowd = 0.0  # rises while requests find no server with room; classes worth less than this wait
-        self.value = [1.0] * len(settings.classes)  # worth per work, as a share of the dearest class's
-        self.hints = [0.0] * len(settings.classes)  # running mean of the cost hints
         self.out = 0  # attempts that have not come back
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watching, self.asked = False, 0  # a call is out that goes on by itself; when it was begun
@@ -159,32 +240,60 @@
 
     # ---- settings ----
 
-    def on_settings(self, now: int, settings: Settings, narrower: Narrower | None = None) -> list[Action]:
-        """Others from now on: classes keep their places, new ones come behind, as `settings.succeed` has it.
+    def on_settings(
+        self,
+        now: int,
+        settings: Settings,
+        narrower: Narrower | None = None,
+        held: Collection[int] = frozenset(),
+    ) -> list[Action]:
+        """Others from now on, all their classes in force; `self.settings` then has these at their places.
 
         A class that comes under a known name has what was learned of the one before it. `narrower`: requests
-        under way keep of their own terms only what those of their class's name allow from now on, too.
+        under way keep of their own terms only what those of their class's name allow from now on, too, and
+        so do those that come for a class which is not in force any more. `held`: places that requests may
+        come for, beside those that requests under way have.
         """
-        known = [c.name for c in self.settings.classes]
-        for klass in settings.classes[len(known) :]:
-            like = max((n for n, name in enumerate(known) if name == klass.name), default=-1)
-            self.usual.append(self.usual[like] if like >= 0 else klass.aim * FIRST_GUESS)
-            self.hints.append(self.hints[like] if like >= 0 else 0.0)
-            for server in self.servers.values():
-                lane = server.lanes[like] if like >= 0 else Lane()
-                server.lanes.append(Lane(failures=lane.failures, rest_until=lane.rest_until))
-        self.settings = settings
-        self.longest_aim = max(
-            (c.aim for n, c in enumerate(settings.classes) if n not in settings.retired), default=0
+        under_way = {item.request.klass for item in self.open.values()}
+        recency = [float(stats.retired or "inf") for stats in self.stats]
+        placed = assign_places(self.settings.classes, recency, settings.classes, under_way.union(held))
+        fresh = {n: self._inherit(placed.classes[n], before) for n, before in placed.fresh.items()}
+        self.changes += 1
+        self.stats = [fresh[n] if n in fresh else self.stats[n] for n in range(len(placed.classes))]
+        self.settings = replace(settings, classes=placed.classes, retired=placed.retired)
+        terms = {c.name: c for c in settings.classes}
+        for place, (klass, stats) in enumerate(zip(placed.classes, self.stats, strict=True)):
+            stats.klass = klass
+            if place not in placed.retired:
+                stats.retired = 0
+                continue
+            stats.retired, stats.value = stats.retired or self.changes, 1.0
+            if narrower is not None:
+                stats.klass = narrower(klass, terms.get(klass.name, klass))
+        self.live = sorted(
+            (stats for stats in self.stats if not stats.retired), key=lambda stats: stats.since
         )
+        self.longest_aim = max((stats.klass.aim for stats in self.live), default=0)
         self._appraise()
         if narrower is not None:
-            terms = {c.name: c for n, c in enumerate(settings.classes) if n not in settings.retired}
             for item in self.open.values():
                 item.klass = narrower(item.klass, terms.get(item.klass.name, item.klass))
                 item.most = min(item.most, settings.attempt_limit)
         return self._done()
 
+    def _inherit(self, klass: RequestClass, before: int | None) -> ClassStats:
+        """Of a class that is new, with what was learned at the place `before` of the one before it."""
+        self.came += 1
+        if before is None:
+            return ClassStats(klass, klass.aim * FIRST_GUESS, self.came)
+        known = self.stats[before]
+        failing = {
+            server: Lane(failures=lane.failures, rest_until=lane.rest_until)
+            for server, lane in known.lanes.items()
+            if lane.failures
+        }
+        return ClassStats(klass, known.usual, self.came, known.hint, lanes=failing)
+
     def on_word(self, now: int, word: Word) -> list[Action]:
         """What the fleet has agreed on beside the settings, from now on; whole, not a change."""
         out, self.word = self.word.out, word
@@ -239,9 +348,8 @@
         return self._done()
 
     def _new(self, entry: ServerEntry, room: float) -> Server:
-        return Server(
-            entry, room, self.random(), self.random(), self.arrived, [Lane() for _ in self.settings.classes]
-        )
+        self.replaced = True
+        return Server(entry, room, self.random(), self.random(), self.arrived)
 
     def _sort_out(self, now: int) -> None:
         """Which of the servers may be sent to, as the list and the operators say."""
@@ -381,9 +489,10 @@
 
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
         """Whether this class gets no answers there, whatever others get: left to the last."""
-        lane = server.lanes[item.request.klass]
-        quiet = now - lane.quiet_since > HUNG * PATIENCE * self._expected(item)
-        return lane.out > 0 and (lane.failures >= HUNG or quiet)
+        lane = item.stats.lanes.get(server)
+        if lane is None or not lane.out:
+            return False
+        return lane.failures >= HUNG or now - lane.quiet_since > HUNG * PATIENCE * self._expected(item)
 
     def _suspect(self, now: int, item: Open, server: Server) -> bool:
         """A slow, stalled or hung server: left aside, so that it does not take the lone requests."""
@@ -410,7 +519,8 @@
         ):
             return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
-        if now < server.lanes[item.request.klass].rest_until:
+        lane = item.stats.lanes.get(server)
+        if lane is not None and now < lane.rest_until:
             return False
         # Room prevents the jam in which every server holds more than it can finish in time.
         return server.in_flight < server.room and now >= server.rest_until and self._cold_room(now, server)
@@ -461,9 +571,10 @@
     # ---- copy or lone send ----
 
     def on_request(self, now: int, request: Request) -> list[Action]:
-        klass = self.settings.classes[request.klass]
+        stats = self.stats[request.klass]
+        klass = stats.klass
         most = request.attempts or self.settings.attempt_limit
-        item = self.open[request.id] = Open(request, klass, now, most)
+        item = self.open[request.id] = Open(request, klass, stats, now, most)
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         if self.arrived == len(self.pool) and self.sweeps < 2:
             self._gather(now)  # many requests: a start with few servers would refuse some of them
@@ -477,7 +588,7 @@
         """RIQ for a request that has nothing out."""
         if not self.out:  # its share of the crowd is over, however few came since to show it
             self.crowd *= 1 - 1 / self.settings.balancers
-        dear = self.crowd > self.value[item.request.klass] and not item.attempts
+        dear = self.crowd > item.stats.value and not item.attempts
         drawn = [] if dear else self._draw(now, item)
         if now == item.arrived:  # those made to wait count as well placed: low classes alone are not starved
             self.crowd = min(1.0, max(0.0, self.crowd + CROWD_STEP * ((not drawn and not dear) - CROWD_FREE)))
@@ -517,8 +628,8 @@
             self.acts.append(SetTimer("r:" + item.request.id, now + wait))
 
     def _expected(self, item: Open) -> float:
-        n, hint = item.request.klass, item.request.cost_hint
-        return self.usual[n] * (hint / self.hints[n] if hint and self.hints[n] else 1.0)
+        stats, hint = item.stats, item.request.cost_hint
+        return stats.usual * (hint / stats.hint if hint and stats.hint else 1.0)
 
     def _copy_late(self, now: int, item: Open) -> None:
         """The delayed copy: prevents a stalled server from taking with it all that it holds."""
@@ -540,10 +651,13 @@
         if server.answered and server.in_flight == 1:
             server.quiet_since, server.answered = now, False
         server.credit -= 1
-        lane = server.lanes[item.request.klass]
-        lane.out += 1
-        if lane.out == 1:
-            lane.quiet_since = now
+        lane = item.stats.lanes.get(server)
+        if lane is None:
+            item.stats.lanes[server] = Lane(1, now)
+        else:
+            lane.out += 1
+            if lane.out == 1:
+                lane.quiet_since = now
         # What is late and worth nothing is called off at the aim: the server is freed for those in time.
         timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
         # What waits, for a connect or half written, must not become whole when its key may be forgotten: a
@@ -627,18 +741,21 @@
     def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
         self._judge(now, item, server, end)
         server.in_flight -= 1
-        self._judge_lane(now, item, server.lanes[item.request.klass], end)
+        stats = item.stats
+        lane = stats.lanes[server]
+        self._judge_lane(now, item, lane, end)
+        if not (lane.out or lane.failures):
+            del stats.lanes[server]
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
             server.quiet_since, server.answered = now, True
         if end.outcome is Outcome.OK:
             server.heard, server.credit = True, server.credit + SAFETY  # it does more than it must by now
-            n = item.request.klass
-            server.ratio += PACE_SMOOTH * (min(end.latency / max(1, self.usual[n]), 4.0) - server.ratio)
-            self.usual[n] += SMOOTH * (end.latency - self.usual[n])
+            server.ratio += PACE_SMOOTH * (min(end.latency / max(1, stats.usual), 4.0) - server.ratio)
+            stats.usual += SMOOTH * (end.latency - stats.usual)
             hint = item.request.cost_hint
-            self.hints[n] += (SMOOTH if self.hints[n] else 1.0) * (hint - self.hints[n])
+            stats.hint += (SMOOTH if stats.hint else 1.0) * (hint - stats.hint)
             self.yielded += SMOOTH
 
     def _judge_lane(self, now: int, item: Open, lane: Lane, end: AttemptEnd) -> None:
@@ -669,7 +786,7 @@
                 server.room += min(max(REGROW, grow) * server.room, grow / server.room)
         elif not stall and end.outcome is not Outcome.NOT_SENT:
             # Errors count like lateness: quick ones would else make the server look free.
-            usual = self.usual[item.request.klass]
+            usual = item.stats.usual
             if now - server.cut_at >= usual:  # one slow spell shows on all attempts it held: it counts once
                 server.cut_at = now
                 server.room = max(LEAST_ROOM, server.room * CUT)
@@ -754,21 +871,34 @@
         if not self.out:  # nor does it know of a jam, but the others may, and all open at once
             self.admit += max(0.0, 1 - self.admit) / self.settings.balancers
         self.returned = {n: ban for n, ban in self.returned.items() if now < ban[1] + self.settings.cold_time}
-        if len(self.ready) < len(self.servers):
+        count = len(self.servers)
+        if len(self.ready) < count:
             self.servers = {
                 n: s
                 for n, s in self.servers.items()
                 if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)
             }
+        if self.replaced or len(self.servers) < count:
+            self._drop_lanes()
+
+    def _drop_lanes(self) -> None:
+        """Those of servers that are gone, or another process by now, but for attempts that are still out."""
+        self.replaced = False
+        for stats in self.stats:
+            for server, lane in list(stats.lanes.items()):
+                if self.servers.get(server.entry.id) is not server:
+                    if lane.out:
+                        self.replaced = True  # looked at again in the next sweep
+                    else:
+                        del stats.lanes[server]
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
-        live = [n for n in range(len(self.settings.classes)) if n not in self.settings.retired]
-        worths = {n: max(self.settings.classes[n].worth, 1e-9) for n in live}
-        costs = {n: 1.0 if self.settings.worth_by_work else self.usual[n] for n in live}
-        per_work = {n: worths[n] / costs[n] * sum(costs.values()) / sum(worths.values()) for n in live}
-        fair, best = self.settings.fairness * len(live), max(per_work.values(), default=1.0)
-        self.value = [
-            min(1.0, (per_work[n] + fair) / best) if n in per_work else 1.0
-            for n in range(len(self.settings.classes))
-        ]
+        live, by_work = self.live, self.settings.worth_by_work
+        worths = [max(stats.klass.worth, 1e-9) for stats in live]
+        costs = [1.0 if by_work else stats.usual for stats in live]
+        cost, worth = sum(costs), sum(worths)
+        per_work = [one / costs[n] * cost / worth for n, one in enumerate(worths)]
+        fair, best = self.settings.fairness * len(live), max(per_work, default=1.0)
+        for stats, one in zip(live, per_work, strict=True):
+            stats.value = min(1.0, (one + fair) / best)
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -50,17 +50,6 @@
     return int(value)
 
 
-def succeed(old: Settings, new: Settings) -> Settings:
-    """The new settings with the old ones' classes at their places, so that a place means one class for good.
-
-    A class whose terms have changed is another one; whoever is under way keeps the one it came with.
-    """
-    classes = list(old.classes)
-    classes += [c for c in new.classes if c not in classes]
-    retired = frozenset(n for n, c in enumerate(classes) if c not in new.classes)
-    return replace(new, classes=tuple(classes), retired=retired)
-
-
 def narrower(one: RequestClass, other: RequestClass) -> RequestClass:
     """The first with only those repeats that both allow: who acts on it breaks the terms of neither."""
     if one.idempotency is not other.idempotency:
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,614 @@
+"""Places of classes over changes of the settings: used again once nothing holds them, and never sooner."""
+
+from __future__ import annotations
+
+import gc
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from hypothesis import HealthCheck
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from dykeshift import rules
+from dykeshift.interface import (
+    Action,
+    AttemptEnd,
+    Fail,
+    Idempotency,
+    ListKind,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Send,
+    ServerList,
+    ServerState,
+    Settings,
+    SetTimer,
+)
+from dykeshift.rules import HUNG, Balancer, ClassStats, Placement, assign_places
+from dykeshift.settings import narrower
+from tests.harness import CLASSES, MS, S, World, entry, make_settings
+from tests.seeded import Defect, defect_tests, patched
+
+CHANGES = 10_000
+FEWER_CHANGES = 1000
+SERVERS = 300
+NAMES = "abcd"
+UNDER_WAY = 12  # requests that are open at any time in the long run
+
+
+def changed(klass: RequestClass, serial: int) -> RequestClass:
+    """The same class with terms that it never had."""
+    return replace(klass, window=klass.window + serial, deadline=klass.deadline + serial)
+
+
+def state_size(balancer: Balancer) -> Counter[str]:
+    """How many objects of each type the module holds, directly or not."""
+    balancer.acts = []
+    count: Counter[str] = Counter()
+    seen: set[int] = set()
+    todo: list[Any] = [balancer]
+    while todo:
+        one = todo.pop()
+        shared = isinstance(one, type | Random) or callable(one) or one is None
+        if id(one) in seen or shared:
+            continue
+        seen.add(id(one))
+        count[type(one).__name__] += 1
+        if not isinstance(one, Idempotency | ServerState | str | int | float):
+            todo += gc.get_referents(one)
+    return count
+
+
+def module_objects(balancer: Balancer) -> dict[str, int]:
+    """Of its state, what a change of the settings could leave behind; numbers come and go."""
+    count = state_size(balancer)
+    kinds = (
+        "Server",
+        "Lane",
+        "ClassStats",
+        "Open",
+        "Request",
+        "Attempt",
+        "RequestClass",
+        "Settings",
+        "tuple",
+    )
+    return {kind: count[kind] for kind in kinds}
+
+
+class LongRun:
+    """A balancer under load whose settings change again and again, with requests under way all the time."""
+
+    def __init__(self, servers: int, rename: bool = False, restarts: bool = False) -> None:
+        self.rng, self.world = Random(43), World(make_settings(balancers=1, attempt_limit=2))
+        self.rename, self.restarts, self.serial = rename, restarts, 0
+        self.world.announce(ListKind.FULL, *(entry(n) for n in range(servers)))
+        self.classes = list(CLASSES)
+        self.open: list[str] = []
+        self.longest = 0  # most changes that a request went through
+
+    def change(self) -> None:
+        world = self.world
+        self.serial += 1
+        n = self.serial % len(self.classes)
+        self.classes[n] = changed(self.classes[n], self.serial)
+        if self.rename:
+            self.classes[n] = replace(self.classes[n], name=f"n{self.serial}")
+        world.play(
+            world.balancer.on_settings(world.now, replace(world.settings, classes=tuple(self.classes)))
+        )
+        world.settings = world.balancer.settings
+        if self.restarts:
+            server = self.rng.randrange(len(world.list))
+            world.announce(ListKind.DELTA, entry(server, started=world.now - 100 * S))
+        self.load()
+        if self.serial % 40 == 0:
+            self.forget_finished()
+
+    def load(self) -> None:
+        """One more request; the oldest ends. Most go well, some fail so that the module notes it."""
+        world = self.world
+        in_force = [n for n in range(len(world.settings.classes)) if n not in world.settings.retired]
+        self.open.append(world.submit(self.rng.choice(in_force)))
+        if len(self.open) > UNDER_WAY:
+            rid = self.open.pop(0)
+            outcome = self.rng.choice([Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT])
+            world.end_all(rid, outcome)
+            world.gone(rid)
+            world.end_all(rid, Outcome.CANCELLED)
+        world.advance(MS)
+
+    def forget_finished(self) -> None:
+        open_ids = self.world.balancer.open.keys()
+        self.world.requests = {r: seen for r, seen in self.world.requests.items() if r in open_ids}
+        self.world.actions.clear()
+
+    def settle(self) -> dict[str, int]:
+        """What is left once all requests are over and the module has looked round."""
+        for rid in self.open:
+            self.world.gone(rid)
+            self.world.end_all(rid, Outcome.CANCELLED)
+        self.open.clear()
+        self.world.settle()
+        self.forget_finished()
+        return module_objects(self.world.balancer)
+
+
+def memory_is_flat(changes: int, rename: bool = False, restarts: bool = False) -> None:
+    run = LongRun(SERVERS, rename, restarts)
+    sizes: list[dict[str, int]] = []
+    places: set[int] = set()
+    for n in range(1, changes + 1):
+        run.change()
+        balancer = run.world.balancer
+        places.add(len(balancer.settings.classes))
+        assert len(balancer.stats) == len(balancer.settings.classes)
+        if n % (changes // 4) == 0:
+            assert balancer.open, "requests are under way on old terms"
+            assert any(item.request.klass in balancer.settings.retired for item in balancer.open.values())
+            sizes.append(module_objects(balancer))
+    assert max(places) <= 2 * len(CLASSES) + UNDER_WAY
+    for kind in ("ClassStats", "RequestClass", "Lane", "Server", "tuple"):
+        most = 2 * (SERVERS + 4 * len(CLASSES) + UNDER_WAY)
+        assert max(size[kind] for size in sizes[1:]) <= sizes[0][kind] + 3 * UNDER_WAY, (kind, sizes)
+        assert max(size[kind] for size in sizes) <= most, (kind, sizes)
+    left = run.settle()
+    assert left["Open"] == left["Request"] == 0
+    assert left["ClassStats"] <= 2 * len(CLASSES) + UNDER_WAY and left["Server"] == SERVERS
+    assert all(lane.failures for stats in run.world.balancer.stats for lane in stats.lanes.values())
+
+
+def test_memory_is_flat_over_ten_thousand_changes_with_requests_under_way() -> None:
+    memory_is_flat(CHANGES)
+
+
+def test_memory_is_flat_where_each_class_has_a_name_of_its_own() -> None:
+    memory_is_flat(FEWER_CHANGES, rename=True)
+
+
+def test_memory_is_flat_while_servers_restart() -> None:
+    memory_is_flat(FEWER_CHANGES, restarts=True)
+
+
+def test_classes_that_are_fewer_need_fewer_places() -> None:
+    many = tuple(replace(CLASSES[0], name=f"c{n}") for n in range(60))
+    balancer = Balancer(make_settings(classes=many), 1)
+    balancer.on_settings(0, make_settings(classes=many[:3]))
+    assert len(balancer.settings.classes) == len(balancer.stats) == 6
+    assert balancer.settings.retired == {3, 4, 5}
+
+
+# ---- a place is never given away while it is held ----
+
+
+class Holding(RuleBasedStateMachine):
+    """Requests come, are sent, copied, streamed, given up and end late, while the settings change."""
+
+    narrow = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(make_settings(balancers=1))
+        self.world.announce(ListKind.FULL, *(entry(n) for n in range(6)))
+        self.serial, self.kept = 0, dict[int, RequestClass]()
+
+    @rule(pick=st.integers(0, 100), patience=st.sampled_from([None, 30 * MS]), kept=st.booleans())
+    def submit(self, pick: int, patience: int | None, kept: bool) -> None:
+        settings = self.world.settings
+        places = [n for n in range(len(settings.classes)) if n not in settings.retired]
+        places = list(self.kept) if kept and self.kept else places
+        place = places[pick % len(places)]
+        seen = self.world.requests[self.world.submit(place, patience)]
+        if self.narrow and place in settings.retired:
+            seen.klass = narrower(seen.klass, self.in_force().get(seen.klass.name, seen.klass))
+
+    def in_force(self) -> dict[str, RequestClass]:
+        settings = self.world.settings
+        return {c.name: c for n, c in enumerate(settings.classes) if n not in settings.retired}
+
+    @precondition(lambda self: self.world.out())
+    @rule(
+        pick=st.integers(0, 1000), outcome=st.sampled_from([o for o in Outcome if o is not Outcome.NOT_SENT])
+    )
+    def end(self, pick: int, outcome: Outcome) -> None:
+        out = self.world.out()
+        rid, n = out[pick % len(out)]
+        self.world.end(rid, n, outcome)
+
+    @precondition(lambda self: self.world.out())
+    @rule(pick=st.integers(0, 1000))
+    def stream(self, pick: int) -> None:
+        out = self.world.out()
+        rid, n = out[pick % len(out)]
+        self.world.play(self.world.balancer.on_stream_started(self.world.now, rid, n))
+
+    @precondition(lambda self: self.world.requests)
+    @rule(pick=st.integers(0, 1000))
+    def client_leaves(self, pick: int) -> None:
+        ids = list(self.world.requests)
+        self.world.gone(ids[pick % len(ids)])
+
+    @rule(span=st.sampled_from([0, MS, 20 * MS, 400 * MS]))
+    def time_passes(self, span: int) -> None:
+        self.world.advance(span)
+
+    @rule(pick=st.integers(0, 100))
+    def a_front_keeps_a_place(self, pick: int) -> None:
+        if len(self.kept) < 2:
+            settings = self.world.settings
+            places = [n for n in range(len(settings.classes)) if n not in settings.retired]
+            self.kept[places[pick % len(places)]] = settings.classes[places[pick % len(places)]]
+
+    @rule(
+        names=st.lists(st.sampled_from(NAMES), min_size=1, max_size=4, unique=True),
+        kinds=st.lists(st.sampled_from(Idempotency), min_size=4, max_size=4),
+        again=st.booleans(),
+    )
+    def settings_change(self, names: list[str], kinds: list[Idempotency], again: bool) -> None:
+        """`again`: to terms that may have been in force before."""
+        self.serial += not again
+        classes = tuple(
+            replace(CLASSES[n], name=name, idempotency=kind, window=300 * MS + self.serial * MS)
+            for n, (name, kind) in enumerate(zip(names, kinds, strict=False))
+        )
+        world, old = self.world, self.world.settings
+        method = narrower if self.narrow else None
+        new = replace(make_settings(balancers=1), classes=classes)
+        world.play(world.balancer.on_settings(world.now, new, method, held=set(self.kept)))
+        world.settings = world.balancer.settings
+        placed = {n: c for n, c in enumerate(world.settings.classes) if n not in world.settings.retired}
+        assert set(placed.values()) == set(classes) and len(placed) == len(classes)
+        for place, klass in enumerate(old.classes):
+            if place not in old.retired and klass in classes:
+                assert placed[place] == klass
+        terms = {c.name: c for c in classes}
+        for seen in world.requests.values():
+            if self.narrow:
+                seen.klass = narrower(seen.klass, terms.get(seen.klass.name, seen.klass))
+
+    @invariant()
+    def held_places_mean_what_they_meant(self) -> None:
+        balancer = self.world.balancer
+        for place, klass in self.kept.items():
+            assert balancer.settings.classes[place] == klass
+        for rid, item in balancer.open.items():
+            seen, place = self.world.requests[rid], item.request.klass
+            assert item.klass == seen.klass and item.stats is balancer.stats[place]
+            assert balancer.settings.classes[place].name == seen.klass.name
+            if not self.narrow:
+                assert balancer.settings.classes[place] == seen.klass
+
+    @invariant()
+    def lanes_count_what_is_out(self) -> None:
+        out = Counter[tuple[int, int]]()
+        for item in self.world.balancer.open.values():
+            out.update((item.request.klass, a.server.entry.id) for a in item.attempts if a.end is None)
+        found = {
+            (place, server.entry.id): lane.out
+            for place, stats in enumerate(self.world.balancer.stats)
+            for server, lane in stats.lanes.items()
+            if lane.out
+        }
+        assert found == out
+        for stats in self.world.balancer.stats:
+            assert all(lane.out or lane.failures for lane in stats.lanes.values())
+
+    @invariant()
+    def places_are_few(self) -> None:
+        balancer = self.world.balancer
+        held = {item.request.klass for item in balancer.open.values()} | self.kept.keys()
+        assert len(balancer.stats) <= 2 * len(CLASSES) + self.most_held(len(held))
+
+    def most_held(self, now: int) -> int:
+        self.peak = max(getattr(self, "peak", 0), now)
+        return self.peak
+
+    def teardown(self) -> None:
+        self.world.settle()
+
+
+class HoldingNarrowed(Holding):
+    narrow = True
+
+
+LIMITS = hypothesis_settings(
+    derandomize=True,
+    database=None,
+    max_examples=100,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestHolding = Holding.TestCase
+TestHolding.settings = LIMITS
+TestHoldingNarrowed = HoldingNarrowed.TestCase
+TestHoldingNarrowed.settings = LIMITS
+
+
+def place_waits_for_the_last_attempt() -> None:
+    """Answered, its client gone: an attempt that is still out is of its class until it comes back."""
+    for left in (False, True):
+        world = World(make_settings(classes=(CLASSES[2],), cancel_allowed=False))
+        world.announce(ListKind.FULL, *(entry(n) for n in range(4)))
+        rid = world.submit(0)
+        if left:
+            world.gone(rid)
+        balancer = world.balancer
+        second, third = changed(CLASSES[2], 1), changed(CLASSES[2], 2)
+        balancer.on_settings(world.now, make_settings(classes=(second,)))
+        assert balancer.settings.classes == (CLASSES[2], second) and balancer.settings.retired == {0}
+        world.end(rid, 0, Outcome.OK)
+        assert not balancer.open
+        balancer.on_settings(world.now, make_settings(classes=(third,)))
+        assert balancer.settings.classes == (CLASSES[2], third) and balancer.settings.retired == {0}
+        other = replace(CLASSES[0], name="other")
+        balancer.on_settings(world.now, make_settings(classes=(third, other)))
+        assert balancer.settings.classes == (other, third) and not balancer.settings.retired
+
+
+def test_a_place_waits_for_the_last_attempt_of_its_last_request() -> None:
+    place_waits_for_the_last_attempt()
+
+
+# ---- decisions ----
+
+
+def drawn_story(seed: int, held: Callable[[Balancer], Collection[int]]) -> list[list[Action]]:
+    """What the module decides in a drawn story with changes; what is drawn depends on its actions alone."""
+    rng, now, serial = Random(seed), 100 * S, 0
+    settings = make_settings(balancers=rng.choice([1, 4, 50]))
+    balancer, classes = Balancer(settings, seed), list(CLASSES)
+    decided: list[list[Action]] = []
+    out: dict[tuple[str, int], tuple[int, int]] = {}
+    count: Counter[str] = Counter()
+    closed: set[str] = set()
+    timers: list[tuple[int, str]] = []
+
+    def tell(actions: list[Action]) -> None:
+        decided.append(actions)
+        for action in actions:
+            if isinstance(action, Send):
+                out[action.request_id, count[action.request_id]] = action.server, now
+                count[action.request_id] += 1
+            elif isinstance(action, SetTimer):
+                timers.append((action.at, action.token))
+            elif isinstance(action, Refuse | Fail):
+                closed.add(action.request_id)
+
+    def end(key: tuple[str, int], outcome: Outcome) -> None:
+        server, sent = out.pop(key)
+        closed.update([key[0]] if outcome is Outcome.OK else [])
+        final = key[0] in closed
+        tell(balancer.on_attempt_end(now, AttemptEnd(*key, server, outcome, now - sent, final)))
+
+    tell(balancer.on_start(now))
+    tell(balancer.on_list(now, ServerList(ListKind.FULL, tuple(entry(n) for n in range(20)))))
+    for step in range(1500):
+        now += rng.choice([0, MS, 5 * MS, 20 * MS])
+        for timer in sorted(t for t in timers if t[0] <= now):
+            timers.remove(timer)
+            tell(balancer.on_timer(now, timer[1]))
+        event = rng.random()
+        if event < 0.4:
+            klass = rng.choice(classes)
+            place = balancer.settings.classes.index(klass)
+            hint = rng.choice([0, 20 * MS])
+            tell(balancer.on_request(now, Request(f"r{step}", place, now + klass.deadline, hint)))
+        elif event < 0.9 and out:
+            outcomes = [Outcome.OK] * 8 + [Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.FULL]
+            end(rng.choice(list(out)), rng.choice(outcomes))
+        elif event < 0.92 and out:
+            rid = rng.choice(list(out))[0]
+            closed.add(rid)
+            tell(balancer.on_client_gone(now, rid))
+        elif event < 0.95:
+            state = rng.choice([ServerState.READY, ServerState.READY, ServerState.GONE])
+            one = entry(rng.randrange(22), state, rng.choice([0, now - 100 * MS]))
+            tell(balancer.on_list(now, ServerList(ListKind.DELTA, (one,))))
+        elif event < 0.97:
+            serial += 1
+            n = rng.randrange(len(classes))
+            classes[n] = replace(changed(classes[n], serial), worth=classes[n].worth * rng.choice([0.9, 1.1]))
+            if rng.random() < 0.2:
+                classes.append(replace(classes[n], name=f"n{serial}"))
+            new = replace(settings, classes=tuple(classes))
+            tell(balancer.on_settings(now, new, rng.choice([None, narrower]), held(balancer)))
+    return decided
+
+
+def test_decisions_are_those_of_a_module_that_never_uses_a_place_again() -> None:
+    for seed in range(4):
+        never = drawn_story(seed, lambda balancer: range(len(balancer.stats)))
+        assert drawn_story(seed, lambda balancer: ()) == never
+        assert sum(isinstance(a, Send) for actions in never for a in actions) > 300
+
+
+# ---- what was learned ----
+
+
+def learned_of_one_class_alone() -> tuple[World, RequestClass]:
+    """A world in which the first class is slow and fails at server 0, and nothing is under way."""
+    world = World(make_settings(classes=CLASSES[:2], balancers=1))
+    world.announce(ListKind.FULL, *(entry(n) for n in range(3)))
+    stats = world.balancer.stats[0]
+    stats.usual, stats.hint = 111.0 * MS, 7.0
+    for server in world.balancer.servers.values():
+        server.room = 10.0
+    failing = world.balancer.servers[0]
+    for n in range(HUNG + 1):
+        rid = f"f{n}"
+        request = Request(rid, 0, world.now + S)
+        item = world.balancer.open[rid] = rules.Open(request, stats.klass, stats, world.now, 1)
+        world.balancer._send(world.now, item, failing)
+        ended = AttemptEnd(rid, 0, 0, Outcome.ERROR, 50 * MS, True)
+        world.balancer.on_attempt_end(world.now, ended)
+    world.balancer.acts.clear()
+    assert stats.lanes[failing].failures == HUNG + 1 and stats.lanes[failing].rest_until > world.now
+    return world, stats.klass
+
+
+def a_new_class_has_nothing_of_the_one_whose_place_it_takes() -> None:
+    world, _ = learned_of_one_class_alone()
+    other = replace(CLASSES[2], name="other")
+    world.balancer.on_settings(world.now, make_settings(classes=(other, CLASSES[1])))
+    assert world.balancer.settings.classes == (other, CLASSES[1])
+    fresh = world.balancer.stats[0]
+    assert (fresh.usual, fresh.hint, fresh.lanes) == (other.aim * rules.FIRST_GUESS, 0.0, {})
+
+
+def a_class_with_new_terms_goes_on_with_what_was_learned() -> None:
+    """Also beside requests under way on the old terms, and each learns for itself from then on."""
+    for under_way in (False, True):
+        world, klass = learned_of_one_class_alone()
+        balancer = world.balancer
+        old, failing = balancer.stats[0], balancer.servers[0]
+        rid = world.submit(0) if under_way else ""
+        lanes = {
+            server: replace(lane, out=0, quiet_since=0) for server, lane in old.lanes.items() if lane.failures
+        }
+        balancer.on_settings(world.now, make_settings(classes=(changed(klass, 1), CLASSES[1])))
+        place = balancer.settings.classes.index(changed(klass, 1))
+        assert place == (2 if under_way else 0)
+        new = balancer.stats[place]
+        assert (new.usual, new.hint) == (old.usual, old.hint)
+        assert {s: replace(lane, quiet_since=0) for s, lane in new.lanes.items()} == lanes
+        if under_way:
+            assert balancer.open[rid].stats is old
+            world.end(rid, 0, Outcome.OK)
+            assert old.usual != new.usual and sum(lane.out for lane in new.lanes.values()) == 0
+            old.lanes[failing].failures += 5
+            assert new.lanes[failing].failures == HUNG + 1
+
+
+def test_a_new_class_has_nothing_of_the_one_whose_place_it_takes() -> None:
+    a_new_class_has_nothing_of_the_one_whose_place_it_takes()
+
+
+def test_a_class_with_new_terms_goes_on_with_what_was_learned() -> None:
+    a_class_with_new_terms_goes_on_with_what_was_learned()
+
+
+def test_a_class_that_vanished_and_comes_back_has_what_was_learned_while_its_place_is_free() -> None:
+    world, klass = learned_of_one_class_alone()
+    balancer = world.balancer
+    balancer.on_settings(world.now, make_settings(classes=(CLASSES[1],)))
+    assert balancer.settings.retired == {0}
+    balancer.on_settings(world.now, make_settings(classes=(CLASSES[1], changed(klass, 1))))
+    assert balancer.stats[0].usual == 111 * MS and balancer.settings.classes[0] == changed(klass, 1)
+
+
+def test_a_request_for_a_class_that_is_out_of_force_gets_no_more_than_both_terms_allow() -> None:
+    keyed = CLASSES[3]
+    unsafe = replace(keyed, idempotency=Idempotency.UNSAFE)
+    for narrow, sent in ((None, 2), (narrower, 1)):
+        world = World(make_settings(classes=(keyed,), balancers=1))
+        world.announce(ListKind.FULL, *(entry(n) for n in range(6)))
+        new = make_settings(classes=(unsafe,))
+        world.balancer.on_settings(world.now, new, narrow, held={0})  # read before, told after the change
+        assert world.balancer.settings.retired == {0}
+        rid = world.submit(0)
+        world.end(rid, 0, Outcome.RESET)
+        assert len(world.requests[rid].servers) == sent
+        world.balancer.on_settings(world.now, make_settings(classes=(keyed,)), narrow)
+        assert world.balancer.stats[0].klass == keyed and not world.balancer.stats[0].retired
+
+
+def lanes_of_servers_that_are_gone_are_dropped() -> None:
+    world, klass = learned_of_one_class_alone()
+    balancer = world.balancer
+    rid = world.submit(1)
+    busy = world.requests[rid].servers[0]
+    world.announce(ListKind.DELTA, *(entry(n, started=world.now - 30 * S) for n in range(3)))
+    world.play(balancer.on_timer(world.now, "sweep"))
+    kept = [server for stats in balancer.stats for server in stats.lanes]
+    assert [server.entry.id for server in kept] == [busy]
+    world.end(rid, 0, Outcome.ERROR)
+    world.play(balancer.on_timer(world.now + 1, "sweep"))
+    known = set(balancer.servers.values())
+    assert all(server in known for stats in balancer.stats for server in stats.lanes)
+    assert world.requests[rid].klass.name != klass.name
+
+
+def test_lanes_of_servers_that_are_gone_are_dropped() -> None:
+    lanes_of_servers_that_are_gone_are_dropped()
+
+
+# ---- seeded defects ----
+
+
+def _whatever_is_held(
+    known: Any, recency: Any, wanted: Any, held: Any, assign: Callable[..., Placement] = assign_places
+) -> Placement:
+    return assign(known, recency, wanted, ())
+
+
+def _never_again(
+    known: Any, recency: Any, wanted: Any, held: Any, assign: Callable[..., Placement] = assign_places
+) -> Placement:
+    return assign(known, recency, wanted, range(len(known)))
+
+
+def _held_until_answered(
+    self: Balancer,
+    now: int,
+    settings: Settings,
+    narrow: Any = None,
+    held: Any = frozenset(),
+    original: Any = Balancer.on_settings,
+) -> list[Action]:
+    """Only requests that are not answered yet hold their places."""
+    items, self.open = self.open, {n: item for n, item in self.open.items() if not item.closed}
+    try:
+        return list(original(self, now, settings, narrow, held))
+    finally:
+        self.open = items
+
+
+def _learned_by_place(
+    self: Balancer, klass: RequestClass, before: int | None, inherit: Any = Balancer._inherit
+) -> ClassStats:
+    """A class gets what was learned at its place, whoever that was."""
+    found: ClassStats = inherit(self, klass, 0 if before is None else before)
+    return found
+
+
+def _lanes_shared(
+    self: Balancer, klass: RequestClass, before: int | None, inherit: Any = Balancer._inherit
+) -> ClassStats:
+    """The old terms and the new ones learn into the same lanes."""
+    found: ClassStats = inherit(self, klass, before)
+    if before is not None:
+        found.lanes = self.stats[before].lanes
+    return found
+
+
+DEFECTS: dict[str, Defect] = {
+    "a place is used again while a request is under way": patched(rules, "assign_places", _whatever_is_held),
+    "an answered request holds no place though its attempt is out": patched(
+        Balancer, "on_settings", _held_until_answered
+    ),
+    "a place is never used again": patched(rules, "assign_places", _never_again),
+    "lanes of servers that are gone stay": patched(Balancer, "_drop_lanes", lambda self: None),
+    "a new class has what was learned of another": patched(Balancer, "_inherit", _learned_by_place),
+    "old and new terms share their lanes": patched(Balancer, "_inherit", _lanes_shared),
+}
+
+FINDERS: dict[str, Callable[[], None]] = {
+    "a place is used again while a request is under way": place_waits_for_the_last_attempt,
+    "an answered request holds no place though its attempt is out": place_waits_for_the_last_attempt,
+    "a place is never used again": lambda: memory_is_flat(FEWER_CHANGES),
+    "lanes of servers that are gone stay": lanes_of_servers_that_are_gone_are_dropped,
+    "a new class has what was learned of another": a_new_class_has_nothing_of_the_one_whose_place_it_takes,
+    "old and new terms share their lanes": a_class_with_new_terms_goes_on_with_what_was_learned,
+}
+
+test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(
+    DEFECTS, {}, FINDERS, lambda seed: []
+)
