--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -68,6 +68,8 @@
 
 
 class Driver:
+    """Takes requests from the fronts and keeps them until they are answered and their attempts are back."""
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -106,9 +108,11 @@
         return placed
 
     def take_word(self, word: Word) -> None:
+        """What the fleet has agreed on beside the settings, from now on."""
         self._tell(self.balancer.on_word, word)
 
     def start(self) -> None:
+        """The first event of the module."""
         self._tell(self.balancer.on_start)
 
     def submit(
@@ -153,6 +157,7 @@
             self._guard(job)
 
     def client_gone(self, request_id: str) -> None:
+        """The client of a request has left; one that is answered already is passed over."""
         job = self.jobs.get(request_id)
         if job is not None and not job.closed:
             job.closed = True
@@ -186,13 +191,16 @@
         return self._tell(self.balancer.on_list, ServerList(kind, tuple(one.entry for one in listed)))
 
     def discovery_failed(self, end: CallEnd) -> None:
+        """A call for the list has ended without one."""
         if not self._tell(self.balancer.on_list, ServerList(ListKind.FAILED, end=end)):
             self.loop.call_later(TIMER_RETRY, self.discovery_failed, end)  # or nobody would ask again
 
     def discovery_moved(self) -> None:
+        """Another discovery answers from now on."""
         self._tell(self.balancer.on_discovery_moved)
 
     def note_listed(self, number: int) -> None:
+        """Remember that a list showed this upstream, and forget the one that was shown longest ago."""
         self.listed_ever.pop(number, None)
         self.listed_ever[number] = None
         if len(self.listed_ever) > EVER:
--- a/dykeshift/engine/ledger.py
+++ b/dykeshift/engine/ledger.py
@@ -18,6 +18,7 @@
 
     @property
     def inflight(self) -> int:
+        """Requests of the class that are under way."""
         return self.taken - self.success - self.busy - self.failure - self.gone
 
     def end(self, how: How | None) -> None:
@@ -33,6 +34,8 @@
 
 
 class Ledger:
+    """All counts of the process."""
+
     def __init__(self) -> None:
         self.tiers: dict[str, Tier] = {}  # by name; one that vanished keeps its counts
         self.attempts = 0  # written whole to upstreams
@@ -51,4 +54,5 @@
 
     @property
     def inflight(self) -> int:
+        """Requests of all classes that are under way."""
         return sum(tier.inflight for tier in self.tiers.values())
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -10,6 +10,8 @@
 
 
 class Idempotency(Enum):
+    """Whether a request of a class may run more than once."""
+
     SAFE = auto()  # may run any number of times
     KEYED = auto()  # servers of one scope drop a repeat for a while
     UNSAFE = auto()  # must never run twice
@@ -24,12 +26,16 @@
 
 
 class ServerState(Enum):
+    """A server as the list shows it."""
+
     READY = auto()
     DRAINING = auto()  # finishes what it has; send it nothing new
     GONE = auto()
 
 
 class ListKind(Enum):
+    """What an update of the list says."""
+
     FULL = auto()  # the whole list; whoever is not on it is gone
     CACHED = auto()  # the whole list as last seen before a restart, possibly stale
     DELTA = auto()  # changed entries only
@@ -45,6 +51,8 @@
 
 
 class Outcome(Enum):
+    """How an attempt ended."""
+
     OK = auto()
     ERROR = auto()
     FULL = auto()  # turned away unseen
@@ -61,6 +69,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """One class of requests: what is aimed at, and which repeats are allowed. Times in nanoseconds."""
+
     name: str
     aim: int  # an answer within this earns the full worth
     deadline: int  # what a client waits in all, over its tries
@@ -74,6 +84,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """What a balancer acts on. Times in nanoseconds."""
+
     classes: tuple[RequestClass, ...]
     balancers: int  # how many share this fleet
     zone: int
@@ -96,6 +108,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
+    """One server of a list."""
+
     id: int
     zone: int
     cell: int
@@ -107,6 +121,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
+    """A client's request; its class is a place, an index in `Settings.classes`."""
+
     id: str
     klass: int
     deadline: int  # clock time at which the client gives up on this try
@@ -131,6 +147,8 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
+    """An attempt has come back. `latency` in nanoseconds, from its sending."""
+
     request_id: str
     attempt: int
     server: int
@@ -142,6 +160,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """Send the request to that server, as its next attempt."""
+
     request_id: str
     server: int
     timeout: int  # 0: until the client's deadline
@@ -150,6 +170,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Call an attempt off."""
+
     request_id: str
     attempt: int
 
@@ -171,6 +193,8 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Give the token back with `on_timer` at that time or soon after."""
+
     token: str
     at: int
 
@@ -182,6 +206,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Log:
+    """A line for people."""
+
     text: str
 
 
@@ -200,6 +226,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
+    """An update of the list of servers, or that it could not be had."""
+
     kind: ListKind
     entries: tuple[ServerEntry, ...] = field(default=())
     end: CallEnd = CallEnd.UNANSWERED  # of the call, where it failed
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -51,6 +51,8 @@
 
 
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Of the section `[mllp]`; each has its default."""
+
     listen: list[str] = []
     upstreams: Literal["http", "mllp"] = "http"
     journal: str = ""  # a directory; nothing: what was answered is forgotten in a restart
@@ -84,6 +86,7 @@
 
 
 def mapping(options: Options, settings: Settings) -> Mapping:
+    """The routes with the places of their classes; `ValueError` in one line where there is no such class."""
     numbers = {klass.name: n for n, klass in enumerate(settings.classes)}
     rules = []
     for route in options.map:
@@ -104,6 +107,7 @@
 
 
 def bounds(options: Remembered) -> Bounds:
+    """The same bounds in the units of the memory."""
     return Bounds(
         age=int(options.age_hours * 3600e9),
         entries=options.entries,
@@ -114,16 +118,19 @@
 
 
 def carrier(options: Options, loop: asyncio.AbstractEventLoop, clock: Clock) -> MllpCarrier | None:
+    """Who speaks to the upstreams where they are MLLP servers."""
     if options.upstreams != "mllp":
         return None
     return MllpCarrier(loop, clock, options.max_frame_kb << 10)
 
 
 def connections(options: Options, given: Config) -> int:
+    """How many clients may be connected by MLLP: at most half of all."""
     return min(options.connections, given.connections // 2)
 
 
 def objection(options: Options) -> Objection | None:
+    """Which HTTP requests MLLP upstreams cannot take."""
     return bridge.objection if options.upstreams == "mllp" else None
 
 
@@ -134,18 +141,22 @@
         self.front, self.servers = front, servers
 
     def drain(self) -> None:
+        """Accept no connection any more, and let those that are open end."""
         for server in self.servers:
             server.close()
         self.front.drain()
 
     def busy(self) -> bool:
+        """Whether a message is in work."""
         return self.front.busy()
 
     def close(self) -> None:
+        """Close all connections and the journal."""
         self.front.close()
 
 
 async def start(options: Options, host: Host) -> MllpService:
+    """Open the listeners; `ConfigError` where one, or the journal, cannot be used."""
     memory = Memory[Waiter](host.clock.time_ns(), bounds(options.memory), complete=bool(options.journal))
     journal = _journal(options.journal, host, memory) if options.journal else None
     routes = mapping(options, host.given.settings)
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -38,6 +38,7 @@
         self.reader.know(taken.classes, taken.retired, forms)
 
     def __call__(self) -> None:
+        """Read the configuration anew, as the signal asks."""
         ledger = self.driver.ledger
         try:
             new = self.load()
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -114,6 +114,8 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
+    """A request at a server."""
+
     server: Server
     sent: int
     sure: bool  # it was known which scope the server belongs to
@@ -200,6 +202,8 @@
 
 
 class Balancer:
+    """The decision module: each public method is an event, which takes the time and returns the actions."""
+
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = Random(seed).random
@@ -304,6 +308,7 @@
     # ---- the list of servers ----
 
     def on_start(self, now: int) -> list[Action]:
+        """The first event: timers are set, and discovery is asked where it has to be."""
         self.started = now
         if self.settings.ask_discovery:
             self._watch(now)
@@ -320,6 +325,7 @@
         return self._done()
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
+        """The list of servers, changes of it, or that a call for it has failed."""
         if update.kind is ListKind.FAILED:
             if self.settings.ask_discovery:
                 self._ask_later(now, update.end)
@@ -571,6 +577,7 @@
     # ---- copy or lone send ----
 
     def on_request(self, now: int, request: Request) -> list[Action]:
+        """A client asks. It gets one final answer: of an attempt, `Refuse` or `Fail`."""
         stats = self.stats[request.klass]
         klass = stats.klass
         most = request.attempts or self.settings.attempt_limit
@@ -680,6 +687,7 @@
     # ---- answer, cancel, retry ----
 
     def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
+        """An attempt has come back: learned from, and followed by another where that may help."""
         item = self.open.get(end.request_id)
         if item is None or end.attempt >= len(item.attempts) or item.attempts[end.attempt].end is not None:
             return []
@@ -696,6 +704,7 @@
         return self._done()
 
     def on_stream_started(self, now: int, request_id: str, attempt: int) -> list[Action]:
+        """A long answer has begun: its attempt is the one that counts, whatever else comes."""
         item = self.open.get(request_id)
         if item is not None and not item.closed:
             item.streaming = True
@@ -703,6 +712,7 @@
         return self._done()
 
     def on_client_gone(self, now: int, request_id: str) -> list[Action]:
+        """Nobody waits for the answer any more."""
         item = self.open.get(request_id)
         if item is not None and not item.closed:
             self._close(item)
@@ -846,6 +856,7 @@
     # ---- timers ----
 
     def on_timer(self, now: int, token: str) -> list[Action]:
+        """A timer that was set has come due; tokens that mean nothing any more are passed over."""
         if token == "sweep":
             self._sweep(now)
             self.acts.append(SetTimer("sweep", now + int(self.settings.overload_window * SWEEP_SHARE)))
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -31,12 +31,14 @@
 
 
 def need(table: dict[str, Any], key: str, path: str) -> Any:
+    """The value of a key; `SettingsError` with its path where it is missing."""
     if not isinstance(table, dict) or key not in table:
         raise SettingsError(f"settings lack {path}{key}")
     return table[key]
 
 
 def word(table: dict[str, Any], text: Any, what: str) -> Any:
+    """What a word of the wire means; `Malformed` where it means nothing."""
     try:
         return table[text]
     except (KeyError, TypeError):
