Names: ClassState and ClassRecord for what the module knows of a class

Change: Lane is ClassState (one class at one server), ClassStats is ClassRecord (one class at all servers), with `states`, `record` and `Balancer.records` for them. No decision is changed.

--- a/dykeshift/node/versions.py
+++ b/dykeshift/node/versions.py
@@ -240,7 +240,7 @@
         driver, balancer = self.host.driver, self.host.driver.balancer
         tiers, classes = driver.ledger.tiers, live(balancer.settings)
         usual = {
-            c.name: balancer.stats[n].usual
+            c.name: balancer.records[n].usual
             for n, c in enumerate(balancer.settings.classes)
             if c.name in classes and tiers[c.name].success >= ENOUGH
         }
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -64,7 +64,7 @@
 
 
 @dataclass(slots=True)
-class Lane:
+class ClassState:
     """One class of requests at one server: what answers all others may hang on one."""
 
     out: int = 0
@@ -74,10 +74,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class ClassStats:
+class ClassRecord:
     """One class of requests: its terms, and what was learned of it.
 
-    `lanes` has only servers with attempts of this class out or failures in a row: without one, a server is
+    `states` has only servers with attempts of this class out or failures in a row: without one, a server is
     as good as new to the class.
     """
 
@@ -87,7 +87,7 @@
     hint: float = 0.0  # running mean of the cost hints
     value: float = 1.0  # worth per work, as a share of the dearest class's
     retired: int = 0  # which change of the settings retired it; 0: in force
-    lanes: dict[Server, Lane] = field(default_factory=dict)
+    states: dict[Server, ClassState] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -128,7 +128,7 @@
 
     request: Request
     klass: RequestClass
-    stats: ClassStats  # of its class, as long as it is open
+    record: ClassRecord  # of its class, as long as it is open
     arrived: int
     most: int  # attempts
     attempts: list[Attempt] = field(default_factory=list)
@@ -219,11 +219,11 @@
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
         self.open: dict[str, Open] = {}
-        self.stats = [
-            ClassStats(c, c.aim * FIRST_GUESS, n) for n, c in enumerate(settings.classes)
+        self.records = [
+            ClassRecord(c, c.aim * FIRST_GUESS, n) for n, c in enumerate(settings.classes)
         ]  # by place
-        self.live = list(self.stats)  # of the classes in force, in the order in which they came
-        self.came = len(self.stats)  # classes since the start
+        self.live = list(self.records)  # of the classes in force, in the order in which they came
+        self.came = len(self.records)  # classes since the start
         self.changes = 0  # of the settings
         self.replaced = False  # some server is another one, or gone, since the last sweep
         self.easy = EASY
@@ -259,25 +259,25 @@
         come for, beside those that requests under way have.
         """
         under_way = {item.request.klass for item in self.open.values()}
-        recency = [float(stats.retired or "inf") for stats in self.stats]
+        recency = [float(record.retired or "inf") for record in self.records]
         placed = assign_places(self.settings.classes, recency, settings.classes, under_way.union(held))
         fresh = {n: self._inherit(placed.classes[n], before) for n, before in placed.fresh.items()}
         self.changes += 1
-        self.stats = [fresh[n] if n in fresh else self.stats[n] for n in range(len(placed.classes))]
+        self.records = [fresh[n] if n in fresh else self.records[n] for n in range(len(placed.classes))]
         self.settings = replace(settings, classes=placed.classes, retired=placed.retired)
         terms = {c.name: c for c in settings.classes}
-        for place, (klass, stats) in enumerate(zip(placed.classes, self.stats, strict=True)):
-            stats.klass = klass
+        for place, (klass, record) in enumerate(zip(placed.classes, self.records, strict=True)):
+            record.klass = klass
             if place not in placed.retired:
-                stats.retired = 0
+                record.retired = 0
                 continue
-            stats.retired, stats.value = stats.retired or self.changes, 1.0
+            record.retired, record.value = record.retired or self.changes, 1.0
             if narrower is not None:
-                stats.klass = narrower(klass, terms.get(klass.name, klass))
+                record.klass = narrower(klass, terms.get(klass.name, klass))
         self.live = sorted(
-            (stats for stats in self.stats if not stats.retired), key=lambda stats: stats.since
+            (record for record in self.records if not record.retired), key=lambda record: record.since
         )
-        self.longest_aim = max((stats.klass.aim for stats in self.live), default=0)
+        self.longest_aim = max((record.klass.aim for record in self.live), default=0)
         self._appraise()
         if narrower is not None:
             for item in self.open.values():
@@ -285,18 +285,18 @@
                 item.most = min(item.most, settings.attempt_limit)
         return self._done()
 
-    def _inherit(self, klass: RequestClass, before: int | None) -> ClassStats:
+    def _inherit(self, klass: RequestClass, before: int | None) -> ClassRecord:
         """Of a class that is new, with what was learned at the place `before` of the one before it."""
         self.came += 1
         if before is None:
-            return ClassStats(klass, klass.aim * FIRST_GUESS, self.came)
-        known = self.stats[before]
+            return ClassRecord(klass, klass.aim * FIRST_GUESS, self.came)
+        known = self.records[before]
         failing = {
-            server: Lane(failures=lane.failures, rest_until=lane.rest_until)
-            for server, lane in known.lanes.items()
-            if lane.failures
+            server: ClassState(failures=state.failures, rest_until=state.rest_until)
+            for server, state in known.states.items()
+            if state.failures
         }
-        return ClassStats(klass, known.usual, self.came, known.hint, lanes=failing)
+        return ClassRecord(klass, known.usual, self.came, known.hint, states=failing)
 
     def on_word(self, now: int, word: Word) -> list[Action]:
         """What the fleet has agreed on beside the settings, from now on; whole, not a change."""
@@ -495,10 +495,10 @@
 
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
         """Whether this class gets no answers there, whatever others get: left to the last."""
-        lane = item.stats.lanes.get(server)
-        if lane is None or not lane.out:
+        state = item.record.states.get(server)
+        if state is None or not state.out:
             return False
-        return lane.failures >= HUNG or now - lane.quiet_since > HUNG * PATIENCE * self._expected(item)
+        return state.failures >= HUNG or now - state.quiet_since > HUNG * PATIENCE * self._expected(item)
 
     def _suspect(self, now: int, item: Open, server: Server) -> bool:
         """A slow, stalled or hung server: left aside, so that it does not take the lone requests."""
@@ -525,8 +525,8 @@
         ):
             return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
-        lane = item.stats.lanes.get(server)
-        if lane is not None and now < lane.rest_until:
+        state = item.record.states.get(server)
+        if state is not None and now < state.rest_until:
             return False
         # Room prevents the jam in which every server holds more than it can finish in time.
         return server.in_flight < server.room and now >= server.rest_until and self._cold_room(now, server)
@@ -578,10 +578,10 @@
 
     def on_request(self, now: int, request: Request) -> list[Action]:
         """A client asks. It gets one final answer: of an attempt, `Refuse` or `Fail`."""
-        stats = self.stats[request.klass]
-        klass = stats.klass
+        record = self.records[request.klass]
+        klass = record.klass
         most = request.attempts or self.settings.attempt_limit
-        item = self.open[request.id] = Open(request, klass, stats, now, most)
+        item = self.open[request.id] = Open(request, klass, record, now, most)
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         if self.arrived == len(self.pool) and self.sweeps < 2:
             self._gather(now)  # many requests: a start with few servers would refuse some of them
@@ -595,7 +595,7 @@
         """RIQ for a request that has nothing out."""
         if not self.out:  # its share of the crowd is over, however few came since to show it
             self.crowd *= 1 - 1 / self.settings.balancers
-        dear = self.crowd > item.stats.value and not item.attempts
+        dear = self.crowd > item.record.value and not item.attempts
         drawn = [] if dear else self._draw(now, item)
         if now == item.arrived:  # those made to wait count as well placed: low classes alone are not starved
             self.crowd = min(1.0, max(0.0, self.crowd + CROWD_STEP * ((not drawn and not dear) - CROWD_FREE)))
@@ -635,8 +635,8 @@
             self.acts.append(SetTimer("r:" + item.request.id, now + wait))
 
     def _expected(self, item: Open) -> float:
-        stats, hint = item.stats, item.request.cost_hint
-        return stats.usual * (hint / stats.hint if hint and stats.hint else 1.0)
+        record, hint = item.record, item.request.cost_hint
+        return record.usual * (hint / record.hint if hint and record.hint else 1.0)
 
     def _copy_late(self, now: int, item: Open) -> None:
         """The delayed copy: prevents a stalled server from taking with it all that it holds."""
@@ -658,13 +658,13 @@
         if server.answered and server.in_flight == 1:
             server.quiet_since, server.answered = now, False
         server.credit -= 1
-        lane = item.stats.lanes.get(server)
-        if lane is None:
-            item.stats.lanes[server] = Lane(1, now)
+        state = item.record.states.get(server)
+        if state is None:
+            item.record.states[server] = ClassState(1, now)
         else:
-            lane.out += 1
-            if lane.out == 1:
-                lane.quiet_since = now
+            state.out += 1
+            if state.out == 1:
+                state.quiet_since = now
         # What is late and worth nothing is called off at the aim: the server is freed for those in time.
         timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
         # What waits, for a connect or half written, must not become whole when its key may be forgotten: a
@@ -751,34 +751,34 @@
     def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
         self._judge(now, item, server, end)
         server.in_flight -= 1
-        stats = item.stats
-        lane = stats.lanes[server]
-        self._judge_lane(now, item, lane, end)
-        if not (lane.out or lane.failures):
-            del stats.lanes[server]
+        record = item.record
+        state = record.states[server]
+        self._judge_class_state(now, item, state, end)
+        if not (state.out or state.failures):
+            del record.states[server]
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
             server.quiet_since, server.answered = now, True
         if end.outcome is Outcome.OK:
             server.heard, server.credit = True, server.credit + SAFETY  # it does more than it must by now
-            server.ratio += PACE_SMOOTH * (min(end.latency / max(1, stats.usual), 4.0) - server.ratio)
-            stats.usual += SMOOTH * (end.latency - stats.usual)
+            server.ratio += PACE_SMOOTH * (min(end.latency / max(1, record.usual), 4.0) - server.ratio)
+            record.usual += SMOOTH * (end.latency - record.usual)
             hint = item.request.cost_hint
-            stats.hint += (SMOOTH if stats.hint else 1.0) * (hint - stats.hint)
+            record.hint += (SMOOTH if record.hint else 1.0) * (hint - record.hint)
             self.yielded += SMOOTH
 
-    def _judge_lane(self, now: int, item: Open, lane: Lane, end: AttemptEnd) -> None:
-        lane.out -= 1
+    def _judge_class_state(self, now: int, item: Open, state: ClassState, end: AttemptEnd) -> None:
+        state.out -= 1
         if end.outcome in ANSWERS or end.outcome is Outcome.RESET:
-            lane.quiet_since = now
+            state.quiet_since = now
         if end.outcome is Outcome.OK:
-            lane.failures, lane.rest_until = 0, 0
+            state.failures, state.rest_until = 0, 0
         elif end.outcome in (Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET):
-            lane.failures += 1
-            if lane.failures >= HUNG:
-                rest = item.klass.aim * 2 ** min(lane.failures - HUNG, LONGEST)
-                lane.rest_until = now + int(rest * (0.5 + self.random()))
+            state.failures += 1
+            if state.failures >= HUNG:
+                rest = item.klass.aim * 2 ** min(state.failures - HUNG, LONGEST)
+                state.rest_until = now + int(rest * (0.5 + self.random()))
 
     def _judge(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
         share = end.latency / item.klass.aim
@@ -796,7 +796,7 @@
                 server.room += min(max(REGROW, grow) * server.room, grow / server.room)
         elif not stall and end.outcome is not Outcome.NOT_SENT:
             # Errors count like lateness: quick ones would else make the server look free.
-            usual = item.stats.usual
+            usual = item.record.usual
             if now - server.cut_at >= usual:  # one slow spell shows on all attempts it held: it counts once
                 server.cut_at = now
                 server.room = max(LEAST_ROOM, server.room * CUT)
@@ -890,26 +890,26 @@
                 if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)
             }
         if self.replaced or len(self.servers) < count:
-            self._drop_lanes()
+            self._drop_stale_states()
 
-    def _drop_lanes(self) -> None:
+    def _drop_stale_states(self) -> None:
         """Those of servers that are gone, or another process by now, but for attempts that are still out."""
         self.replaced = False
-        for stats in self.stats:
-            for server, lane in list(stats.lanes.items()):
+        for record in self.records:
+            for server, state in list(record.states.items()):
                 if self.servers.get(server.entry.id) is not server:
-                    if lane.out:
+                    if state.out:
                         self.replaced = True  # looked at again in the next sweep
                     else:
-                        del stats.lanes[server]
+                        del record.states[server]
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
         live, by_work = self.live, self.settings.worth_by_work
-        worths = [max(stats.klass.worth, 1e-9) for stats in live]
-        costs = [1.0 if by_work else stats.usual for stats in live]
+        worths = [max(record.klass.worth, 1e-9) for record in live]
+        costs = [1.0 if by_work else record.usual for record in live]
         cost, worth = sum(costs), sum(worths)
         per_work = [one / costs[n] * cost / worth for n, one in enumerate(worths)]
         fair, best = self.settings.fairness * len(live), max(per_work, default=1.0)
-        for stats, one in zip(live, per_work, strict=True):
-            stats.value = min(1.0, (one + fair) / best)
+        for record, one in zip(live, per_work, strict=True):
+            record.value = min(1.0, (one + fair) / best)
--- a/tests/node/test_places.py
+++ b/tests/node/test_places.py
@@ -79,7 +79,7 @@
                     asked["send left"] += 1
                     caller.writer.close()
                     await until(lambda rid=rid: rid not in driver.jobs)  # type: ignore[misc]
-                assert len(module.stats) == len(driver.tiers) <= 2 * 3 + len(long) + 1
+                assert len(module.records) == len(driver.tiers) <= 2 * 3 + len(long) + 1
             tiers = driver.ledger.tiers
             found = {name: tier.success for name, tier in tiers.items() if tier.success}
             left = asked.pop("send left")
@@ -144,7 +144,7 @@
                 assert {n: module.settings.classes[n] for n in (1, 2)} == old
                 assert await clinic.say(message(f"m{serial}")) == "AA"
             assert driver.ledger.tiers["send"].success == 5
-            assert len(module.stats) <= 2 * 3 + 2
+            assert len(module.records) <= 2 * 3 + 2
 
     run(main())
 
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -88,7 +88,7 @@
         current = [c for n, c in enumerate(placed.classes) if n not in placed.retired]
         assert sorted(c.name for c in current) == sorted(c.name for c in new.classes)
         assert set(current) == set(new.classes)
-        assert len(set(placed.classes)) == len(placed.classes) == len(balancer.stats)
+        assert len(set(placed.classes)) == len(placed.classes) == len(balancer.records)
         assert len(placed.classes) <= 2 * len(new.classes) + len(old.classes) + len(held)
 
 
@@ -98,13 +98,13 @@
     old = world.settings
     rid = world.submit(0)  # safe, three attempts
     balancer = world.balancer
-    balancer.stats[0].usual = 77 * MS
+    balancer.records[0].usual = 77 * MS
     stricter = parse_settings(named(service("read", "side_effect", goalTimeNs=200 * MS), maxAttempts=1))
     world.play(balancer.on_settings(world.now, stricter, held=range(len(old.classes))))
     merged, place = balancer.settings, len(old.classes)
     assert merged.classes == (*old.classes, *stricter.classes)
-    assert balancer.stats[place].usual == 77 * MS
-    assert all(len(stats.lanes) == 0 for stats in balancer.stats[1:]) and balancer.stats[0].lanes
+    assert balancer.records[place].usual == 77 * MS
+    assert all(len(record.states) == 0 for record in balancer.records[1:]) and balancer.records[0].states
     world.end(rid, 0, Outcome.ERROR)  # it goes on as a safe one that may be tried thrice
     while None in world.requests[rid].ends:
         world.end(rid, world.requests[rid].ends.index(None), Outcome.ERROR)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -31,7 +31,7 @@
     Settings,
     SetTimer,
 )
-from dykeshift.rules import HUNG, Balancer, ClassStats, Placement, assign_places
+from dykeshift.rules import HUNG, Balancer, ClassRecord, Placement, assign_places
 from dykeshift.settings import narrower
 from tests.harness import CLASSES, MS, S, World, entry, make_settings
 from tests.seeded import Defect, defect_tests, patched
@@ -71,8 +71,8 @@
     count = state_size(balancer)
     kinds = (
         "Server",
-        "Lane",
-        "ClassStats",
+        "ClassState",
+        "ClassRecord",
         "Open",
         "Request",
         "Attempt",
@@ -149,20 +149,20 @@
         run.change()
         balancer = run.world.balancer
         places.add(len(balancer.settings.classes))
-        assert len(balancer.stats) == len(balancer.settings.classes)
+        assert len(balancer.records) == len(balancer.settings.classes)
         if n % (changes // 4) == 0:
             assert balancer.open, "requests are under way on old terms"
             assert any(item.request.klass in balancer.settings.retired for item in balancer.open.values())
             sizes.append(module_objects(balancer))
     assert max(places) <= 2 * len(CLASSES) + UNDER_WAY
-    for kind in ("ClassStats", "RequestClass", "Lane", "Server", "tuple"):
+    for kind in ("ClassRecord", "RequestClass", "ClassState", "Server", "tuple"):
         most = 2 * (SERVERS + 4 * len(CLASSES) + UNDER_WAY)
         assert max(size[kind] for size in sizes[1:]) <= sizes[0][kind] + 3 * UNDER_WAY, (kind, sizes)
         assert max(size[kind] for size in sizes) <= most, (kind, sizes)
     left = run.settle()
     assert left["Open"] == left["Request"] == 0
-    assert left["ClassStats"] <= 2 * len(CLASSES) + UNDER_WAY and left["Server"] == SERVERS
-    assert all(lane.failures for stats in run.world.balancer.stats for lane in stats.lanes.values())
+    assert left["ClassRecord"] <= 2 * len(CLASSES) + UNDER_WAY and left["Server"] == SERVERS
+    assert all(state.failures for record in run.world.balancer.records for state in record.states.values())
 
 
 def test_memory_is_flat_over_ten_thousand_changes_with_requests_under_way() -> None:
@@ -181,7 +181,7 @@
     many = tuple(replace(CLASSES[0], name=f"c{n}") for n in range(60))
     balancer = Balancer(make_settings(classes=many), 1)
     balancer.on_settings(0, make_settings(classes=many[:3]))
-    assert len(balancer.settings.classes) == len(balancer.stats) == 6
+    assert len(balancer.settings.classes) == len(balancer.records) == 6
     assert balancer.settings.retired == {3, 4, 5}
 
 
@@ -280,31 +280,31 @@
             assert balancer.settings.classes[place] == klass
         for rid, item in balancer.open.items():
             seen, place = self.world.requests[rid], item.request.klass
-            assert item.klass == seen.klass and item.stats is balancer.stats[place]
+            assert item.klass == seen.klass and item.record is balancer.records[place]
             assert balancer.settings.classes[place].name == seen.klass.name
             if not self.narrow:
                 assert balancer.settings.classes[place] == seen.klass
 
     @invariant()
-    def lanes_count_what_is_out(self) -> None:
+    def class_states_count_what_is_out(self) -> None:
         out = Counter[tuple[int, int]]()
         for item in self.world.balancer.open.values():
             out.update((item.request.klass, a.server.entry.id) for a in item.attempts if a.end is None)
         found = {
-            (place, server.entry.id): lane.out
-            for place, stats in enumerate(self.world.balancer.stats)
-            for server, lane in stats.lanes.items()
-            if lane.out
+            (place, server.entry.id): state.out
+            for place, record in enumerate(self.world.balancer.records)
+            for server, state in record.states.items()
+            if state.out
         }
         assert found == out
-        for stats in self.world.balancer.stats:
-            assert all(lane.out or lane.failures for lane in stats.lanes.values())
+        for record in self.world.balancer.records:
+            assert all(state.out or state.failures for state in record.states.values())
 
     @invariant()
     def places_are_few(self) -> None:
         balancer = self.world.balancer
         held = {item.request.klass for item in balancer.open.values()} | self.kept.keys()
-        assert len(balancer.stats) <= 2 * len(CLASSES) + self.most_held(len(held))
+        assert len(balancer.records) <= 2 * len(CLASSES) + self.most_held(len(held))
 
     def most_held(self, now: int) -> int:
         self.peak = max(getattr(self, "peak", 0), now)
@@ -425,7 +425,7 @@
 
 def test_decisions_are_those_of_a_module_that_never_uses_a_place_again() -> None:
     for seed in range(4):
-        never = drawn_story(seed, lambda balancer: range(len(balancer.stats)))
+        never = drawn_story(seed, lambda balancer: range(len(balancer.records)))
         assert drawn_story(seed, lambda balancer: ()) == never
         assert sum(isinstance(a, Send) for actions in never for a in actions) > 300
 
@@ -437,21 +437,21 @@
     """A world in which the first class is slow and fails at server 0, and nothing is under way."""
     world = World(make_settings(classes=CLASSES[:2], balancers=1))
     world.announce(ListKind.FULL, *(entry(n) for n in range(3)))
-    stats = world.balancer.stats[0]
-    stats.usual, stats.hint = 111.0 * MS, 7.0
+    record = world.balancer.records[0]
+    record.usual, record.hint = 111.0 * MS, 7.0
     for server in world.balancer.servers.values():
         server.room = 10.0
     failing = world.balancer.servers[0]
     for n in range(HUNG + 1):
         rid = f"f{n}"
         request = Request(rid, 0, world.now + S)
-        item = world.balancer.open[rid] = rules.Open(request, stats.klass, stats, world.now, 1)
+        item = world.balancer.open[rid] = rules.Open(request, record.klass, record, world.now, 1)
         world.balancer._send(world.now, item, failing)
         ended = AttemptEnd(rid, 0, 0, Outcome.ERROR, 50 * MS, True)
         world.balancer.on_attempt_end(world.now, ended)
     world.balancer.acts.clear()
-    assert stats.lanes[failing].failures == HUNG + 1 and stats.lanes[failing].rest_until > world.now
-    return world, stats.klass
+    assert record.states[failing].failures == HUNG + 1 and record.states[failing].rest_until > world.now
+    return world, record.klass
 
 
 def a_new_class_has_nothing_of_the_one_whose_place_it_takes() -> None:
@@ -459,8 +459,8 @@
     other = replace(CLASSES[2], name="other")
     world.balancer.on_settings(world.now, make_settings(classes=(other, CLASSES[1])))
     assert world.balancer.settings.classes == (other, CLASSES[1])
-    fresh = world.balancer.stats[0]
-    assert (fresh.usual, fresh.hint, fresh.lanes) == (other.aim * rules.FIRST_GUESS, 0.0, {})
+    fresh = world.balancer.records[0]
+    assert (fresh.usual, fresh.hint, fresh.states) == (other.aim * rules.FIRST_GUESS, 0.0, {})
 
 
 def a_class_with_new_terms_goes_on_with_what_was_learned() -> None:
@@ -468,23 +468,25 @@
     for under_way in (False, True):
         world, klass = learned_of_one_class_alone()
         balancer = world.balancer
-        old, failing = balancer.stats[0], balancer.servers[0]
+        old, failing = balancer.records[0], balancer.servers[0]
         rid = world.submit(0) if under_way else ""
-        lanes = {
-            server: replace(lane, out=0, quiet_since=0) for server, lane in old.lanes.items() if lane.failures
+        states = {
+            server: replace(state, out=0, quiet_since=0)
+            for server, state in old.states.items()
+            if state.failures
         }
         balancer.on_settings(world.now, make_settings(classes=(changed(klass, 1), CLASSES[1])))
         place = balancer.settings.classes.index(changed(klass, 1))
         assert place == (2 if under_way else 0)
-        new = balancer.stats[place]
+        new = balancer.records[place]
         assert (new.usual, new.hint) == (old.usual, old.hint)
-        assert {s: replace(lane, quiet_since=0) for s, lane in new.lanes.items()} == lanes
+        assert {s: replace(state, quiet_since=0) for s, state in new.states.items()} == states
         if under_way:
-            assert balancer.open[rid].stats is old
+            assert balancer.open[rid].record is old
             world.end(rid, 0, Outcome.OK)
-            assert old.usual != new.usual and sum(lane.out for lane in new.lanes.values()) == 0
-            old.lanes[failing].failures += 5
-            assert new.lanes[failing].failures == HUNG + 1
+            assert old.usual != new.usual and sum(state.out for state in new.states.values()) == 0
+            old.states[failing].failures += 5
+            assert new.states[failing].failures == HUNG + 1
 
 
 def test_a_new_class_has_nothing_of_the_one_whose_place_it_takes() -> None:
@@ -501,7 +503,7 @@
     balancer.on_settings(world.now, make_settings(classes=(CLASSES[1],)))
     assert balancer.settings.retired == {0}
     balancer.on_settings(world.now, make_settings(classes=(CLASSES[1], changed(klass, 1))))
-    assert balancer.stats[0].usual == 111 * MS and balancer.settings.classes[0] == changed(klass, 1)
+    assert balancer.records[0].usual == 111 * MS and balancer.settings.classes[0] == changed(klass, 1)
 
 
 def test_a_request_for_a_class_that_is_out_of_force_gets_no_more_than_both_terms_allow() -> None:
@@ -517,27 +519,27 @@
         world.end(rid, 0, Outcome.RESET)
         assert len(world.requests[rid].servers) == sent
         world.balancer.on_settings(world.now, make_settings(classes=(keyed,)), narrow)
-        assert world.balancer.stats[0].klass == keyed and not world.balancer.stats[0].retired
+        assert world.balancer.records[0].klass == keyed and not world.balancer.records[0].retired
 
 
-def lanes_of_servers_that_are_gone_are_dropped() -> None:
+def class_states_of_servers_that_are_gone_are_dropped() -> None:
     world, klass = learned_of_one_class_alone()
     balancer = world.balancer
     rid = world.submit(1)
     busy = world.requests[rid].servers[0]
     world.announce(ListKind.DELTA, *(entry(n, started=world.now - 30 * S) for n in range(3)))
     world.play(balancer.on_timer(world.now, "sweep"))
-    kept = [server for stats in balancer.stats for server in stats.lanes]
+    kept = [server for record in balancer.records for server in record.states]
     assert [server.entry.id for server in kept] == [busy]
     world.end(rid, 0, Outcome.ERROR)
     world.play(balancer.on_timer(world.now + 1, "sweep"))
     known = set(balancer.servers.values())
-    assert all(server in known for stats in balancer.stats for server in stats.lanes)
+    assert all(server in known for record in balancer.records for server in record.states)
     assert world.requests[rid].klass.name != klass.name
 
 
-def test_lanes_of_servers_that_are_gone_are_dropped() -> None:
-    lanes_of_servers_that_are_gone_are_dropped()
+def test_class_states_of_servers_that_are_gone_are_dropped() -> None:
+    class_states_of_servers_that_are_gone_are_dropped()
 
 
 # ---- seeded defects ----
@@ -573,19 +575,19 @@
 
 def _learned_by_place(
     self: Balancer, klass: RequestClass, before: int | None, inherit: Any = Balancer._inherit
-) -> ClassStats:
+) -> ClassRecord:
     """A class gets what was learned at its place, whoever that was."""
-    found: ClassStats = inherit(self, klass, 0 if before is None else before)
+    found: ClassRecord = inherit(self, klass, 0 if before is None else before)
     return found
 
 
-def _lanes_shared(
+def _states_shared(
     self: Balancer, klass: RequestClass, before: int | None, inherit: Any = Balancer._inherit
-) -> ClassStats:
-    """The old terms and the new ones learn into the same lanes."""
-    found: ClassStats = inherit(self, klass, before)
+) -> ClassRecord:
+    """The old terms and the new ones learn into the same states."""
+    found: ClassRecord = inherit(self, klass, before)
     if before is not None:
-        found.lanes = self.stats[before].lanes
+        found.states = self.records[before].states
     return found
 
 
@@ -595,18 +597,18 @@
         Balancer, "on_settings", _held_until_answered
     ),
     "a place is never used again": patched(rules, "assign_places", _never_again),
-    "lanes of servers that are gone stay": patched(Balancer, "_drop_lanes", lambda self: None),
+    "states of servers that are gone stay": patched(Balancer, "_drop_stale_states", lambda self: None),
     "a new class has what was learned of another": patched(Balancer, "_inherit", _learned_by_place),
-    "old and new terms share their lanes": patched(Balancer, "_inherit", _lanes_shared),
+    "old and new terms share their states": patched(Balancer, "_inherit", _states_shared),
 }
 
 FINDERS: dict[str, Callable[[], None]] = {
     "a place is used again while a request is under way": place_waits_for_the_last_attempt,
     "an answered request holds no place though its attempt is out": place_waits_for_the_last_attempt,
     "a place is never used again": lambda: memory_is_flat(FEWER_CHANGES),
-    "lanes of servers that are gone stay": lanes_of_servers_that_are_gone_are_dropped,
+    "states of servers that are gone stay": class_states_of_servers_that_are_gone_are_dropped,
     "a new class has what was learned of another": a_new_class_has_nothing_of_the_one_whose_place_it_takes,
-    "old and new terms share their lanes": a_class_with_new_terms_goes_on_with_what_was_learned,
+    "old and new terms share their states": a_class_with_new_terms_goes_on_with_what_was_learned,
 }
 
 test_every_defect_has_its_finder, test_the_defect_is_found = defect_tests(
