--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -185,6 +185,28 @@
     assert balancer.settings.retired == {3, 4, 5}
 
 
+def test_a_free_place_goes_to_its_name_first_and_else_the_longest_free_is_taken() -> None:
+    first, second, third = (replace(CLASSES[0], name=name) for name in "abc")
+
+    def after(*changes: tuple[RequestClass, ...]) -> Balancer:
+        balancer = Balancer(make_settings(classes=(first, second, third)), 1)
+        for classes in changes:
+            balancer.on_settings(0, make_settings(classes=classes))
+        return balancer
+
+    vanished = (second, third), (third,)  # the first class, then the second
+    other, again = replace(CLASSES[0], name="other"), changed(second, 1)
+    assert after(*vanished, (third, other)).settings.classes == (other, second, third)
+    assert after(*vanished, (third, again)).settings.classes == (first, again, third)
+    assert after(*vanished, (third, other, again)).settings.classes == (other, again, third)
+    assert after(*vanished, (third, first)).settings.classes == (first, second, third)
+    assert after(*vanished, (third, first)).settings.retired == {1}
+    back = after(
+        *vanished, (third, other), (third, other, changed(first, 1))
+    )  # its place was taken meanwhile
+    assert back.settings.classes == (other, changed(first, 1), third)
+
+
 # ---- a place is never given away while it is held ----
 
 
