--- a/dykeshift/benchlink.py
+++ b/dykeshift/benchlink.py
@@ -72,22 +72,22 @@
     return load_report({name: float(value) for name, _, value in pairs if name in REPORT_FIELDS})
 
 
-def _encode(i: int, actions: list[Action], out: list[str]) -> None:
-    for a in actions:
-        if isinstance(a, Send):
-            out.append(f"PLACE\t{i}\t{a.request_id}\t{a.server}\t{a.timeout}\n")
-        elif isinstance(a, SetTimer):
-            out.append(f"TIMER\t{i}\t{a.token}\t{a.at}\n")
-        elif isinstance(a, Cancel):
-            out.append(f"WITHDRAW\t{i}\t{a.request_id}\t{a.attempt}\n")
-        elif isinstance(a, Refuse):
-            out.append(f"DENY\t{i}\t{a.request_id}\t{a.retry_after}\n")
-        elif isinstance(a, Fail):
-            out.append(f"FINISH_ERROR\t{i}\t{a.request_id}\n")
-        elif isinstance(a, Watch):
-            out.append(f"WATCH\t{i}\t1\n")
-        elif isinstance(a, Log):
-            out.append(f"EMIT\t{i}\t{' '.join(a.text.split())}\n")
+def _encode(instance: int, actions: list[Action], out: list[str]) -> None:
+    for action in actions:
+        if isinstance(action, Send):
+            out.append(f"PLACE\t{instance}\t{action.request_id}\t{action.server}\t{action.timeout}\n")
+        elif isinstance(action, SetTimer):
+            out.append(f"TIMER\t{instance}\t{action.token}\t{action.at}\n")
+        elif isinstance(action, Cancel):
+            out.append(f"WITHDRAW\t{instance}\t{action.request_id}\t{action.attempt}\n")
+        elif isinstance(action, Refuse):
+            out.append(f"DENY\t{instance}\t{action.request_id}\t{action.retry_after}\n")
+        elif isinstance(action, Fail):
+            out.append(f"FINISH_ERROR\t{instance}\t{action.request_id}\n")
+        elif isinstance(action, Watch):
+            out.append(f"WATCH\t{instance}\t1\n")
+        elif isinstance(action, Log):
+            out.append(f"EMIT\t{instance}\t{' '.join(action.text.split())}\n")
 
 
 class DecisionError(Exception):
@@ -144,15 +144,15 @@
 def _announce(balancer: Balancer, now: int, parts: list[str], entries: list[list[str]]) -> list[Action]:
     rows = tuple(
         ServerEntry(
-            id=int(p[5]),
-            zone=_int(p[7]),
-            cell=_int(p[1]),
-            kind=_int(p[2]),
-            state=word(_STATES, p[3], "availability"),
-            weight=1.0 if p[4] == "-" else float(p[4]),
-            started=_int(p[6]),
+            id=int(row[5]),
+            zone=_int(row[7]),
+            cell=_int(row[1]),
+            kind=_int(row[2]),
+            state=word(_STATES, row[3], "availability"),
+            weight=1.0 if row[4] == "-" else float(row[4]),
+            started=_int(row[6]),
         )
-        for p in entries
+        for row in entries
     )
     return _decide(balancer.on_list, now, ServerList(word(_LIST_KINDS, parts[3], "kind"), rows))
 
@@ -176,17 +176,17 @@
 
     def event(self, now: int, parts: list[str], entries: list[list[str]]) -> list[Action]:
         """Give one event to its instance; what it wants done comes back."""
-        name, i = parts[0], int(parts[1])
+        name, instance = parts[0], int(parts[1])
         if name == "CONFIGURE":
             seed, settings = int(parts[2]), read_settings(parts[3])
-            self.instances[i] = Balancer(settings, seed)
-            return _decide(self.instances[i].on_start, now)
+            self.instances[instance] = Balancer(settings, seed)
+            return _decide(self.instances[instance].on_start, now)
         if name == "SHUTDOWN":
-            self.instances.pop(i, None)
+            self.instances.pop(instance, None)
             return []
-        balancer = self.instances.get(i)
+        balancer = self.instances.get(instance)
         if balancer is None:
-            raise Malformed(f"instance {i} has no CONFIGURE yet")
+            raise Malformed(f"instance {instance} has no CONFIGURE yet")
         handler = _HANDLERS.get(name)
         return handler(balancer, now, parts, entries) if handler is not None else []
 
--- a/dykeshift/rig/campaign.py
+++ b/dykeshift/rig/campaign.py
@@ -63,25 +63,25 @@
 ) -> Found:
     """One day: processes with and without disks, clients all the time, three to eight troubles, then
     peace."""
-    rng = Random(f"campaign/agree/{seed}")
-    storm = rng.random() < 0.4  # many small troubles close to one another, mostly among voters with disks
-    count = rng.choice((3, 5) if storm else members)
-    having = rng.choice((0.0, 0.5, 1.0, 1.0) if storm else (0.0, 0.0, 0.5, 1.0))
-    disks = tuple(n for n in range(count) if rng.random() < having)
+    random = Random(f"campaign/agree/{seed}")
+    storm = random.random() < 0.4  # many small troubles close to one another, mostly among voters with disks
+    count = random.choice((3, 5) if storm else members)
+    having = random.choice((0.0, 0.5, 1.0, 1.0) if storm else (0.0, 0.0, 0.5, 1.0))
+    disks = tuple(n for n in range(count) if random.random() < having)
     options = Options(
-        voters=rng.choice((3, 5)) if count >= 5 else 3,
+        voters=random.choice((3, 5)) if count >= 5 else 3,
         lease=int(leases * SECOND),
         replace=8 * SECOND,
-        keep=rng.choice((4, 16, 256)),
+        keep=random.choice((4, 16, 256)),
     )
     day = (world or Agreement)(seed, count, options, disks)
     day.start_all()
     if not day.run(30, day.led):
         return Found(seed, ["nobody led at first"])
-    day.busy(rng.choice((0.1, 0.3)), 600)
-    for _ in range(rng.randint(20, 40) if storm else rng.randint(3, 8)):
-        day.run(rng.choice((0.01, 0.03, 0.1, 0.5, 2.0) if storm else (0.05, 0.3, 1.0, 3.0, 8.0)))
-        trouble(day, rng, SMALL if storm else KINDS)
+    day.busy(random.choice((0.1, 0.3)), 600)
+    for _ in range(random.randint(20, 40) if storm else random.randint(3, 8)):
+        day.run(random.choice((0.01, 0.03, 0.1, 0.5, 2.0) if storm else (0.05, 0.3, 1.0, 3.0, 8.0)))
+        trouble(day, random, SMALL if storm else KINDS)
     rescued = peace(day) or day.states["founded"] > 1  # or all were lost at once, and all began anew
     operations = list(day.operations)
     if not rescued and not day.broken:
@@ -92,54 +92,54 @@
     return Found(seed, day.broken, answered, len(operations) - answered, rescued, day.states)
 
 
-def trouble(day: Agreement, rng: Random, kinds: tuple[str, ...] = KINDS) -> None:
+def trouble(day: Agreement, random: Random, kinds: tuple[str, ...] = KINDS) -> None:
     """Do one trouble, drawn from `kinds`, to the world."""
-    some = rng.sample(day.spots, rng.randint(1, max(1, len(day.spots) // 3)))
-    kind = rng.choice(kinds)
+    some = random.sample(day.spots, random.randint(1, max(1, len(day.spots) // 3)))
+    kind = random.choice(kinds)
     if kind in _WHOLE:
-        _WHOLE[kind](day, rng, some)
+        _WHOLE[kind](day, random, some)
     else:
         for spot in some:
-            befall(day, kind, spot, rng)
+            befall(day, kind, spot, random)
 
 
-def _cut(day: Agreement, rng: Random, some: list[Spot]) -> None:
-    order = rng.sample(range(len(day.spots)), len(day.spots))
-    at = rng.randint(1, len(order) - 1)
+def _cut(day: Agreement, random: Random, some: list[Spot]) -> None:
+    order = random.sample(range(len(day.spots)), len(day.spots))
+    at = random.randint(1, len(order) - 1)
     day.groups = [frozenset(order[:at]), frozenset(order[at:])]
 
 
-def _cut_leader_off(day: Agreement, rng: Random, some: list[Spot]) -> None:
+def _cut_leader_off(day: Agreement, random: Random, some: list[Spot]) -> None:
     leader, count = day.leader(), len(day.spots)
     if leader is not None:
-        with_it = {leader, *rng.sample(range(count), rng.randint(0, count // 3))}
+        with_it = {leader, *random.sample(range(count), random.randint(0, count // 3))}
         day.groups = [frozenset(with_it), frozenset(range(count)) - with_it]
 
 
-def _start_the_dead(day: Agreement, rng: Random, some: list[Spot]) -> None:
+def _start_the_dead(day: Agreement, random: Random, some: list[Spot]) -> None:
     for spot in day.spots:
         if not spot.alive:
             day.start(spot)
 
 
-def _mend(day: Agreement, rng: Random, some: list[Spot]) -> None:
+def _mend(day: Agreement, random: Random, some: list[Spot]) -> None:
     day.groups, day.blocked = [], set()
 
 
-def _block_one_way(day: Agreement, rng: Random, some: list[Spot]) -> None:
+def _block_one_way(day: Agreement, random: Random, some: list[Spot]) -> None:
     first = some[0]
-    day.blocked |= {(first.number, s.number) for s in day.spots if s is not first and rng.random() < 0.5}
+    day.blocked |= {(first.number, s.number) for s in day.spots if s is not first and random.random() < 0.5}
 
 
-def _change_weather(day: Agreement, rng: Random, some: list[Spot]) -> None:
-    day.weather.loss, day.weather.double = rng.choice((0, 0.1, 0.3)), rng.choice((0, 0.2))
-    day.weather.late = rng.choice((0, 0.1))
+def _change_weather(day: Agreement, random: Random, some: list[Spot]) -> None:
+    day.weather.loss, day.weather.double = random.choice((0, 0.1, 0.3)), random.choice((0, 0.2))
+    day.weather.late = random.choice((0, 0.1))
 
 
-def _lose_leader(day: Agreement, rng: Random, some: list[Spot]) -> None:
+def _lose_leader(day: Agreement, random: Random, some: list[Spot]) -> None:
     leader = day.leader()
     if leader is not None:
-        rng.choice((day.kill, day.stop))(day.spots[leader])
+        random.choice((day.kill, day.stop))(day.spots[leader])
 
 
 # Troubles of the whole world; all others befall single processes.
@@ -154,7 +154,7 @@
 }
 
 
-def befall(day: Agreement, kind: str, spot: Spot, rng: Random) -> None:
+def befall(day: Agreement, kind: str, spot: Spot, random: Random) -> None:
     """Do one trouble to one process."""
     disk = day.disks.get(spot.number)
     if kind == "stop" and spot.alive:
--- a/dykeshift/rig/lent.py
+++ b/dykeshift/rig/lent.py
@@ -168,27 +168,30 @@
 
 def play(seed: int, members: tuple[int, ...] = (4, 7, 12, 20), world: type[Lent] = Lent) -> Found:
     """A drawn day: needs that move, and processes that are lost, stand still and are cut off."""
-    rng = Random(f"campaign/lent/{seed}")
-    day = world(seed, rng.choice(members))
+    random = Random(f"campaign/lent/{seed}")
+    day = world(seed, random.choice(members))
     seen: list[tuple[Spot, Spot, bytes]] = []
     day.tap = lambda a, b, data: seen.append((a, b, data))
     day.start_all()
     day.need("pareto")
-    for _ in range(rng.randint(6, 14)):
-        for _ in range(rng.randint(1, 20)):
+    for _ in range(random.randint(6, 14)):
+        for _ in range(random.randint(1, 20)):
             day.run(0.25)
             day.sample()
-        _befall(day, rng, seen)
+        _befall(day, random, seen)
     needed = max(1.0, day.sums[2])
     loans = sum(len(s.view.shares.lent) for s in day.up())
     return Found(seed, day.broken, day.sums[0] / needed, day.sums[1] / needed, loans)
 
 
-def _befall(day: Lent, rng: Random, seen: list[tuple[Spot, Spot, bytes]]) -> None:
-    kind, some = rng.choice(KINDS), rng.sample(day.spots, rng.randint(1, max(1, len(day.spots) * 7 // 10)))
+def _befall(day: Lent, random: Random, seen: list[tuple[Spot, Spot, bytes]]) -> None:
+    kind, some = (
+        random.choice(KINDS),
+        random.sample(day.spots, random.randint(1, max(1, len(day.spots) * 7 // 10))),
+    )
     if kind == "cut":
-        order = rng.sample(range(len(day.spots)), len(day.spots))
-        at = rng.randint(1, len(order) - 1)
+        order = random.sample(range(len(day.spots)), len(day.spots))
+        at = random.randint(1, len(order) - 1)
         day.groups = [frozenset(order[:at]), frozenset(order[at:])]
     elif kind == "mend":
         day.mend()
@@ -196,20 +199,20 @@
         bad = kind == "weather"
         day.weather.loss, day.weather.double, day.weather.late = bad * 0.3, bad * 0.2, bad * 0.2
     elif kind == "need":
-        day.need(rng.choice(("one", "even", "pareto")))
+        day.need(random.choice(("one", "even", "pareto")))
     elif kind == "lower":
-        limit = rng.choice(LIMITS)
-        day.lower(limit, day.limits[limit] * rng.choice((5, 8)) // 10)
+        limit = random.choice(LIMITS)
+        day.lower(limit, day.limits[limit] * random.choice((5, 8)) // 10)
     elif kind == "replay":
-        _replay(day, rng, seen)
+        _replay(day, random, seen)
     else:
         for spot in some:
             _befall_one(day, kind, spot)
 
 
-def _replay(day: Lent, rng: Random, seen: list[tuple[Spot, Spot, bytes]]) -> None:
+def _replay(day: Lent, random: Random, seen: list[tuple[Spot, Spot, bytes]]) -> None:
     """Old datagrams once more, minutes later or at once."""
-    for sender, receiver, data in rng.sample(seen, min(len(seen), 200)):
+    for sender, receiver, data in random.sample(seen, min(len(seen), 200)):
         if receiver.alive and not receiver.stopped:
             day.deliver(sender.address, receiver, data)
 
--- a/dykeshift/rig/ruled.py
+++ b/dykeshift/rig/ruled.py
@@ -47,22 +47,22 @@
     return raw
 
 
-def drawn(rng: Random) -> str:
+def drawn(random: Random) -> str:
     """Some settings, as all share them."""
     kinds: dict[str, dict[str, Any]] = {
-        "status-check": {"idempotency": rng.choice(("pure", "pure", "side_effect", "token"))},
+        "status-check": {"idempotency": random.choice(("pure", "pure", "side_effect", "token"))},
         "reminder-set": {
-            "group": rng.choice(("cell", "zone", "all")),
-            "windowNs": rng.choice((2, 4, 8)) * SECOND,
+            "group": random.choice(("cell", "zone", "all")),
+            "windowNs": random.choice((2, 4, 8)) * SECOND,
         },
-        "sms-send": {"worth": rng.choice((1.0, 3.0))},
+        "sms-send": {"worth": random.choice((1.0, 3.0))},
     }
     return share(
         worded(
-            {"balancers": rng.choice((200, 300))},
+            {"balancers": random.choice((200, 300))},
             kinds,
-            maxAttempts=rng.choice((2, 3)),
-            secondCopies=rng.random() < 0.5,
+            maxAttempts=random.choice((2, 3)),
+            secondCopies=random.random() < 0.5,
         )
     )
 
@@ -70,15 +70,15 @@
 class RuledPeer(Peer):
     """A process: its agreement and, on top, its versions, which ask the agreement as the daemon's do."""
 
-    def __init__(self, world: Ruled, spot: Spot, rng: Random) -> None:
-        super().__init__(world, spot, rng)
+    def __init__(self, world: Ruled, spot: Spot, random: Random) -> None:
+        super().__init__(world, spot, random)
         self.tick_at = 0
         self.proposing: int | None = None
         self.no = world.stubborn.get(spot.number, "")  # why it can't act on proposals
         machine = self.machine
         assert isinstance(machine, Book)
         raw = {**worded({"balancers": 200}), "az": spot.number % 2, "me": spot.number}
-        self.ruled = world.versions(self, Own(raw), machine, rng)
+        self.ruled = world.versions(self, Own(raw), machine, random)
 
     def sight(self) -> Sight:
         """What the process sees when it checks a proposal; one that objects has too many at work."""
@@ -172,7 +172,7 @@
     def _peer(self, spot: Spot, life: int) -> Any:
         return RuledPeer(self, spot, Random(self.rng.random()))
 
-    def versions(self, peer: RuledPeer, own: Own, book: Book, rng: Random) -> Versions:
+    def versions(self, peer: RuledPeer, own: Own, book: Book, random: Random) -> Versions:
         """The versions of a new process, on top of its agreement."""
         core, spot = peer.core, peer.spot
         return Versions(
@@ -184,7 +184,7 @@
             Link(core, spot.clock),
             spot.clock,
             peer.sight,
-            rng,
+            random,
         )
 
     def bad_share(self, acts: Acts) -> float:
--- a/dykeshift/rig/ruled_days.py
+++ b/dykeshift/rig/ruled_days.py
@@ -39,29 +39,29 @@
     seed: int, members: tuple[int, ...] = (4, 5, 7, 9, 12), troubles: int = 8, world: type[Ruled] = Ruled
 ) -> Found:
     """One day. `world`: another for a baseline or a seeded defect."""
-    rng = Random(f"campaign/ruled/{seed}")
-    count = rng.choice(members)
+    random = Random(f"campaign/ruled/{seed}")
+    count = random.choice(members)
     options = Options(
-        voters=3 if count < 5 else rng.choice((3, 5)),
+        voters=3 if count < 5 else random.choice((3, 5)),
         lease=4 * SECOND,
         replace=12 * SECOND,
-        keep=rng.choice((16, 256)),
+        keep=random.choice((16, 256)),
     )
-    disks = tuple(n for n in range(count) if rng.random() < rng.choice((0.0, 0.5, 1.0)))
+    disks = tuple(n for n in range(count) if random.random() < random.choice((0.0, 0.5, 1.0)))
     day = world(seed, count, options, disks)
     found = Found(seed, day.broken)
-    if rng.random() < 0.2:
-        day.stubborn[rng.randrange(count)] = "more at work than the settings say"
+    if random.random() < 0.2:
+        day.stubborn[random.randrange(count)] = "more at work than the settings say"
     day.start_all()
     if not day.run(30, day.led):
         day.broken.append("nobody led at first")
         return found
-    for _ in range(rng.randint(3, troubles)):
-        day.run(rng.choice((0.1, 0.5, 2.0, 4.0)))
-        for _ in range(rng.randint(0, 2)):
-            _operate(day, rng, found)
-        day.run(rng.choice((0.05, 0.3, 1.0, 5.0)))
-        trouble(day, rng, KINDS)
+    for _ in range(random.randint(3, troubles)):
+        day.run(random.choice((0.1, 0.5, 2.0, 4.0)))
+        for _ in range(random.randint(0, 2)):
+            _operate(day, random, found)
+        day.run(random.choice((0.05, 0.3, 1.0, 5.0)))
+        trouble(day, random, KINDS)
     found.rescued = _peace(day)
     for what in list(day.conflicts):
         day.end(what)
@@ -73,45 +73,45 @@
     return found
 
 
-def _operate(day: Ruled, rng: Random, found: Found) -> None:
+def _operate(day: Ruled, random: Random, found: Found) -> None:
     """An operator at some balancer that runs."""
     up = [s for s in day.up() if s.view is not None]
     if not up:
         return
-    spot = rng.choice(up)
-    kind = rng.choice(
+    spot = random.choice(up)
+    kind = random.choice(
         ("propose", "propose", "propose", "stage", "ban", "ban", "unban", "lists", "halt", "rollback")
     )
     if kind == "ban":
-        spot.view.ruled.ban(rng.choice(SERVERS))
+        spot.view.ruled.ban(random.choice(SERVERS))
         return
     book = spot.view.ruled.book
-    change = _change(day, rng, kind, book.pages)
+    change = _change(day, random, kind, book.pages)
     if change is not None:
         found.changes[kind if not day.order(spot.number, change) else "turned down here"] += 1
-        if kind == "stage" and rng.random() < 0.3:
+        if kind == "stage" and random.random() < 0.3:
             day.harmful.add(book.pages.version + 1)
 
 
-def _change(day: Ruled, rng: Random, kind: str, pages: Pages) -> Change | None:
+def _change(day: Ruled, random: Random, kind: str, pages: Pages) -> Change | None:
     """The change of that kind; None where there is nothing that it could be about."""
     if kind in ("propose", "stage"):
-        stages = ((rng.randrange(len(day.spots)),),) if kind == "stage" else ()
-        return Propose(msgspec.Raw(drawn(rng).encode()), "operator", stages, rng.random() < 0.1)
+        stages = ((random.randrange(len(day.spots)),),) if kind == "stage" else ()
+        return Propose(msgspec.Raw(drawn(random).encode()), "operator", stages, random.random() < 0.1)
     if kind == "rollback" and pages.past:
-        past = rng.choice(pages.past)
+        past = random.choice(pages.past)
         if past.settings:
             return Propose(msgspec.Raw(past.settings.encode()), "operator", of=past.version)
     if kind == "halt" and pages.pending is not None:
         return Halt(pages.pending.rules.version, "by hand")
     if kind == "lists":
         return Lists(
-            preferred=(rng.choice(SERVERS),),
-            wary=(rng.choice(SERVERS),),
-            doubt=rng.choice(("serve", "refuse")),
+            preferred=(random.choice(SERVERS),),
+            wary=(random.choice(SERVERS),),
+            doubt=random.choice(("serve", "refuse")),
         )
     if kind == "unban" and pages.out:
-        return Unban(rng.choice(sorted(pages.out)), "operator")
+        return Unban(random.choice(sorted(pages.out)), "operator")
     return None
 
 
