--- a/tests/node/test_crowded.py
+++ b/tests/node/test_crowded.py
@@ -27,7 +27,7 @@
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
-        def do_GET(self) -> None:
+        def answer(self) -> None:
             self.rfile.read(int(self.headers.get("content-length", "0")))
             body = answers(self.path)
             with suppress(OSError):  # the balancer has ended
@@ -36,11 +36,11 @@
                 self.end_headers()
                 self.wfile.write(body)
 
-        do_POST = do_GET
-
         def log_message(self, format: str, *args: object) -> None:
             """Nothing is said of each request."""
 
+    for method in ("GET", "POST"):
+        setattr(Handler, f"do_{method}", Handler.answer)  # as http.server looks them up
     ThreadingHTTPServer.allow_reuse_address = True
     made = ThreadingHTTPServer(address, Handler)
     made.daemon_threads = True
