--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -14,19 +14,8 @@
 from dykeshift.clock import SystemClock
 from dykeshift.engine import drain, server
 from dykeshift.engine.drain import Orders, State
-from tests.node.stubs import (
-    Node,
-    Stub,
-    answer,
-    node,
-    request,
-    run,
-    says,
-    service,
-    settings,
-    silent,
-    until,
-)
+from tests.node.messages import answer, request
+from tests.node.stubs import Node, Stub, node, run, says, service, settings, silent, until
 from tests.node.test_gone import connected
 
 Act = Callable[[], None]
