--- a/dykeshift/fleet/chance.py
+++ b/dykeshift/fleet/chance.py
@@ -71,16 +71,16 @@
 
     def sizes(self, count: int) -> NDArray[np.int64]:
         """Nanoseconds of work."""
-        work, rng = self.day.work, self.streams["sizes"]
+        work, stream = self.day.work, self.streams["sizes"]
         mean = work.mean_ms * 1e6
         if work.law == "constant":
-            drawn = Constant(mean).draw(rng, count)
+            drawn = Constant(mean).draw(stream, count)
         elif work.law == "exponential":
-            drawn = rng.exponential(mean, count)
+            drawn = stream.exponential(mean, count)
         elif work.law == "hyperexponential":
-            drawn = Hyperexponential.balanced(mean, work.variation).draw(rng, count)
+            drawn = Hyperexponential.balanced(mean, work.variation).draw(stream, count)
         else:
-            drawn = (rng.pareto(work.tail, count) + 1) * mean * (work.tail - 1) / work.tail
+            drawn = (stream.pareto(work.tail, count) + 1) * mean * (work.tail - 1) / work.tail
         return np.maximum(drawn, 1000).astype(np.int64)
 
     def classes(self, count: int) -> list[int]:
@@ -92,13 +92,13 @@
 
     def balancers(self, count: int) -> list[int]:
         """The balancer that each of `count` errands meets first, drawn by the shares of traffic."""
-        b, rng = self.day.balancers, self.streams["balancers"]
-        if not b.first_share or b.count == 1:
-            even: list[int] = rng.integers(0, b.count, count).tolist()
+        balancers, stream = self.day.balancers, self.streams["balancers"]
+        if not balancers.first_share or balancers.count == 1:
+            even: list[int] = stream.integers(0, balancers.count, count).tolist()
             return even
-        shares = np.full(b.count, (1 - b.first_share) / (b.count - 1))
-        shares[0] = b.first_share
-        drawn: list[int] = rng.choice(b.count, count, p=shares).tolist()
+        shares = np.full(balancers.count, (1 - balancers.first_share) / (balancers.count - 1))
+        shares[0] = balancers.first_share
+        drawn: list[int] = stream.choice(balancers.count, count, p=shares).tolist()
         return drawn
 
     def patience(self, count: int) -> list[float]:
--- a/dykeshift/fleet/day.py
+++ b/dykeshift/fleet/day.py
@@ -268,21 +268,21 @@
 
     def settings(self, number: int) -> Settings:
         """What the balancer of this number is told."""
-        b, s = self.balancers, self.senders
+        balancers, senders = self.balancers, self.senders
         return Settings(
             classes=tuple(c.terms() for c in self.classes),
-            balancers=b.told or b.count,
-            zone=number % s.zones,
+            balancers=balancers.told or balancers.count,
+            zone=number % senders.zones,
             ask_discovery=False,
             ask_every=10 * SECOND,
-            attempt_limit=b.attempts,
-            copies_allowed=b.copies,
-            cancel_allowed=b.cancel,
-            cold_share=s.cold_share,
-            cold_time=int(s.cold_s * SECOND),
-            overload_multiple=s.fall_multiple,
-            overload_window=int(s.fall_s * SECOND),
+            attempt_limit=balancers.attempts,
+            copies_allowed=balancers.copies,
+            cancel_allowed=balancers.cancel,
+            cold_share=senders.cold_share,
+            cold_time=int(senders.cold_s * SECOND),
+            overload_multiple=senders.fall_multiple,
+            overload_window=int(senders.fall_s * SECOND),
             answer_slack=8 * MS,
             step=MS,
-            retry_advice_limit=int(b.advice_ms * MS),
+            retry_advice_limit=int(balancers.advice_ms * MS),
         )
--- a/dykeshift/fleet/world.py
+++ b/dykeshift/fleet/world.py
@@ -92,11 +92,11 @@
 
     def _draw_discovery(self) -> None:
         """When each balancer hears: its own offset within the interval, and its own lateness."""
-        d, rng = self.day.discovery, self.chance.streams["spread"]
+        discovery, rng = self.day.discovery, self.chance.streams["spread"]
         drawn = rng.random((2, self.day.balancers.count))
-        self._every = max(MS, nanoseconds(d.every_s))
+        self._every = max(MS, nanoseconds(discovery.every_s))
         self._offset: list[int] = (drawn[0] * self._every).astype(np.int64).tolist()
-        self._late: list[int] = (drawn[1] * d.late_s * SECOND).astype(np.int64).tolist()
+        self._late: list[int] = (drawn[1] * discovery.late_s * SECOND).astype(np.int64).tolist()
         self._later = self._on_time = 0  # how late discovery tells now; since when it does so on time
         self._changes: list[tuple[int, ServerEntry]] = []  # all since the start, with their times
         self._heard = [0] * self.day.balancers.count
--- a/dykeshift/load/drive.py
+++ b/dykeshift/load/drive.py
@@ -50,15 +50,15 @@
 
     async def _client(self, number: int, start: float) -> None:
         """One client: asks, waits for the answer, thinks, asks again."""
-        rng = np.random.default_rng([self.load.seed, number])
+        random = np.random.default_rng([self.load.seed, number])
         end, turn = start + self.load.seconds, 0
         await asyncio.sleep(max(0.0, start - self.loop.time()))
         while self.loop.time() < end:
-            kind = draw_kinds(self.load, 1, rng)[0]
+            kind = draw_kinds(self.load, 1, random)[0]
             await self._errand(Order(number + turn * self.load.clients, 0.0, kind), self.loop.time())
             turn += 1
             if self.load.think_s:
-                await asyncio.sleep(float(rng.exponential(self.load.think_s)))
+                await asyncio.sleep(float(random.exponential(self.load.think_s)))
 
     async def _errand(self, order: Order, due: float) -> None:
         """One errand with its retries, within its deadline from when it was due."""
--- a/dykeshift/load/schedule.py
+++ b/dykeshift/load/schedule.py
@@ -90,7 +90,7 @@
 
 def draw(load: Load) -> list[Order]:
     """All errands of an open loop, in their order. The same seed draws the same."""
-    rng = np.random.default_rng(np.random.SeedSequence(load.seed))
+    stream = np.random.default_rng(np.random.SeedSequence(load.seed))
     if load.shape == "trace":
         due = np.sort(np.asarray(load.trace, dtype=np.float64))
     elif load.shape == "constant":
@@ -98,10 +98,10 @@
     else:
         parts, start = [], 0.0
         for rate, seconds in load.steps if load.shape == "steps" else ((load.rate, load.seconds),):
-            parts.append(np.sort(start + rng.random(rng.poisson(rate * seconds)) * seconds))
+            parts.append(np.sort(start + stream.random(stream.poisson(rate * seconds)) * seconds))
             start += seconds
         due = np.concatenate(parts)
-    kinds = draw_kinds(load, len(due), rng)
+    kinds = draw_kinds(load, len(due), stream)
     return [Order(n, float(at), k) for n, (at, k) in enumerate(zip(due, kinds, strict=True))]
 
 
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -61,28 +61,28 @@
     """The world of one scenario, and its play."""
 
     def __init__(self, scenario: Scenario, tracing: Line | None = None) -> None:
-        o = scenario.options
+        options = scenario.options
         self.scenario = scenario
         self.world = World(
             scenario.seed,
             Flavour(
-                uvloop=o.uvloop,
-                grid=max(1, o.grid_us * 1000),
-                tear=o.tear,
-                buffer=o.buffer,
-                reset_discards=o.reset_discards,
+                uvloop=options.uvloop,
+                grid=max(1, options.grid_us * 1000),
+                tear=options.tear,
+                buffer=options.buffer,
+                reset_discards=options.reset_discards,
             ),
         )
         self.world.tracing = tracing
         self.rng: Random = self.world.stream("day")
         self.net = Network(self.world, Weather())
         self.referee = Referee(
-            Terms(window=int(o.window * SECOND)),
+            Terms(window=int(options.window * SECOND)),
             self.excuse,
             self.parted,
             lambda balancer: self.reach.since.get(balancer, self.world.now),
         )
-        self.racks = [Rack() for _ in range(o.racks)]
+        self.racks = [Rack() for _ in range(options.racks)]
         self.by_name: dict[str, Sender] = {}
         self.outages: list[tuple[frozenset[str], int, int]] = []
         self.registries: dict[tuple[str, int], Registry] = {}
@@ -97,15 +97,15 @@
         self.rids: dict[str, str] = {}  # the ids under which they went to HTTP senders
         self.net.tap, self.net.arrival = self._handed_over, self._arrived
         self.start_registry(self.discovery)
-        self.posts = [Post(self, self, n) for n in range(o.senders)]
+        self.posts = [Post(self, self, n) for n in range(options.senders)]
         for post in self.posts:
             post.start(cold=False)
-        self.nodes = [Node(self, n) for n in range(o.balancers)]
+        self.nodes = [Node(self, n) for n in range(options.balancers)]
         self.by_address = {node.address: node for node in self.nodes}
         self.by_host = {node.host.name: node for node in self.nodes}
         self.world.watchers.append(self.referee.step)
-        self.net.weather.udp_loss = o.peer_loss
-        self.views = Views(self.nodes, self.world, self._view_breach) if o.view else None
+        self.net.weather.udp_loss = options.peer_loss
+        self.views = Views(self.nodes, self.world, self._view_breach) if options.view else None
         self._start_clients()
         self._start_operators()
         self.faults = Faults(self)
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -348,10 +348,10 @@
     def _where(self, endpoint: Endpoint, data: bytes) -> int | None:
         """Any byte position, the first and the last among them more often."""
         between = endpoint.host.name[:5], endpoint.peer.host.name[:5]
-        for towards, until, rng in self.cuts:
+        for towards, until, random in self.cuts:
             away = "10.0." if towards == "10.1." else "10.1."
-            if between == (away, towards) and self.world.now < until and rng.random() < 0.3:
-                way = rng.random()
+            if between == (away, towards) and self.world.now < until and random.random() < 0.3:
+                way = random.random()
                 at = (
                     0
                     if way < 0.15
@@ -359,7 +359,7 @@
                     if way < 0.4
                     else len(data) - 1
                     if way < 0.5
-                    else int(rng.random() * len(data))
+                    else int(random.random() * len(data))
                 )
                 return int(at)
         return None
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -33,7 +33,7 @@
 
 def settings(scenario: Scenario) -> dict[str, Any]:
     """The settings as a deployment words them."""
-    o = scenario.options
+    options = scenario.options
     aims = {"status-check": 250, "reminder-set": 400, "sms-send": 400}
     kinds = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
     services = [
@@ -45,33 +45,33 @@
             "lateShare": 0.2,
             "idempotency": kinds[KINDS[name]],
             "group": "cell",
-            "windowNs": int(o.window * SECOND),
+            "windowNs": int(options.window * SECOND),
         }
         for name in CLASSES
     ]
     return {
         "az": 0,
-        "balancers": o.balancers,
-        "discovery": "push" if o.push else "ask",
+        "balancers": options.balancers,
+        "discovery": "push" if options.push else "ask",
         "stepNs": 2 * MS,
-        "failureDomains": [f"z{n}" for n in range(o.zones)],
+        "failureDomains": [f"z{n}" for n in range(options.zones)],
         "kinds": ["standard"],
         "report": {"fields": ["busy_reqs", "cpu_share"], "how": "piggyback"},
         "services": services,
         "bounds": {
-            "cancelling": o.cancel,
+            "cancelling": options.cancel,
             "maxAttempts": 3,
-            "secondCopies": o.copies,
+            "secondCopies": options.copies,
             "retryAfter": True,
             "maxRetryAfterNs": 750 * MS,
-            "keepaliveNs": int(o.keepalive * SECOND),
+            "keepaliveNs": int(options.keepalive * SECOND),
             "connectTimeoutNs": 120 * MS,
         },
         "obligations": {
             "answerSlackNs": 8 * MS,
             "askEveryNs": 10 * SECOND,
             "coldFrom": 0.12,
-            "coldNs": int(o.cold_time * SECOND),
+            "coldNs": int(options.cold_time * SECOND),
             "drainGraceNs": 250 * MS,
             "fallNs": 3 * SECOND,
             "tipMultiple": 3.0,
@@ -90,7 +90,7 @@
 
 def mllp(scenario: Scenario, address: str) -> Options:
     """The feature `[mllp]` as a deployment words it."""
-    o = scenario.options
+    options = scenario.options
     routes = [
         {
             "trigger": hl7.TRIGGERS[name],
@@ -99,13 +99,13 @@
             "target": f"/hl7/{name}",
         }
         for name in CLASSES
-        if o.mllp_senders or KINDS[name] != "safe"
+        if options.mllp_senders or KINDS[name] != "safe"
     ]
     return msgspec.convert(
         {
             "listen": [f"{address}:{MLLP_PORT}"],
-            "upstreams": "mllp" if o.mllp_senders else "http",
-            "journal": "/journal" if o.journal else "",
+            "upstreams": "mllp" if options.mllp_senders else "http",
+            "journal": "/journal" if options.journal else "",
             "memory": {"clock_error_s": CLOCK_ERROR},
             "map": routes,
         },
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -213,30 +213,30 @@
     return Scenario(seed, options, asks, faults)
 
 
-def _draw_options(rng: Random) -> Options:
-    grid = rng.choice([0, 0, 0, 100, 1000, 5000])
+def _draw_options(random: Random) -> Options:
+    grid = random.choice([0, 0, 0, 100, 1000, 5000])
     return Options(
-        balancers=rng.choice([1, 2, 2, 3]),
-        senders=rng.randint(3, 8),
-        zones=rng.choice([1, 2, 3]),
-        racks=rng.choice([1, 2, 3]),
-        slots=rng.choice([1, 1, 2, 4]),
-        descriptors=rng.choice([1024, 1024, 1024, 24, 40]),
-        sender_table=rng.choice([200, 200, 200, 3, 8]),
-        keepalive=rng.choice([1.0, 3.0, 5.0]),
-        push=rng.random() < 0.25,
-        copies=rng.random() < 0.85,
-        cancel=rng.random() < 0.85,
-        cold_share=rng.choice([0.12, 0.12, 0.3]),
-        cold_time=rng.choice([4.0, 10.0, 20.0]),
-        window=rng.choice([0.2, 1.0, 4.0]),
-        front_notice=rng.choice([0.3, 1.0, 2.0]),
-        uvloop=rng.random() < 0.7,
-        callback_us=0 if grid else rng.choice([0, 5, 20, 50]),
+        balancers=random.choice([1, 2, 2, 3]),
+        senders=random.randint(3, 8),
+        zones=random.choice([1, 2, 3]),
+        racks=random.choice([1, 2, 3]),
+        slots=random.choice([1, 1, 2, 4]),
+        descriptors=random.choice([1024, 1024, 1024, 24, 40]),
+        sender_table=random.choice([200, 200, 200, 3, 8]),
+        keepalive=random.choice([1.0, 3.0, 5.0]),
+        push=random.random() < 0.25,
+        copies=random.random() < 0.85,
+        cancel=random.random() < 0.85,
+        cold_share=random.choice([0.12, 0.12, 0.3]),
+        cold_time=random.choice([4.0, 10.0, 20.0]),
+        window=random.choice([0.2, 1.0, 4.0]),
+        front_notice=random.choice([0.3, 1.0, 2.0]),
+        uvloop=random.random() < 0.7,
+        callback_us=0 if grid else random.choice([0, 5, 20, 50]),
         grid_us=grid,
-        tear=rng.choice([0.0, 0.1, 0.5]),
-        buffer=rng.choice([256, 4096, 65536, 65536]),
-        reset_discards=rng.random() < 0.3,
+        tear=random.choice([0.0, 0.1, 0.5]),
+        buffer=random.choice([256, 4096, 65536, 65536]),
+        reset_discards=random.random() < 0.3,
     )
 
 
@@ -275,51 +275,53 @@
 OFTEN = {"stall": 3, "cut-stream": 4, "cut-answer": 4, "drain": 2, "kill-sender": 2, "flood": 2}
 
 
-def _draw_faults(rng: Random, options: Options) -> tuple[Fault, ...]:
-    enabled = [kind for kind in FAULTS if rng.random() < rng.choice([0.15, 0.35])]
+def _draw_faults(random: Random, options: Options) -> tuple[Fault, ...]:
+    enabled = [kind for kind in FAULTS if random.random() < random.choice([0.15, 0.35])]
     faults = list[Fault]()
-    moments = [rng.uniform(0.3, CHAOS) for _ in range(3)]  # faults gather round a few moments
+    moments = [random.uniform(0.3, CHAOS) for _ in range(3)]  # faults gather round a few moments
     for kind in enabled:
-        for _ in range(rng.randint(1, OFTEN.get(kind, 1) + 1)):
+        for _ in range(random.randint(1, OFTEN.get(kind, 1) + 1)):
             at = (
-                rng.choice(moments) + rng.choice([0.0, 0.0, rng.gauss(0, 0.05)])
-                if rng.random() < 0.6
-                else rng.uniform(0.2, CHAOS)
+                random.choice(moments) + random.choice([0.0, 0.0, random.gauss(0, 0.05)])
+                if random.random() < 0.6
+                else random.uniform(0.2, CHAOS)
             )
             low, high = LENGTHS.get(kind, (0.2, 4.0))
-            length = low * (high / low) ** rng.random()
+            length = low * (high / low) ** random.random()
             at = min(max(at, 0.05), CHAOS)
             faults.append(
                 Fault(
                     kind,
                     _round(at, options),
                     _round(min(length, HEAL - at), options),
-                    rng.randrange(1000),
-                    round(rng.uniform(*SIZES.get(kind, (0.0, 1.0))), 4),
+                    random.randrange(1000),
+                    round(random.uniform(*SIZES.get(kind, (0.0, 1.0))), 4),
                 )
             )
     return tuple(sorted(faults, key=lambda f: f.at))
 
 
-def _draw_asks(rng: Random, options: Options, faults: tuple[Fault, ...]) -> tuple[Ask, ...]:
+def _draw_asks(random: Random, options: Options, faults: tuple[Fault, ...]) -> tuple[Ask, ...]:
     """Clients' errands: a steady stream and bursts during the chaos, then some to see that all is well."""
-    rate = rng.choice([10.0, 20.0, 28.0])
-    load = rng.choice([0.15, 0.35, 0.6, 0.8])  # of what the senders can do, within what aims leave sensible
+    rate = random.choice([10.0, 20.0, 28.0])
+    load = random.choice(
+        [0.15, 0.35, 0.6, 0.8]
+    )  # of what the senders can do, within what aims leave sensible
     mean_cost = min(max(load * options.senders * options.slots * 1000 / rate, 20.0), 120.0)
     asks = list[Ask]()
-    mix = rng.choice([(0.4, 0.3, 0.3), (0.1, 0.1, 0.8), (0.1, 0.8, 0.1), (0.8, 0.1, 0.1)])
+    mix = random.choice([(0.4, 0.3, 0.3), (0.1, 0.1, 0.8), (0.1, 0.8, 0.1), (0.8, 0.1, 0.1)])
     at = 0.0
-    while (at := at + rng.expovariate(rate)) < CHAOS:
-        asks.append(_ask(rng, at, mix, mean_cost, options))
+    while (at := at + random.expovariate(rate)) < CHAOS:
+        asks.append(_ask(random, at, mix, mean_cost, options))
     for fault in faults:
         if fault.kind == "flood":
             asks += [
-                _ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost, options)
+                _ask(random, fault.at + random.random() * fault.length, mix, mean_cost, options)
                 for _ in range(int(fault.size))
             ]
         if fault.kind == "costly":
             asks += [
-                _ask(rng, fault.at + rng.random() * fault.length, mix, mean_cost * fault.size, options)
+                _ask(random, fault.at + random.random() * fault.length, mix, mean_cost * fault.size, options)
                 for _ in range(6)
             ]
     asks += _last_asks(options)
@@ -332,27 +334,27 @@
     return [Ask(_round(first + n * PROBES / 24, options), n % 3, 1.5, 30, retries=2) for n in range(24)]
 
 
-def _ask(rng: Random, at: float, mix: tuple[float, ...], cost: float, options: Options) -> Ask:
-    klass = rng.choices(range(3), mix)[0]
-    work = max(5, int(rng.expovariate(1 / cost)))
+def _ask(random: Random, at: float, mix: tuple[float, ...], cost: float, options: Options) -> Ask:
+    klass = random.choices(range(3), mix)[0]
+    work = max(5, int(random.expovariate(1 / cost)))
     return Ask(
         at=_round(at, options),
         klass=klass,
-        deadline=round(rng.choice([1.0, 1.0, rng.uniform(0.15, 1.5), 0.2]), 3),
+        deadline=round(random.choice([1.0, 1.0, random.uniform(0.15, 1.5), 0.2]), 3),
         cost=min(work, int(cost * 4)),
-        retries=rng.choice([0, 0, 1, 2]),
-        hinted=rng.random() < 0.5,
-        leaves=round(rng.uniform(0.005, 0.5), 3) if rng.random() < 0.06 else None,
+        retries=random.choice([0, 0, 1, 2]),
+        hinted=random.random() < 0.5,
+        leaves=round(random.uniform(0.005, 0.5), 3) if random.random() < 0.06 else None,
     )
 
 
 # ---- days on which the cold budget is all that keeps a sender up ----
 
 
-def _cold_at_size(rng: Random, seed: str) -> Scenario:
+def _cold_at_size(random: Random, seed: str) -> Scenario:
     """So many balancers that one attempt of each is more than a cold sender bears: rooms alone don't help."""
     options = Options(
-        balancers=rng.choice([40, 60]),
+        balancers=random.choice([40, 60]),
         senders=5,
         slots=1,
         cold_share=0.12,
@@ -360,15 +362,17 @@
         callback_us=0,
         keepalive=5.0,
     )
-    rate, load = rng.choice([120.0, 160.0]), rng.choice([0.7, 0.9])
+    rate, load = random.choice([120.0, 160.0]), random.choice([0.7, 0.9])
     cost = load * options.senders * options.slots * 1000 / rate
     asks, at = list[Ask](), 0.0
-    while (at := at + rng.expovariate(rate)) < CHAOS:
-        work = min(max(2, int(rng.expovariate(1 / cost))), int(cost * 4))
-        asks.append(Ask(_round(at, options), rng.choices(range(3), (0.2, 0.4, 0.4))[0], 1.0, work, retries=2))
+    while (at := at + random.expovariate(rate)) < CHAOS:
+        work = min(max(2, int(random.expovariate(1 / cost))), int(cost * 4))
+        asks.append(
+            Ask(_round(at, options), random.choices(range(3), (0.2, 0.4, 0.4))[0], 1.0, work, retries=2)
+        )
     faults = (
-        Fault("release", round(rng.uniform(0.5, 2.0), 3), 2.0, rng.randrange(1000), 1.0),
-        Fault("kill-sender", round(rng.uniform(2.5, 4.0), 3), 0.3, rng.randrange(1000), 0.5),
+        Fault("release", round(random.uniform(0.5, 2.0), 3), 2.0, random.randrange(1000), 1.0),
+        Fault("kill-sender", round(random.uniform(2.5, 4.0), 3), 0.3, random.randrange(1000), 0.5),
     )
     return Scenario(seed, options, (*asks, *_last_asks(options)), faults)
 
@@ -376,43 +380,47 @@
 # ---- days on which nobody is told in time who does not ask again in time ----
 
 
-def _watches_break(rng: Random, seed: str) -> Scenario:
+def _watches_break(random: Random, seed: str) -> Scenario:
     """All watches break in one moment; a part of the senders begins to drain right after, and stays."""
     options = Options(
-        balancers=rng.randint(2, 5),
-        senders=rng.randint(5, 8),
-        push=rng.random() < 0.25,
-        callback_us=rng.choice([0, 20]),
-        cancel=rng.random() < 0.7,
+        balancers=random.randint(2, 5),
+        senders=random.randint(5, 8),
+        push=random.random() < 0.25,
+        callback_us=random.choice([0, 20]),
+        cancel=random.random() < 0.7,
     )
-    at = rng.uniform(0.1, 0.4)
-    faults = [Fault(rng.choice(WATCH_FAULTS), round(at, 6), 0.0)]
-    if rng.random() < 0.3:
-        faults.append(Fault("discovery-fails", round(at + 0.05, 6), round(rng.uniform(0.2, 1.0), 6), 0, 1.0))
-    first = rng.randrange(1000)
+    at = random.uniform(0.1, 0.4)
+    faults = [Fault(random.choice(WATCH_FAULTS), round(at, 6), 0.0)]
+    if random.random() < 0.3:
+        faults.append(
+            Fault("discovery-fails", round(at + 0.05, 6), round(random.uniform(0.2, 1.0), 6), 0, 1.0)
+        )
+    first = random.randrange(1000)
     faults += [
-        Fault("drain", round(at + rng.uniform(0.0, 0.3), 6), HEAL - 0.5, first + n)
+        Fault("drain", round(at + random.uniform(0.0, 0.3), 6), HEAL - 0.5, first + n)
         for n in range(max(1, options.senders // 4))
     ]
     rate, cost = 60.0, 0.4 * options.senders * options.slots * 1000 / 60.0
     asks, when = list[Ask](), 0.0
-    while (when := when + rng.expovariate(rate)) < HEAL - 0.1:
-        asks.append(_ask(rng, when, (0.4, 0.3, 0.3), cost, options))
+    while (when := when + random.expovariate(rate)) < HEAL - 0.1:
+        asks.append(_ask(random, when, (0.4, 0.3, 0.3), cost, options))
     return Scenario(seed, options, (*asks, *_last_asks(options)), tuple(sorted(faults, key=lambda f: f.at)))
 
 
 # ---- days with operators ----
 
 
-def _with_operators(rng: Random, seed: str, day: Scenario) -> Scenario:
+def _with_operators(random: Random, seed: str, day: Scenario) -> Scenario:
     """The same day, with consoles that are called: bans, drains by hand, new settings; figures are read."""
     faults = list(day.faults)
     for kind in OPERATORS:
-        for _ in range(rng.randint(0, 2) + (kind == "ban")):
-            at = rng.uniform(0.3, CHAOS - 0.5)
-            length = _round(rng.uniform(0.3, HEAL - at), day.options)
+        for _ in range(random.randint(0, 2) + (kind == "ban")):
+            at = random.uniform(0.3, CHAOS - 0.5)
+            length = _round(random.uniform(0.3, HEAL - at), day.options)
             faults.append(
-                Fault(kind, _round(at, day.options), length, rng.randrange(1000), round(rng.random(), 4))
+                Fault(
+                    kind, _round(at, day.options), length, random.randrange(1000), round(random.random(), 4)
+                )
             )
     options = replace(day.options, consoles=True)
     return Scenario(seed, options, day.asks, tuple(sorted(faults, key=lambda f: f.at)))
@@ -421,25 +429,25 @@
 # ---- days with a view of the fleet ----
 
 
-def _with_view(rng: Random, seed: str, day: Scenario) -> Scenario:
+def _with_view(random: Random, seed: str, day: Scenario) -> Scenario:
     """The same day, with three to seven balancers, of which more are killed, stopped and restarted."""
     options = replace(
-        day.options, balancers=rng.randint(3, 7), view=True, peer_loss=rng.choice([0.0, 0.1, 0.3])
+        day.options, balancers=random.randint(3, 7), view=True, peer_loss=random.choice([0.0, 0.1, 0.3])
     )
     # Each balancer may need a connection to each sender: with fewer some are refused for good, view or not.
     options = replace(options, sender_table=max(options.sender_table, options.balancers))
     faults = list(day.faults)
     for kind in ("kill-balancer", "restart-balancer", "stall", "cut-room"):
-        for _ in range(rng.randint(0, 2)):
-            at, low, high = rng.uniform(0.5, CHAOS), *LENGTHS.get(kind, (0.2, 4.0))
-            length = min(rng.uniform(low, high), HEAL - at)
+        for _ in range(random.randint(0, 2)):
+            at, low, high = random.uniform(0.5, CHAOS), *LENGTHS.get(kind, (0.2, 4.0))
+            length = min(random.uniform(low, high), HEAL - at)
             faults.append(
                 Fault(
                     kind,
                     _round(at, options),
                     _round(length, options),
-                    rng.randrange(1000),
-                    round(rng.random(), 4),
+                    random.randrange(1000),
+                    round(random.random(), 4),
                 )
             )
     return Scenario(seed, options, day.asks, tuple(sorted(faults, key=lambda f: f.at)))
@@ -448,18 +456,21 @@
 # ---- days with clinics ----
 
 
-def _with_clinics(rng: Random, seed: str, day: Scenario) -> Scenario:
+def _with_clinics(random: Random, seed: str, day: Scenario) -> Scenario:
     """Part of the requests, or all where the senders speak MLLP, come from clinics instead."""
     options = replace(
-        day.options, clinics=rng.randint(1, 4), mllp_senders=rng.random() < 0.5, journal=rng.random() < 0.6
+        day.options,
+        clinics=random.randint(1, 4),
+        mllp_senders=random.random() < 0.5,
+        journal=random.random() < 0.6,
     )
     faults = day.faults
     if options.journal:
-        faults = tuple(sorted([*faults, *_disk_faults(rng, options)], key=lambda f: f.at))
+        faults = tuple(sorted([*faults, *_disk_faults(random, options)], key=lambda f: f.at))
     else:
         # Without a journal a restart goes by clocks: that they agree is told to the balancers.
         faults = tuple(f for f in faults if f.kind != "clock-step")
-    asks = tuple(_from_clinic(rng, ask, options) for ask in day.asks)
+    asks = tuple(_from_clinic(random, ask, options) for ask in day.asks)
     return Scenario(seed, options, asks, faults)
 
 
@@ -477,17 +488,17 @@
     ]
 
 
-def _from_clinic(rng: Random, ask: Ask, options: Options) -> Ask:
-    if not options.mllp_senders and (KINDS[CLASSES[ask.klass]] == "safe" or rng.random() < 0.4):
+def _from_clinic(random: Random, ask: Ask, options: Options) -> Ask:
+    if not options.mllp_senders and (KINDS[CLASSES[ask.klass]] == "safe" or random.random() < 0.4):
         return ask
     chaos = ask.at < HEAL
     return replace(
         ask,
-        clinic=rng.randrange(options.clinics),
-        mode=rng.choice(list(MODES)),
+        clinic=random.randrange(options.clinics),
+        mode=random.choice(list(MODES)),
         retries=2,
         deadline=round(min(ask.deadline, 1.5), 3),
-        half=chaos and rng.random() < 0.05,
-        twin=chaos and rng.random() < 0.08,
-        leaves=round(rng.uniform(0.001, 0.3), 3) if chaos and rng.random() < 0.15 else None,
+        half=chaos and random.random() < 0.05,
+        twin=chaos and random.random() < 0.08,
+        leaves=round(random.uniform(0.001, 0.3), 3) if chaos and random.random() < 0.15 else None,
     )
