Model: the package of the module at size is dykeshift.model; fleet is a command alone

Need: fleet meant the model (dykeshift/fleet) and what balancers know of one another (lifttrail fleet).

Words of the command line, the extra named fleet and docs/design/fleet.md stay.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -14,8 +14,8 @@
 from math import sqrt
 
 from benchmarks.size import TROUBLES, day
-from dykeshift.fleet.senders import Process
-from dykeshift.fleet.world import play
+from dykeshift.model.senders import Process
+from dykeshift.model.world import play
 from dykeshift.rules import Balancer
 
 SIZES = (3, 10, 30, 200)
--- a/benchmarks/fleet_check.py
+++ b/benchmarks/fleet_check.py
@@ -8,8 +8,8 @@
 import argparse
 import json
 
-from dykeshift.fleet.day import CLASSES, Balancers, Day, Kind, Network, Senders, Stretch, Work
-from dykeshift.fleet.world import play
+from dykeshift.model.day import CLASSES, Balancers, Day, Kind, Network, Senders, Stretch, Work
+from dykeshift.model.world import play
 from dykeshift.lab.processes import run_day
 from dykeshift.rules import Balancer
 
--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -19,7 +19,7 @@
 from time import perf_counter_ns
 from typing import Any
 
-from dykeshift.fleet.day import CLASSES, Balancers, Day, Senders
+from dykeshift.model.day import CLASSES, Balancers, Day, Senders
 from dykeshift.interface import AttemptEnd, Cancel, ListKind, Outcome, Request, Send, ServerEntry, ServerList
 from dykeshift.interface import ServerState, SetTimer
 from dykeshift.lab.subjects import maker
--- a/benchmarks/paper.py
+++ b/benchmarks/paper.py
@@ -19,9 +19,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from dykeshift.fleet.laws import DOLLY, NONE, Constant, Hyperexponential  # noqa: E402
-from dykeshift.fleet.sx import Setting, play  # noqa: E402
-from dykeshift.fleet.theory import Riq  # noqa: E402
+from dykeshift.model.laws import DOLLY, NONE, Constant, Hyperexponential  # noqa: E402
+from dykeshift.model.sx import Setting, play  # noqa: E402
+from dykeshift.model.theory import Riq  # noqa: E402
 
 SIZE = Hyperexponential.balanced(1 / 4.7, 10.0)
 Row = tuple[str, Setting]
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -1,6 +1,6 @@
 """What a fleet costs at 4, 16, 40 and 100 balancers, with the module as it is and as it was, in one run.
 
-Service, refusals and attempts from the model (dykeshift/fleet), first lists and calls from balancers at an
+Service, refusals and attempts from the model (dykeshift/model), first lists and calls from balancers at an
 overbooked discovery. Usage: python -m benchmarks.size [--seeds 3] [--plot FILE.svg] [--json]
 """
 
@@ -13,12 +13,12 @@
 from dataclasses import replace
 from typing import Any
 
-from dykeshift.fleet.calls import MS, Desk, first_lists
-from dykeshift.fleet.day import CLASSES, Balancers, Day, Kind, Senders, Stretch, Trouble, Work
-from dykeshift.fleet.world import play
+from dykeshift.model.calls import MS, Desk, first_lists
+from dykeshift.model.day import CLASSES, Balancers, Day, Kind, Senders, Stretch, Trouble, Work
+from dykeshift.model.world import play
 from dykeshift.lab.stats import Estimate, difference, estimate
 from dykeshift.rules import Balancer
-from tests.fleet.before import Hasty, Wide  # the module as it was: a defect to the tests
+from tests.model.before import Hasty, Wide  # the module as it was: a defect to the tests
 
 SIZES = (4, 16, 40, 100)
 TROUBLES: dict[str, tuple[Trouble, ...]] = {
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -18,8 +18,8 @@
 
 import msgspec
 
-from dykeshift.fleet.day import CLASSES, Balancers, Day, Senders, Stretch, Trouble, Work
-from dykeshift.fleet.world import play as play_model
+from dykeshift.model.day import CLASSES, Balancers, Day, Senders, Stretch, Trouble, Work
+from dykeshift.model.world import play as play_model
 from dykeshift.lab.stats import estimate
 from dykeshift.rig.ruled import Ruled, worded
 from dykeshift.rig.ruled_baselines import WAYS
--- a/dykeshift/lab/plan.py
+++ b/dykeshift/lab/plan.py
@@ -3,7 +3,7 @@
 name = "size"
 policies = ["lifttrail", "two-choices"]
 seeds = 5                       # 1 to 5, or a list
-[day]                           # dykeshift/fleet/day.py has the fields and their defaults
+[day]                           # dykeshift/model/day.py has the fields and their defaults
 load = [{ seconds = 10, load = 0.6 }]
 [[axis]]
 name = "senders"
@@ -26,8 +26,8 @@
 import msgspec
 from msgspec import Meta, field
 
-from dykeshift.fleet.day import Base, Day
-from dykeshift.fleet.peers import PEERS
+from dykeshift.model.day import Base, Day
+from dykeshift.model.peers import PEERS
 
 OWN = "lifttrail"
 FILE = "file:"  # a decision module's file, such as that of another version
--- a/dykeshift/lab/processes.py
+++ b/dykeshift/lab/processes.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from dykeshift.rig.installation import KINDS, Installation
-from dykeshift.fleet.day import Day
+from dykeshift.model.day import Day
 from dykeshift.load.drive import Drive
 from dykeshift.load.schedule import Kind, Load
 from dykeshift.load.transports import connect
--- a/dykeshift/lab/report.py
+++ b/dykeshift/lab/report.py
@@ -9,7 +9,7 @@
 import matplotlib
 from matplotlib.figure import Figure
 
-from dykeshift.fleet.figures import STEP_S
+from dykeshift.model.figures import STEP_S
 from dykeshift.lab.plan import Plan
 from dykeshift.lab.runs import Row
 from dykeshift.lab.stats import Estimate
--- a/dykeshift/lab/subjects.py
+++ b/dykeshift/lab/subjects.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from dykeshift.fleet.day import Day
-from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.peers import PEERS
-from dykeshift.fleet.world import play
+from dykeshift.model.day import Day
+from dykeshift.model.decider import Maker
+from dykeshift.model.peers import PEERS
+from dykeshift.model.world import play
 from dykeshift.lab.plan import FILE, OWN, Cell
 
 
--- a/dykeshift/fleet/chance.py
+++ b/dykeshift/model/chance.py
@@ -13,8 +13,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from dykeshift.fleet.day import SECOND, Day, Stretch, Work
-from dykeshift.fleet.laws import DOLLY, Constant, Hyperexponential
+from dykeshift.model.day import SECOND, Day, Stretch, Work
+from dykeshift.model.laws import DOLLY, Constant, Hyperexponential
 
 Floats = NDArray[np.float64]
 
--- a/dykeshift/fleet/decider.py
+++ b/dykeshift/model/decider.py
@@ -32,4 +32,5 @@
 class Maker(Protocol):
     """Makes the policy of one balancer from the settings and a seed."""
 
-    def __call__(self, settings: Settings, seed: int) -> Decider: ...
+    def __call__(self, settings: Settings, seed: int) -> Decider:
+        """A policy that knows no server yet."""
--- a/dykeshift/fleet/figures.py
+++ b/dykeshift/model/figures.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from numpy.typing import NDArray
 
-from dykeshift.fleet.day import MS, SECOND, Day
+from dykeshift.model.day import MS, SECOND, Day
 
 HOWS = ("open", "ok", "refused", "failed", "reset", "late", "left")
 CODE = {how: n for n, how in enumerate(HOWS)}
--- a/dykeshift/fleet/host.py
+++ b/dykeshift/model/host.py
@@ -7,11 +7,11 @@
 from time import perf_counter_ns
 from typing import TYPE_CHECKING
 
-from dykeshift.fleet.decider import Decider
-from dykeshift.fleet.day import MS
-from dykeshift.fleet.senders import Post, Process, Try
-from dykeshift.fleet.watch import TWICE, Sent
-from dykeshift.fleet.ways import Lines
+from dykeshift.model.decider import Decider
+from dykeshift.model.day import MS
+from dykeshift.model.senders import Post, Process, Try
+from dykeshift.model.watch import TWICE, Sent
+from dykeshift.model.ways import Lines
 from dykeshift.interface import (
     Action,
     AttemptEnd,
@@ -31,7 +31,7 @@
 )
 
 if TYPE_CHECKING:
-    from dykeshift.fleet.world import World
+    from dykeshift.model.world import World
 
 RETURN = 5_000_000  # kept of the client's time for the way back, as the driver does
 
--- a/dykeshift/fleet/peers.py
+++ b/dykeshift/model/peers.py
@@ -26,7 +26,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from dykeshift.fleet.decider import Maker
+from dykeshift.model.decider import Maker
 from dykeshift.interface import (
     NOT_RUN,
     Action,
--- a/dykeshift/fleet/senders.py
+++ b/dykeshift/model/senders.py
@@ -19,8 +19,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dykeshift.fleet.chance import Chance, spot
-from dykeshift.fleet.day import MS, SECOND, Senders
+from dykeshift.model.chance import Chance, spot
+from dykeshift.model.day import MS, SECOND, Senders
 from dykeshift.interface import LoadReport, Outcome, ServerEntry, ServerState
 
 
--- a/dykeshift/fleet/sx.py
+++ b/dykeshift/model/sx.py
@@ -13,7 +13,7 @@
 
 import numpy as np
 
-from dykeshift.fleet.laws import Size, Slowdown
+from dykeshift.model.laws import Size, Slowdown
 
 POLICIES = ("riq", "redundancy", "random")
 
--- a/dykeshift/fleet/theory.py
+++ b/dykeshift/model/theory.py
@@ -14,7 +14,7 @@
 from functools import cached_property
 from math import comb
 
-from dykeshift.fleet.laws import Size, Slowdown
+from dykeshift.model.laws import Size, Slowdown
 
 
 class UnstableError(ValueError):
--- a/dykeshift/fleet/troubles.py
+++ b/dykeshift/model/troubles.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from dykeshift.fleet.chance import nanoseconds
-from dykeshift.fleet.day import SECOND, Trouble
-from dykeshift.fleet.senders import Post
+from dykeshift.model.chance import nanoseconds
+from dykeshift.model.day import SECOND, Trouble
+from dykeshift.model.senders import Post
 from dykeshift.interface import ServerState, Word
 
 if TYPE_CHECKING:
-    from dykeshift.fleet.host import Host
-    from dykeshift.fleet.world import World
+    from dykeshift.model.host import Host
+    from dykeshift.model.world import World
 
 DRAINED = 3 * SECOND  # a draining sender ends after this
 TOLD = 6 * SECOND  # what discovery has to tell counts as told after this (the protocol's figure)
--- a/dykeshift/fleet/watch.py
+++ b/dykeshift/model/watch.py
@@ -9,7 +9,7 @@
 
 from typing import Any
 
-from dykeshift.fleet.day import MS
+from dykeshift.model.day import MS
 from dykeshift.interface import NOT_RUN, Idempotency, Outcome, RequestClass, Scope, ServerEntry, Settings
 
 LOST, TWICE, UNSAFE_AGAIN, KEYED_ASTRAY = "lost", "answered-twice", "unsafe-again", "keyed-astray"
--- a/dykeshift/fleet/ways.py
+++ b/dykeshift/model/ways.py
@@ -11,11 +11,11 @@
 
 from typing import TYPE_CHECKING
 
-from dykeshift.fleet.chance import Chance, spot
-from dykeshift.fleet.day import MS, SECOND, Day
+from dykeshift.model.chance import Chance, spot
+from dykeshift.model.day import MS, SECOND, Day
 
 if TYPE_CHECKING:
-    from dykeshift.fleet.senders import Process
+    from dykeshift.model.senders import Process
 
 
 class Ways:
--- a/dykeshift/fleet/world.py
+++ b/dykeshift/model/world.py
@@ -17,15 +17,15 @@
 
 import numpy as np
 
-from dykeshift.fleet.chance import Chance, nanoseconds, spot
-from dykeshift.fleet.day import MS, SECOND, Day
-from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.figures import Errands, Figures, Run, measure
-from dykeshift.fleet.host import RETURN, Host, Job
-from dykeshift.fleet.senders import Post
-from dykeshift.fleet.troubles import TOLD, Troubles
-from dykeshift.fleet.watch import COLD, LOST, Watcher
-from dykeshift.fleet.ways import Ways
+from dykeshift.model.chance import Chance, nanoseconds, spot
+from dykeshift.model.day import MS, SECOND, Day
+from dykeshift.model.decider import Maker
+from dykeshift.model.figures import Errands, Figures, Run, measure
+from dykeshift.model.host import RETURN, Host, Job
+from dykeshift.model.senders import Post
+from dykeshift.model.troubles import TOLD, Troubles
+from dykeshift.model.watch import COLD, LOST, Watcher
+from dykeshift.model.ways import Ways
 from dykeshift.interface import Idempotency, ListKind, ServerEntry, ServerList, ServerState
 
 FIRST = SECOND  # the day begins here: an instant of 0 means "never" to the module
--- a/tests/fleet/test_cold.py
+++ b/tests/model/test_cold.py
@@ -9,9 +9,9 @@
 import pytest
 
 from dykeshift import rules
-from dykeshift.fleet.day import Balancers, Clients, Day, Senders, Stretch, Trouble
-from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.world import play
+from dykeshift.model.day import Balancers, Clients, Day, Senders, Stretch, Trouble
+from dykeshift.model.decider import Maker
+from dykeshift.model.world import play
 from dykeshift.rules import Balancer, Server
 
 DAY = Day(
--- a/tests/fleet/test_mass.py
+++ b/tests/model/test_mass.py
@@ -8,15 +8,15 @@
 import msgspec
 import pytest
 
-from dykeshift.fleet.day import MS, SECOND, Day
-from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.host import Host, Job
-from dykeshift.fleet.world import FIRST, World, play
+from dykeshift.model.day import MS, SECOND, Day
+from dykeshift.model.decider import Maker
+from dykeshift.model.host import Host, Job
+from dykeshift.model.world import FIRST, World, play
 from dykeshift.interface import Action, ListKind, Outcome, ServerList, ServerState
 from dykeshift.lab import plan as plans
 from dykeshift.rules import Balancer, Open, Server
-from tests.fleet.before import Timid
-from tests.fleet.test_cold import Alone
+from tests.model.before import Timid
+from tests.model.test_cold import Alone
 
 PLAN, _ = plans.read(Path(__file__).parents[2] / "benchmarks" / "experiments" / "mass.toml")
 DAYS = {cell.labels["day"]: cell.day for cell in plans.cells(PLAN) if cell.seed == 1}
--- a/tests/fleet/test_model.py
+++ b/tests/model/test_model.py
@@ -6,13 +6,13 @@
 from msgspec import convert
 from msgspec.structs import replace
 
-from dykeshift.fleet.chance import Chance
-from dykeshift.fleet.day import Balancers, Class, Clients, Day, Discovery, Kind, Senders, Stretch, Trouble
-from dykeshift.fleet.day import Work
-from dykeshift.fleet.decider import Maker
-from dykeshift.fleet.figures import Figures
-from dykeshift.fleet.peers import PEERS
-from dykeshift.fleet.world import World, play
+from dykeshift.model.chance import Chance
+from dykeshift.model.day import Balancers, Class, Clients, Day, Discovery, Kind, Senders, Stretch, Trouble
+from dykeshift.model.day import Work
+from dykeshift.model.decider import Maker
+from dykeshift.model.figures import Figures
+from dykeshift.model.peers import PEERS
+from dykeshift.model.world import World, play
 from dykeshift.interface import Action, AttemptEnd, Fail, ListKind, Outcome, Refuse, Request, Send, ServerList
 from dykeshift.interface import Settings
 from dykeshift.rules import Balancer
--- a/tests/fleet/test_size.py
+++ b/tests/model/test_size.py
@@ -7,10 +7,10 @@
 import pytest
 
 from benchmarks.size import day
-from dykeshift.fleet.calls import MS, Desk, Onset, first_lists
-from dykeshift.fleet.world import play
+from dykeshift.model.calls import MS, Desk, Onset, first_lists
+from dykeshift.model.world import play
 from dykeshift.rules import Balancer
-from tests.fleet.before import Hasty, Patient, Wide
+from tests.model.before import Hasty, Patient, Wide
 from tests.harness import make_settings
 
 COUNT = 40
--- a/tests/fleet/test_theory.py
+++ b/tests/model/test_theory.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from dykeshift.fleet.laws import DOLLY, NONE, Constant, Hyperexponential
-from dykeshift.fleet.sx import Setting, play
-from dykeshift.fleet.theory import Riq, UnstableError
+from dykeshift.model.laws import DOLLY, NONE, Constant, Hyperexponential
+from dykeshift.model.sx import Setting, play
+from dykeshift.model.theory import Riq, UnstableError
 
 EXPONENTIAL = Hyperexponential((1.0,), (1.0,))
 VARIED = Hyperexponential.balanced(1 / 4.7, 10.0)  # the paper's X: mean 1/4.7, squared variation 10
--- a/tests/node/test_one_process.py
+++ b/tests/node/test_one_process.py
@@ -31,7 +31,7 @@
     "dykeshift.mllp",
     "dykeshift.store",
     "dykeshift.sim",
-    "dykeshift.fleet",
+    "dykeshift.model",
     "dykeshift.lab",
     "dykeshift.load",
     "dykeshift.standins",
