--- a/benchmarks/settings_changes.py
+++ b/benchmarks/settings_changes.py
@@ -26,7 +26,7 @@
 
 import msgspec
 
-from dykeshift.fleet.day import Balancers, Day, Senders
+from dykeshift.model.day import Balancers, Day, Senders
 from dykeshift.interface import (
     AttemptEnd,
     ListKind,
--- a/dykeshift/scale/discovery_costs.py
+++ b/dykeshift/scale/discovery_costs.py
@@ -13,8 +13,8 @@
 from functools import cache
 from random import Random
 
-from dykeshift.fleet.calls import MS, Desk, Onset, Seen, first_lists
-from dykeshift.fleet.day import Balancers, Day, Senders
+from dykeshift.model.calls import MS, Desk, Onset, Seen, first_lists
+from dykeshift.model.day import Balancers, Day, Senders
 from dykeshift.rules import Balancer
 from dykeshift.scale.control_costs import GIVEN_UP, ControlCost
 from dykeshift.scale.results import Role, Situation
--- a/tests/scale/test_discovery_costs.py
+++ b/tests/scale/test_discovery_costs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dykeshift.fleet.calls import Seen
+from dykeshift.model.calls import Seen
 from dykeshift.scale import discovery_costs
 from dykeshift.scale.discovery_costs import LIMIT_S, answer_kb, calls_each, costs, first_list_s
 
