Scale: module costs hand the settings to the module as they are worded

The module places classes itself now (settings.succeed is gone). A class that changes takes the place of its name, so the requests of the measurement name the same places as before.

--- a/dykeshift/scale/module_costs.py
+++ b/dykeshift/scale/module_costs.py
@@ -29,7 +29,7 @@
 from dykeshift.scale.results import Situation
 from dykeshift.scale.settings_file import raw_settings
 from dykeshift.scale.upstreams import Population, PopulationShape
-from dykeshift.settings import parse_settings, succeed
+from dykeshift.settings import parse_settings
 
 SECOND = 1_000_000_000  # nanoseconds
 START = 1_000 * SECOND  # on the module's clock
@@ -90,8 +90,7 @@
         classes = list(self.settings.classes)
         classes[at] = replace(classes[at], deadline=classes[at].deadline + 1 + number)
         self.settings = replace(self.settings, classes=tuple(classes))
-        merged = succeed(self.module.settings, self.settings)
-        self.module.on_settings(self.now, merged)
+        self.module.on_settings(self.now, self.settings)
 
     def serve(self, number: int) -> None:
         """One request from its arrival to its answer, with all its attempts."""
