Limits: connections leave the program's and discovery's own descriptors alone at any number

Cause: `engine/config.py: most_connections` gave 0.4 of the descriptors to clients and as many to upstreams, and counted on the rest for the program. It holds 14 at rest (counted in /proc), discovery's watch one, two while it moves: with fewer than 80 descriptors full tables of both kinds left it none (64: 25 + 25 + 14), and discovery could not be dialled. Now 24 are set aside first; from 120 descriptors on the limits are as before.

--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -12,6 +12,9 @@
 Address = tuple[str, int]
 
 SHARE = 0.4  # of the descriptors, for the connections to clients and again for those to upstreams
+# Descriptors that are neither kind's: 14 of the program at rest, discovery's two while it moves, and some for
+# connections that are being accepted or closed. All others together must not take them.
+OWN = 24
 PROGRAM = 16.0  # MB that the program needs with no connection open, measured, with some room
 BUFFERS = 0.128  # MB that one connection holds at the most: a whole body, and again while it is passed on
 CALLERS, CALLERS_SHARE = 16, 16  # operators' connections: so many, or one in so many of the descriptors
@@ -88,7 +91,8 @@
     What is left of the descriptors is for accepting, discovery and sockets that are being closed.
     """
     sockets, memory = int(limits.get("sockets", 1024)) - aside, float(limits.get("memory_mb", 192))
-    return max(4, min(int(sockets * SHARE), int((memory - PROGRAM) * (1 - LONG) / 2 / BUFFERS)))
+    most = min(int(sockets * SHARE), (sockets - OWN) // 2)
+    return max(4, min(most, int((memory - PROGRAM) * (1 - LONG) / 2 / BUFFERS)))
 
 
 def kept_bytes(limits: dict[str, Any]) -> int:
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -70,6 +70,8 @@
         ({"sockets": 256, "memory_mb": 192}, 102),
         ({"sockets": 256, "memory_mb": 32}, 46),
         ({"sockets": 1024, "memory_mb": 64}, 140),
+        ({"sockets": 120, "memory_mb": 192}, 48),
+        ({"sockets": 64, "memory_mb": 192}, 20),  # 25 of each kind, and those at rest, were more than 64
         ({}, 409),
         ({"sockets": 16, "memory_mb": 8}, 4),
     ],
