--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -369,8 +369,8 @@
         ]
 
     def _likeness(self) -> list[Finding]:
-        """Only where whole daemons were there to compare with."""
-        said = self.at_rest.said_s if self.at_rest is not None else {}
+        """Only where whole daemons were there to compare with, and the hosts were not late."""
+        said = self.at_rest.said_s if self.at_rest is not None and not self.starved else {}
         if WHOLE not in said or ORDINARY not in said:
             return []
         return verdict.likeness(said[ORDINARY], said[WHOLE])
