--- a/dykeshift/scale/engine_costs.py
+++ b/dykeshift/scale/engine_costs.py
@@ -261,6 +261,11 @@
     return [max(0, *growth_bytes(build, [churn])) / BYTES_PER_MB]
 
 
+def day_kept_mb(size: int, seed: int) -> list[float]:
+    """What one day's worth of churn leaves held beyond what was held before."""
+    return days_kept_mb(size, 1, seed)
+
+
 def zone_at_once_ms(size: int, seed: int) -> list[float]:
     """A zone of five gone, told in one change."""
     return [_zone_ms(size, seed, at_once=True) for _ in range(ROUNDS)]
@@ -388,6 +393,7 @@
             situation=day,
             notes=f"three for each restart or replacement, each told alone; the first {MOST_STEPS}",
         ),
+        Cost("engine.list.day-kept", "held after a day's churn", "memory", "MB", day_kept_mb, situation=day),
         Cost(
             "engine.list.days-kept",
             "held after days of churn",
