--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -10,7 +10,7 @@
 import pytest
 
 from dykeshift.cli import main
-from dykeshift.cli.scale import command_fault, stale_commands
+from dykeshift.cli.scale_page import command_fault, stale_commands
 from dykeshift.scale import evaluate, page
 from dykeshift.scale.audit import faults, stale
 from dykeshift.scale.evaluate import Verdict, rank, work_out, work_out_all
