--- a/tests/node/test_crowded.py
+++ b/tests/node/test_crowded.py
@@ -101,7 +101,7 @@
 
     def answers(self, target: str) -> bytes:
         query = parse_qs(urlsplit(target).query)
-        if "from" in query:
+        if "from" in query and int(query["from"][0]) >= self.generation:
             self.never.wait(int(query["hold_ms"][0]) / 1000)
             return json.dumps(listing(self.generation, False)).encode()
         return json.dumps(listing(self.generation, True, *self.rows)).encode()
@@ -185,3 +185,26 @@
             until_ready(daemon, given, READY)
             assert b"200 OK" in asked(address_of(given), request(rid="r1"))
     servers[0].shutdown()
+
+
+@pytest.mark.skipif(sys.platform != "linux", reason="limits descriptors")
+@pytest.mark.parametrize("way", ["ask", "push"])
+def test_discovery_is_heard_when_connections_to_upstreams_rest_beside_idle_clients(
+    tmp_path: Path, way: str
+) -> None:
+    """Both kinds together took every descriptor of a small process, and discovery could not be dialled."""
+    servers, added = upstreams(FEW), server(("127.0.0.1", 0), lambda _: b"added")
+    rows = rows_of(servers)
+    gone, came = (
+        [{**row, "lifecycle": "leaving"} for row in rows],
+        instance("s99", ("127.0.0.1", added.server_port)),
+    )
+    back = Told(*gone, came)
+    given = configured(way, back.address, known=listing(1, True, *rows))
+    with crowded(tmp_path, given, [request(rid=f"r{n}") for n in range(6 * FEW)]) as daemon, back:
+        n = 0
+        while b"added" not in asked(address_of(given), request(rid=f"s{n}")):
+            n += 1
+            assert daemon.poll() is None
+    for one in [*servers, added]:
+        one.shutdown()
