--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -84,10 +84,10 @@
 @RESULTS
 @JSON
 def control(only: str, seeds: int, path: str, as_json: bool) -> int:
-    """Measure membership, consensus, versions, discovery on the virtual clock, into the results file."""
-    from dykeshift.scale import control_costs, discovery_costs, results
+    """Measure control and discovery on the virtual clock, into the results file."""
+    from dykeshift.scale import control_costs, discovery_costs, results, tier_costs
 
-    costs = control_costs.costs() + discovery_costs.costs()
+    costs = control_costs.costs() + discovery_costs.costs() + tier_costs.costs()
     chosen = [cost for cost in costs if cost.id.startswith(only)]
     if not chosen:
         raise Usage(f"lifttrail scale control: no measurement begins with {only}")
