--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -17,10 +17,11 @@
     BYTES_PER_MB,
     CHANGES_A_DAY,
     CHANGES_A_SECOND,
+    DAYS_KEPT,
     DISCOVERY_BYTES,
     DISCOVERY_RETURN,
+    GROWING_CHANGES,
     IN_FORCE,
-    KEPT,
     LATENCY,
     LINK_BYTES,
     LIST_CHANGES_A_RESTART,
@@ -34,6 +35,7 @@
     MEMORY,
     MS_A_SECOND,
     NOBODY_BEHIND,
+    NONE_LOST,
     OPERATOR_WAIT,
     PART_OF_TEN,
     PERCENT,
@@ -94,6 +96,7 @@
 
 
 STANDING = "as it stands"
+TEN_THOUSAND = "over 10,000 changes"
 BEFORE = "before"
 TIER = "control tier, sockets"
 TIER_RUN_VIRTUAL = "control tier, virtual clock"
@@ -126,19 +129,21 @@
     return (Way(STANDING, terms),)
 
 
-def _with_before(*terms: Term) -> tuple[Way, ...]:
-    """As it stands now, and as it was measured before the mechanism."""
+def _with_before(played: Term, *terms: Term) -> tuple[Way, ...]:
+    """Over 10,000 changes with requests under way, over 300 in a row, and before the mechanism."""
     before = tuple(
         Term(f"{one.measurement}.{BEFORE_VARIANT}", one.at, one.factor, one.statistic, one.factor_text)
         for one in terms
     )
-    return Way(STANDING, terms), Way(BEFORE, before)
+    return Way(TEN_THOUSAND, (played,)), Way(STANDING, terms), Way(BEFORE, before)
 
 
 def _data_lines() -> tuple[Line, ...]:
     ups = float(UPSTREAMS)
     day_kept = CHANGES_A_DAY / MEASURED_CHANGES
     kept_text = f"{CHANGES_A_DAY:,} / {MEASURED_CHANGES} changes"
+    grown = CHANGES_A_DAY / GROWING_CHANGES
+    grown_text = f"{CHANGES_A_DAY:,} / {GROWING_CHANGES:,} changes"
     list_rate = f"{LIST_CHANGES_A_SECOND:.3f} list changes/s"
     return (
         Line(
@@ -194,6 +199,24 @@
             "services",
             _with_before(Term("module.state.by-classes", SERVICES)),
         ),
+        Line(
+            "data.state.failing",
+            DATA,
+            REST,
+            "the same, once each class has failed everywhere",
+            MEMORY,
+            "services",
+            _stands(Term("module.state.failing-by-classes", SERVICES)),
+        ),
+        Line(
+            "data.quiet",
+            DATA,
+            REST,
+            "a whole daemon without requests",
+            RATE,
+            "services",
+            _stands(Term("daemon.cpu.quiet", ups)),
+        ),
         Line(
             "data.list.memory",
             DATA,
@@ -251,10 +274,30 @@
             "data.list.kept",
             DATA,
             DAY,
-            "kept after a day's list changes",
-            KEPT,
+            "kept after sixteen days' list changes",
+            MEMORY,
             "list-deltas",
-            _stands(Term("engine.list.day-kept", ups)),
+            _stands(Term("engine.list.days-kept", DAYS_KEPT)),
+        ),
+        Line(
+            "data.sweeps.day",
+            DATA,
+            DAY,
+            "sweeps over all upstreams, one in a hundred leaving, one cold",
+            RATE,
+            "services",
+            _stands(
+                Term("module.sweep.day", ups, 1 / SWEEP_SECONDS, factor_text=f"one each {SWEEP_SECONDS:g} s"),
+            ),
+        ),
+        Line(
+            "data.refused",
+            DATA,
+            DAY,
+            "requests refused or failed while lists change",
+            NONE_LOST,
+            "list-deltas",
+            _stands(Term("daemon.requests.day-not-served", ups)),
         ),
         Line(
             "data.terms.stall",
@@ -263,7 +306,10 @@
             "a class's terms change",
             STALL,
             "returned-terms",
-            _with_before(Term("module.settings.change", ups)),
+            _with_before(
+                Term("module.class-change.time", ups, 1 / MS_A_SECOND, P99, "ms for us"),
+                Term("module.settings.change", ups, statistic=P99),
+            ),
         ),
         Line(
             "data.terms.kept",
@@ -272,7 +318,10 @@
             "kept after a day's changes of terms",
             MEMORY,
             "returned-terms",
-            _with_before(Term("module.settings.kept", ups, day_kept, factor_text=kept_text)),
+            _with_before(
+                Term("module.class-change.memory", ups, grown, factor_text=grown_text),
+                Term("module.settings.kept", ups, day_kept, factor_text=kept_text),
+            ),
         ),
         Line(
             "data.settings.load",
@@ -362,6 +411,15 @@
             "list-deltas",
             _stands(Term("engine.list.full", ups)),
         ),
+        Line(
+            "data.latency.tenfold",
+            DATA,
+            TENFOLD,
+            "added to a request, 99 in 100, lists change ten times as often",
+            LATENCY,
+            "list-deltas",
+            _stands(Term("daemon.latency.tenfold-added-p99", ups)),
+        ),
         Line(
             "data.tenfold",
             DATA,
@@ -370,12 +428,18 @@
             RATE,
             "returned-terms",
             _with_before(
+                Term(
+                    "module.class-change.time",
+                    ups,
+                    CHANGES_A_SECOND * PART_OF_TEN / MS_A_SECOND,
+                    factor_text=f"{CHANGES_A_SECOND * PART_OF_TEN:.2f} changes/s, ms for us",
+                ),
                 Term(
                     "module.settings.change",
                     ups,
                     CHANGES_A_SECOND * PART_OF_TEN,
                     factor_text=f"{CHANGES_A_SECOND * PART_OF_TEN:.2f} changes/s",
-                )
+                ),
             ),
         ),
         Line(
@@ -386,12 +450,18 @@
             MEMORY,
             "returned-terms",
             _with_before(
+                Term(
+                    "module.class-change.memory",
+                    ups,
+                    grown * PART_OF_TEN,
+                    factor_text=f"ten times {grown_text}",
+                ),
                 Term(
                     "module.settings.kept",
                     ups,
                     day_kept * PART_OF_TEN,
                     factor_text=f"ten times {kept_text}",
-                )
+                ),
             ),
         ),
     )
--- a/dykeshift/scale/targets.py
+++ b/dykeshift/scale/targets.py
@@ -42,6 +42,10 @@
 """In which a whole roll replaces every upstream; set here."""
 MEASURED_CHANGES = 300
 """Changes after which `module.settings.kept` is looked at."""
+GROWING_CHANGES = 9_000
+"""Changes over which `module.class-change.memory` grows: nine tenths of 10,000."""
+DAYS_KEPT = 16.0
+"""Days of churn after which `engine.list.days-kept` has levelled off."""
 SWEEP_SECONDS = 0.75
 """Between two sweeps of the decision module."""
 POOL_SWEEP_SECONDS = 0.5
@@ -86,9 +90,7 @@
     "one piece of work on the request loop", 2.7, "ms", reason="what stalls the loop is added to requests"
 )
 RATE = Target("work on the request loop", 18.0, "ms/s", reason="as control's, which shares the core")
-KEPT = Target(
-    "memory that a day leaves behind", 0.64, "MB", reason="1% of control's memory a day: a restart in 100"
-)
+NONE_LOST = Target("requests lost to list changes", 1.0, "requests", reason="under one; a count has no half")
 ZONE_WORK = Target(
     "a zone's upstreams off the list", 3.0, "s", reason="the module's overload window; clients wait so long"
 )
