Scale: a slow rise is not taken for flat

With a tenth of residual allowed, a time of 11.3, 12.0, 12.6 s at 12, 40, 100 members counted as flat and was 12.1 s at 930, under what had been measured at 100. Flat is now a residual of 2%, or where a second term does not halve it; the same line is 14.0 s at 930.

--- a/dykeshift/scale/slopes.py
+++ b/dykeshift/scale/slopes.py
@@ -1,11 +1,11 @@
 """How a measured quantity grows with size: fits, and what they say inside and outside the measured range.
 
 Theory of operation. A fit is `intercept + slope x f(size)` by least squares, with f one of the shapes
-below. Each point is weighed by one over its value: a deviation of a tenth counts alike at 40 members and at
-930. The residual is the root mean square of these relative deviations. The flat shape (one term) is taken
-where its residual is small (`FLAT`); else, of the shapes with two terms, that of the smallest residual, the
-slower growth where two are as good. A cost that falls as the size grows is no growth: it is taken as flat,
-with the residual that this has.
+below. Each point is weighed by one over its value: a deviation of a tenth counts alike at 40 members and
+at 930. The residual is the root mean square of these relative deviations. The flat shape (one term) is
+taken where its residual is small (`FLAT`); else, of the shapes with two terms, that of the smallest
+residual, the slower growth where two are as good. A cost that falls as the size grows is no growth: it is
+taken as flat, with the residual that this has.
 
 Promises: no fit from fewer than three sizes. What was measured at the size asked for is *measured* and
 needs no fit; a value between measured sizes is *interpolated*, one beyond them *extrapolated*, never
@@ -26,7 +26,8 @@
 from dykeshift.scale.results import Measurement, Point
 
 LEAST_SIZES = 3
-FLAT = 0.1  # relative residual up to which a quantity is held for flat
+FLAT = 0.02  # relative residual up to which a quantity is held for flat
+GAIN = 2.0  # a second term has to make the residual so many times smaller
 AS_GOOD = 1.2  # a slower shape is taken where its residual is at most so many times the smallest
 EXACT = 1e-9  # relative residuals under this differ by rounding alone
 SMALLEST_WEIGHT = 0.02  # values under this share of the largest are weighed as if they were this share
@@ -124,6 +125,8 @@
     if flat.residual <= FLAT or not growing:
         return flat
     least = min(one.residual for one in growing)
+    if flat.residual < GAIN * least:
+        return flat
     return next(one for one in growing if one.residual <= max(least * AS_GOOD, EXACT))
 
 
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -61,6 +61,19 @@
     assert found.intercept == pytest.approx(5.0, rel=0.05)
 
 
+def test_a_slow_rise_is_not_taken_for_flat() -> None:
+    """A tenth more from 12 to 100 members goes on rising: the value at 930 is not below what was seen."""
+    points = tuple(point(size, value) for size, value in ((12, 11.34), (40, 12.01), (100, 12.55)))
+    found = fit(measurement(points=points))
+    assert found.shape is Shape.LOG
+    assert 13.0 < found.at(930) < 15.0
+
+
+def test_noise_without_a_trend_is_flat() -> None:
+    points = tuple(point(size, value) for size, value in ((40, 5.0), (200, 5.6), (930, 5.1)))
+    assert fit(measurement(points=points)).shape is Shape.FLAT
+
+
 def test_what_falls_is_flat_with_the_residual_that_this_has() -> None:
     found = fit(measurement(points=drawn(lambda size: 100.0 / size)))
     assert found.shape is Shape.FLAT
