--- a/dykeshift/scale/control_costs.py
+++ b/dykeshift/scale/control_costs.py
@@ -308,6 +308,7 @@
 VIRTUAL_NETWORK = "the core's calls alone: no sockets, no datagram shell"
 IN_FEW = {"members": str(FEW)}
 MEMBER_SIZES = (12, 40, 100)
+CHANGE_MEMBER_SIZES = (12, 40, 100, 200)
 AWAY_FROM = 40  # places of the roster where some are away
 AWAY_SIZES = (1, 2, 4)
 KILOBYTE_SIZES = (1, 4, 8, 16)
@@ -333,7 +334,7 @@
             "time until in force everywhere",
             "s",
             partial(change_in_force_s, contradicts=True),
-            MEMBER_SIZES,
+            CHANGE_MEMBER_SIZES,
             situation=day,
         ),
         ControlCost(
@@ -342,7 +343,7 @@
             "time until in force everywhere",
             "s",
             partial(change_in_force_s, contradicts=False),
-            MEMBER_SIZES,
+            CHANGE_MEMBER_SIZES,
             situation=day,
         ),
         ControlCost(
