--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -713,7 +713,12 @@
             CONTROL,
             DAY,
             "changes one after the other: share of the time that they take",
-            Target("of the time", 100.0, "%", reason="over it, the queue grows without end"),
+            Target(
+                "share of the time that changes take, one after the other",
+                100.0,
+                "%",
+                reason="over it, the queue grows without end",
+            ),
             "configuration",
             (
                 Way(
--- a/dykeshift/scale/page.py
+++ b/dykeshift/scale/page.py
@@ -116,7 +116,8 @@
     for situation in Situation:
         cells = [_cell_text(worked, role, situation) for role in Role]
         rows.append((situation.value, *cells))
-    counts = ", ".join(f"{sum(one.verdict is verdict for one in worked)} {verdict}" for verdict in Verdict)
+    words = zip(Verdict, ("fit", "do not fit", "are not shown"), strict=True)
+    counts = ", ".join(f"{sum(one.verdict is verdict for one in worked)} {word}" for verdict, word in words)
     legend = "Lines that fit / do not fit / are not shown, and the largest factor of those that do not fit."
     grid = table(("situation", *(role.value for role in Role)), rows)
     return f"## Overview\n\nOf {len(worked)} lines: {counts}.\n{legend}\n\n{grid}"
@@ -169,7 +170,7 @@
 
 
 def _target_text(target: Target) -> str:
-    return f"{target.bound.value} {target.value:,g} {target.unit}"
+    return f"{target.bound.value} {target.value:,.10g} {target.unit}"
 
 
 def _mechanism_text(key: str) -> str:
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -187,7 +187,7 @@
 def test_an_empty_file_shows_nothing() -> None:
     text = render(held())
     assert faults(text, held()) == []
-    counts = re.search(r"Of (\d+) lines: 0 fits, 0 does not fit, (\d+) not shown", text)
+    counts = re.search(r"Of (\d+) lines: 0 fit, 0 do not fit, (\d+) are not shown", text)
     assert counts is not None and counts[1] == counts[2] == str(len(LINES))
 
 
