--- a/dykeshift/scale/evaluate.py
+++ b/dykeshift/scale/evaluate.py
@@ -6,8 +6,8 @@
 terms: *extrapolated* before *interpolated* before *measured*; what was multiplied or added is *worked out
 from* these.
 
-Promises: every line has one of three verdicts; a line without a measurement has no value; a time that was
-measured on a starved machine is no proof that something does not fit.
+Promises: every line has one of three verdicts; a line without a measurement has no value; what a starved
+machine lengthens (times, what is late or lost) is no proof that something does not fit.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from dykeshift.scale.targets import Bound, Target
 
 WEAKEST_FIRST = (Basis.EXTRAPOLATED, Basis.INTERPOLATED, Basis.MEASURED)
-TIME_UNITS = ("s", "ms", "us")
-PROCESSOR_WORD = "processor time"  # a quantity that a starved machine does not lengthen
+SAFE_UNITS = ("MB", "KB", "bytes", "bytes/s", "datagrams/s")  # of what a starved machine does not change
+PROCESSOR_WORD = "processor time"  # nor this
 LIMIT = "limit"  # the condition that says at which value a run gave up
 
 
@@ -170,7 +170,7 @@
         growth=tuple(one.fit.shape.value for one in estimates if one.fit is not None),
         worked_out=len(way.terms) > 1 or way.terms[0].factor != 1.0,
         reach=max(one.reach for one in estimates),
-        starved=any(_lengthened(one) for one in measurements),
+        starved=any(map(_lengthened, measurements)),
         at_least=any(map(_gave_up, measurements)),
     )
 
@@ -188,9 +188,9 @@
 
 
 def _lengthened(measurement: Measurement) -> bool:
-    """Whether a starved machine may have made the figure larger."""
-    is_time = measurement.unit in TIME_UNITS and PROCESSOR_WORD not in measurement.quantity
-    return measurement.starved and is_time
+    """Whether a starved machine may have made the figure larger: a time, or what is late or lost."""
+    safe = measurement.unit in SAFE_UNITS or PROCESSOR_WORD in measurement.quantity
+    return measurement.starved and not safe
 
 
 def _gave_up(measurement: Measurement) -> bool:
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from dykeshift.scale.results import Role, Situation
 from dykeshift.scale.slopes import Statistic
@@ -126,16 +126,19 @@
 
 
 def _stands(*terms: Term) -> tuple[Way, ...]:
-    return (Way(STANDING, terms),)
+    """As it stands now, and as it was measured before the mechanisms."""
+    return Way(STANDING, terms), _before(terms)
+
+
+def _before(terms: tuple[Term, ...]) -> Way:
+    names = (f"{one.measurement}.{BEFORE_VARIANT}" for one in terms)
+    earlier = (replace(one, measurement=name) for one, name in zip(terms, names, strict=True))
+    return Way(BEFORE, tuple(earlier))
 
 
 def _with_before(played: Term, *terms: Term) -> tuple[Way, ...]:
     """Over 10,000 changes with requests under way, over 300 in a row, and before the mechanism."""
-    before = tuple(
-        Term(f"{one.measurement}.{BEFORE_VARIANT}", one.at, one.factor, one.statistic, one.factor_text)
-        for one in terms
-    )
-    return Way(TEN_THOUSAND, (played,)), Way(STANDING, terms), Way(BEFORE, before)
+    return Way(TEN_THOUSAND, (played,)), *_stands(*terms)
 
 
 def _data_lines() -> tuple[Line, ...]:
--- a/dykeshift/scale/page.py
+++ b/dykeshift/scale/page.py
@@ -143,7 +143,7 @@
     tail = (_mechanism_text(line.mechanism), _others_text(worked))
     target = _target_text(line.target)
     if value is None:
-        reason = "; ".join(worked.missing)
+        reason = worked.missing[0]
         return (*head, NOTHING, reason, NOTHING, target, worked.verdict.value, NOTHING, *tail)
     shown = _value_text(value, line.target)
     basis, growth = _basis_text(value), " and ".join(value.growth) or "no fit"
