--- a/benchmarks/configuration_tier.py
+++ b/benchmarks/configuration_tier.py
@@ -18,10 +18,13 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from pathlib import Path
 from random import Random
 from statistics import median
 from typing import Any
 
+import msgspec
+
 from dykeshift.configuration.catch_up import Staging, build_part
 from dykeshift.configuration.scope import Scope
 from dykeshift.configuration.state import SubscriberState
@@ -39,7 +42,7 @@
     summarise,
 )
 
-COMMAND = "python -m benchmarks.configuration_tier --members {members} --seed {seed} --record"
+COMMAND = "python -m benchmarks.configuration_tier --members {members} --seed {seed}{flags} --record"
 SERVICES, TENANTS, ROUTES, HELD = 510, 30_000, 2_400, 10
 BUSY_RATE = 3_400 / (8 * 3_600)  # changes a second
 REST_SECONDS, BUSY_SECONDS, TENFOLD_SECONDS = 10.0, 40.0, 20.0
@@ -64,7 +67,7 @@
     unit: str
     situation: Situation
     notes: str = ""
-    by_size: dict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
+    by_size: dict[int, list[float]] = field(default_factory=dict)
 
 
 class Measured:
@@ -75,11 +78,16 @@
         self.processor_time = processor_time
         self.samples: dict[str, Samples] = {}
 
+    def sizes(self) -> set[int]:
+        """The numbers of subscribers that were played whole."""
+        last = self.samples.get("subscribers.total-bytes.after-an-hour")
+        return set(last.by_size) if last is not None else set()
+
     def add(self, identifier: str, size: int, values: Sequence[float], made: Callable[[], Samples]) -> None:
         """Samples of a quantity at a size."""
         if identifier not in self.samples:
             self.samples[identifier] = made()
-        self.samples[identifier].by_size[size] += values
+        self.samples[identifier].by_size.setdefault(size, []).extend(values)
 
 
 class Phase:
@@ -393,6 +401,7 @@
 
 def measurements(measured: Measured, members: str, seed: int) -> list[Measurement]:
     """As the results file has them."""
+    flags = "" if measured.processor_time else " --no-processor-time"
     found = []
     for identifier, samples in measured.samples.items():
         parameter, unit = PARAMETERS.get(identifier, ("subscribers", "subscribers"))
@@ -410,7 +419,7 @@
                 parameter=parameter,
                 parameter_unit=unit,
                 points=points,
-                command=COMMAND.format(members=members, seed=seed),
+                command=COMMAND.format(members=members, seed=seed, flags=flags),
                 program=program_version(),
                 clock=ClockKind.VIRTUAL,
                 conditions=CONDITIONS,
@@ -438,12 +447,19 @@
     parser.add_argument("--members", default="40,200,930")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--record", action="store_true")
+    parser.add_argument("--keep", metavar="FILE", help="samples of sizes that were played, not to play again")
     parser.add_argument("--no-processor-time", action="store_true", help="on a machine that is busy")
     arguments = parser.parse_args()
+    kept = Path(arguments.keep) if arguments.keep else None
     measured = Measured(not arguments.no_processor_time)
+    if kept is not None and kept.exists():
+        measured.samples = msgspec.json.decode(kept.read_bytes(), type=dict[str, Samples])
     for size in (int(word) for word in arguments.members.split(",")):
-        Run(size, arguments.seed, measured).play()
+        if size not in measured.sizes():
+            Run(size, arguments.seed, measured).play()
         gc.collect()
+        if kept is not None:
+            kept.write_bytes(msgspec.json.encode(measured.samples))
         for identifier, samples in measured.samples.items():
             print(json.dumps(_line(identifier, size, samples.by_size[size], samples.unit)), flush=True)
     measure_memory(arguments.seed, measured)
