--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -200,7 +200,7 @@
             "state by server and class, a class for each service",
             MEMORY,
             "services",
-            _with_before(Term("module.state.by-classes", SERVICES)),
+            _stands(Term("module.state.by-classes", SERVICES)),
         ),
         Line(
             "data.state.failing",
