--- a/benchmarks/settings_changes.py
+++ b/benchmarks/settings_changes.py
@@ -1,14 +1,14 @@
 """What a class whose terms change costs the decision module: time and memory, by the number of servers.
 
-    python benchmarks/settings_changes.py [--servers 200,1000,10000] [--changes 10000] [--classes 3]
+    python -m benchmarks.settings_changes [--servers 200,1000,10000] [--changes 10000] [--classes 3]
                                           [--other FILE] [--other-changes 300] [--record] [--json]
 
 Each run is a process of its own: a balancer with these servers. Each change gives one class terms that it
 never had, while six requests at any time are under way on older terms. Time is the processor's for
 `on_settings`; memory is resident, before the first change (the state of servers and classes) and how much it
 grows by a first tenth of the changes, to fill what is used again, and then by the rest. `--other` is another
-decision module's file, with places that are never used again, as modules before 0.8 had it: it gets settings
-with all classes that ever were. `--record` writes into benchmarks/results/capacity.json.
+decision module's file of the time when places were never used again: it gets settings with all classes that
+ever were. `--record` writes into benchmarks/results/capacity.json; `lifttrail scale page --write` follows it.
 """
 
 from __future__ import annotations
@@ -167,7 +167,15 @@
 
 def play_apart(source: str, servers: int, classes: int, changes: int) -> Outcomes:
     """One run, in a process of its own."""
-    command = [sys.executable, __file__, "--one", source, "--servers", str(servers)]
+    command = [
+        sys.executable,
+        "-m",
+        "benchmarks.settings_changes",
+        "--one",
+        source,
+        "--servers",
+        str(servers),
+    ]
     command += ["--classes", str(classes), "--changes", str(changes)]
     done = subprocess.run(command, capture_output=True, check=True, timeout=LONGEST)
     return msgspec.json.decode(done.stdout, type=Outcomes)
@@ -200,7 +208,7 @@
         "parameter_unit": "servers",
         "command": command,
         "program": program_version(),
-        "clock": ClockKind.VIRTUAL,
+        "clock": ClockKind.REAL,
         "conditions": {
             "classes": str(runs[0].classes),
             "changes": str(runs[0].changes),
@@ -229,14 +237,6 @@
             notes="what shrank counts as 0",
             **common,
         ),
-        Measurement(
-            id="module.state.memory",
-            name="servers and classes",
-            quantity="resident memory of the decision module's servers and classes before the first change",
-            unit="MB",
-            points=tuple(point(one, one.state_mb) for one in runs),
-            **common,
-        ),
     ]
 
 
@@ -267,7 +267,7 @@
         for row in rows:
             print(json.dumps(row) if given.json else row, flush=True)
     if given.record:
-        command = f"python benchmarks/settings_changes.py --servers {given.servers} --changes {given.changes}"
+        command = f"python -m benchmarks.settings_changes --servers {given.servers} --changes {given.changes}"
         record(measurements_of(runs, f"{command} --classes {given.classes}"))
 
 
