--- a/dykeshift/scale/evaluate.py
+++ b/dykeshift/scale/evaluate.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from dykeshift.scale.lines import LINES, Line, Term, Way
@@ -102,6 +102,11 @@
     return Worked(line, _verdict_of(value), value, others, ())
 
 
+def as_found(lines: Sequence[Line] = LINES) -> tuple[Line, ...]:
+    """The lines with their ways oldest first: as they were before the newest mechanisms."""
+    return tuple(replace(line, ways=line.ways[::-1]) for line in lines)
+
+
 def work_out_all(results: ResultsFile, lines: Sequence[Line] = LINES) -> tuple[Worked, ...]:
     """All lines, in their order."""
     return tuple(work_out(line, results) for line in lines)
--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -282,17 +282,6 @@
             "list-deltas",
             _stands(Term("engine.list.days-kept", DAYS_KEPT)),
         ),
-        Line(
-            "data.sweeps.day",
-            DATA,
-            DAY,
-            "sweeps over all upstreams, one in a hundred leaving, one cold",
-            RATE,
-            "services",
-            _stands(
-                Term("module.sweep.day", ups, 1 / SWEEP_SECONDS, factor_text=f"one each {SWEEP_SECONDS:g} s"),
-            ),
-        ),
         Line(
             "data.refused",
             DATA,
--- a/dykeshift/scale/page.py
+++ b/dykeshift/scale/page.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
-from dykeshift.scale.evaluate import Ranked, Value, Verdict, Worked, rank, work_out_all
+from dykeshift.scale.evaluate import Ranked, Value, Verdict, Worked, as_found, rank, work_out_all
 from dykeshift.scale.lines import LINES, Term
 from dykeshift.scale.mechanisms import MECHANISMS, State, mechanism
 from dykeshift.scale.page_text import HEAD, REGIONS_APART, regions_apart
@@ -46,6 +46,11 @@
     "medians",
     "run",
 )
+ORDER_RULE = (
+    "First comes, of those whose needs are there, the mechanism furthest over its target on which the lines"
+    " of others stand; where none has such lines, the one furthest over its target. *As it was found* takes"
+    " each line's oldest way, *as it is now* its newest that shows something."
+)
 NOTHING = "-"
 DIGITS = 3
 
@@ -56,7 +61,7 @@
     commands = _Commands(results)
     parts = [HEAD, _targets_part(), _overview_part(worked)]
     parts += [_role_part(role, worked, results, commands) for role in Role]
-    parts += [_seen_part(check_seen(results)), _order_part(worked)]
+    parts += [_seen_part(check_seen(results)), _order_part(worked, work_out_all(results, as_found()))]
     parts += [REGIONS_APART, regions_apart(), commands.part()]
     return "\n\n".join(part.strip() for part in parts) + "\n"
 
@@ -239,33 +244,43 @@
     )
 
 
-def _order_part(worked: Sequence[Worked]) -> str:
-    ranked = rank(worked)
-    rows = [_ranked_cells(number, one) for number, one in enumerate(ranked, 1)]
-    headings = (
-        "order",
-        "mechanism",
-        "state",
-        "lines over",
-        "furthest",
-        "factor",
-        "lines of others",
-        "what it is",
-    )
-    text = "## Order of the missing mechanisms\n\n" + _order_words(ranked) + "\n\n" + table(headings, rows)
-    silent = [one.name for one in MECHANISMS if one.state is not State.STANDS]
-    silent = [name for name in silent if name not in {one.mechanism.name for one in ranked}]
+ORDER_HEADINGS = (
+    "order",
+    "mechanism",
+    "state",
+    "lines over",
+    "furthest",
+    "factor",
+    "lines of others",
+    "what it is",
+)
+
+
+def _order_part(worked: Sequence[Worked], found: Sequence[Worked]) -> str:
+    parts = ["## Order of the missing mechanisms", ORDER_RULE]
+    parts += ["### As it was found", *_order_table(rank(found))]
+    parts += ["### As it is now", *_order_table(rank(worked))]
+    silent = _silent_mechanisms(worked)
     if silent:
-        text += f"\n\nNo line of these is shown to be over its target: {', '.join(silent)}."
-    return text
+        parts.append(f"No line of these is shown to be over its target: {', '.join(silent)}.")
+    return "\n\n".join(parts)
+
+
+def _silent_mechanisms(worked: Sequence[Worked]) -> list[str]:
+    ranked = {one.mechanism.key for one in rank(worked)}
+    return [one.name for one in MECHANISMS if one.state is not State.STANDS and one.key not in ranked]
+
+
+def _order_table(ranked: Sequence[Ranked]) -> tuple[str, str]:
+    rows = [_ranked_cells(number, one) for number, one in enumerate(ranked, 1)]
+    return _order_words(ranked), table(ORDER_HEADINGS, rows)
 
 
 def _order_words(ranked: Sequence[Ranked]) -> str:
     if not ranked:
         return "No line is over its target."
     first = ranked[0]
-    words = "First comes, once what it needs is there, the mechanism furthest over its target on which the"
-    words += f" lines of others stand. That is **{first.mechanism.name}**: `{first.worst.line.id}` is"
+    words = f"First is **{first.mechanism.name}**: `{first.worst.line.id}` is"
     words += f" {number_text(first.worst.factor)} times its target, {first.failing} lines of its own are over"
     words += f" theirs, and {first.standing} lines of mechanisms that stand on it."
     further = max(ranked, key=lambda one: one.worst.factor)
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -13,7 +13,7 @@
 from dykeshift.cli.scale_page import command_fault, stale_commands
 from dykeshift.scale import evaluate, page
 from dykeshift.scale.audit import faults, stale
-from dykeshift.scale.evaluate import Verdict, rank, work_out, work_out_all
+from dykeshift.scale.evaluate import Verdict, as_found, rank, work_out, work_out_all
 from dykeshift.scale.lines import LINES, Line, Term, Way
 from dykeshift.scale.mechanisms import MECHANISMS
 from dykeshift.scale.page import number_text, render
@@ -176,6 +176,14 @@
     assert ranked[1].worst.factor > ranked[0].worst.factor
 
 
+def test_as_it_was_found_is_the_oldest_way() -> None:
+    ways = (Way("new", (Term("new", 40),)), Way("old", (Term(QUIET, 40),)))
+    both = replace(line(target=Target("cost", 0.5, "ms/s")), ways=ways, mechanism="configuration")
+    results = held(quiet(), measurement("new", points=(point(40, 0.1),)))
+    assert rank(work_out_all(results, (both,))) == ()
+    assert [one.mechanism.key for one in rank(work_out_all(results, as_found((both,))))] == ["configuration"]
+
+
 # ---- rendering ----
 
 
