--- a/dykeshift/scale/evaluate.py
+++ b/dykeshift/scale/evaluate.py
@@ -112,13 +112,16 @@
     return tuple(work_out(line, results) for line in lines)
 
 
-def rank(worked: Sequence[Worked]) -> tuple[Ranked, ...]:
+def rank(worked: Sequence[Worked], standing_too: bool = False) -> tuple[Ranked, ...]:
     """Mechanisms with lines that do not fit, in the order in which they are to be built.
 
+    `standing_too`: also those that stand by now, for lines as they were found.
+
     First comes, of those whose own needs come before them, the one furthest over its target on which others'
     lines stand; where no lines stand on any, the one furthest over its target.
     """
-    left = [found for one in MECHANISMS if (found := _ranked(one, worked)) is not None]
+    asked = [one for one in MECHANISMS if standing_too or one.state is not State.STANDS]
+    left = [found for one in asked if (found := _ranked(one, worked)) is not None]
     waiting = {one.mechanism.key for one in left}
     order = list[Ranked]()
     while left:
@@ -139,8 +142,6 @@
 
 
 def _ranked(mechanism: Mechanism, worked: Sequence[Worked]) -> Ranked | None:
-    if mechanism.state is State.STANDS:
-        return None
     failing = [one for one in worked if one.verdict is Verdict.DOES_NOT_FIT]
     own = [one for one in failing if one.line.mechanism == mechanism.key]
     if not own:
--- a/dykeshift/scale/mechanisms.py
+++ b/dykeshift/scale/mechanisms.py
@@ -37,7 +37,7 @@
     Mechanism(
         "returned-terms",
         "what an old version used is given back",
-        State.IN_HAND,
+        State.STANDS,
         "the module's places for classes are used again once nothing holds them",
     ),
     Mechanism(
--- a/dykeshift/scale/page.py
+++ b/dykeshift/scale/page.py
@@ -258,7 +258,7 @@
 
 def _order_part(worked: Sequence[Worked], found: Sequence[Worked]) -> str:
     parts = ["## Order of the missing mechanisms", ORDER_RULE]
-    parts += ["### As it was found", *_order_table(rank(found))]
+    parts += ["### As it was found", *_order_table(rank(found, standing_too=True))]
     parts += ["### As it is now", *_order_table(rank(worked))]
     silent = _silent_mechanisms(worked)
     if silent:
