--- a/dykeshift/configuration/checker.py
+++ b/dykeshift/configuration/checker.py
@@ -199,7 +199,7 @@
 
     def on_send(self, source: Host, target: Host, data: bytes) -> None:
         """A datagram goes out."""
-        if not wire.is_ours(data):
+        if not wire.is_ours(data) or wire.is_fence(data):
             return
         now, size = self.network.now, len(data)
         subscriber = target if source.name in self.control else source
--- a/dykeshift/configuration/control.py
+++ b/dykeshift/configuration/control.py
@@ -10,8 +10,11 @@
 
 from dykeshift.agree.core import Agree
 from dykeshift.agree.wire import is_ours as is_consensus
+from dykeshift.configuration.coordination import Coordination
+from dykeshift.configuration.coordinator import CoordinatorOptions
 from dykeshift.configuration.replica import Out, Replica, ReplicaOptions
 from dykeshift.configuration.store import ConfigStore
+from dykeshift.configuration.wire import is_fence
 from dykeshift.view.table import Address
 from dykeshift.view.wire import Seal
 
@@ -27,11 +30,21 @@
     """The cores of one of the machines set aside for control."""
 
     def __init__(
-        self, core: Agree, store: ConfigStore, options: ReplicaOptions, seal: Seal, rng: Random
+        self,
+        core: Agree,
+        store: ConfigStore,
+        options: ReplicaOptions,
+        seal: Seal,
+        rng: Random,
+        coordinator: CoordinatorOptions | None = None,
     ) -> None:
-        """`store` is the state machine of `core`."""
+        """`store` is the state machine of `core`. `coordinator`: how transactions are led; None: they are led
+        by somebody else."""
         self.core, self.store = core, store
         self.replica = Replica(options, seal, store, lambda now: freshness_age(core, now), rng, 0)
+        self.coordination: Coordination | None = None
+        if coordinator is not None:
+            self.coordination = Coordination(core, store, self.replica, seal, coordinator)
         self.told = store.version
         self.next_at = 0
 
@@ -54,6 +67,8 @@
         """Whatever arrived on the port."""
         if is_consensus(data):
             out = self.core.on_datagram(now, data, address)
+        elif is_fence(data):
+            out = self.coordination.on_datagram(data) if self.coordination is not None else []
         else:
             out = self.replica.on_datagram(now, data, address)
         return self._done(now, out)
@@ -72,4 +87,7 @@
             self.told = self.store.version
             out = out + self.replica.on_change(now)
         self.next_at = min(self.core.next_at, self.replica.next_at)
+        if self.coordination is not None:
+            out = out + self.coordination.step(now)
+            self.next_at = min(self.next_at, self.coordination.next_at)
         return out
--- a/dykeshift/configuration/tier.py
+++ b/dykeshift/configuration/tier.py
@@ -20,6 +20,7 @@
 from dykeshift.agree.voting import Role
 from dykeshift.configuration.choice import Place
 from dykeshift.configuration.control import ControlMachine
+from dykeshift.configuration.coordinator import CoordinatorOptions
 from dykeshift.configuration.replica import Out, ReplicaOptions
 from dykeshift.configuration.resources import (
     ClassTerms,
@@ -59,6 +60,7 @@
     drift: float = 0.005  # by which clocks differ from true time
     replica: ReplicaOptions = field(default_factory=ReplicaOptions)
     subscriber: SubscriberOptions = field(default_factory=SubscriberOptions)
+    coordinator: CoordinatorOptions | None = None  # None: whoever drives the world leads transactions
 
 
 def draw_configuration(options: TierOptions, rng: Random) -> list[Resource]:
@@ -166,7 +168,14 @@
         kept = replay(self.disks[host.name])
         if kept is not None:
             core.restore(kept)
-        machine = ControlMachine(core, store, self.options.replica, self.seal, Random(self.rng.random()))
+        machine = ControlMachine(
+            core,
+            store,
+            self.options.replica,
+            self.seal,
+            Random(self.rng.random()),
+            self.options.coordinator,
+        )
         return _DiskedMachine(machine, self.disks[host.name])
 
     def _make_subscriber(self, host: Host) -> Subscriber:
--- a/dykeshift/configuration/wire.py
+++ b/dykeshift/configuration/wire.py
@@ -46,6 +46,7 @@
     AUDIT = 105  # to any replica: version and digest of a few services?
     AUDITED = 106  # to subscriber
     GONE = 107  # to subscriber: there is no such session
+    FENCE = 108  # between control machines: nobody acts on an older version by a lease of the sender's
 
 
 class WaitReason(IntEnum):
@@ -198,7 +199,18 @@
     session: int
 
 
-Message = Hello | Welcome | Wait | ScopePiece | Data | Ack | Renew | Grant | Bye | Audit | Audited | Gone
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """A replica's fence, to all others of the tier. `session`: the sender's number."""
+
+    session: int
+    lineage: int
+    fenced: int
+
+
+Message = (
+    Hello | Welcome | Wait | ScopePiece | Data | Ack | Renew | Grant | Bye | Audit | Audited | Gone | Fence
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +235,7 @@
     Kind.AUDIT: _Layout(Audit, struct.Struct(">"), chunked=True),
     Kind.AUDITED: _Layout(Audited, struct.Struct(">QQQI")),
     Kind.GONE: _Layout(Gone, struct.Struct(">")),
+    Kind.FENCE: _Layout(Fence, struct.Struct(">QQ")),
 }
 _KINDS: dict[Callable[..., Message], Kind] = {layout.made: kind for kind, layout in _LAYOUTS.items()} | {
     Hello: Kind.HELLO
@@ -247,6 +260,11 @@
     return len(data) > 1 and FIRST_KIND <= data[1] <= LAST_KIND
 
 
+def is_fence(data: bytes) -> bool:
+    """Whether a datagram is one between control machines."""
+    return len(data) > 1 and data[1] == Kind.FENCE
+
+
 def encode(message: Message, seal: Seal) -> bytes:
     """ValueError where the message does not fit into a datagram."""
     kind = _KINDS[type(message)]
--- a/tests/configuration/test_coordinator.py
+++ b/tests/configuration/test_coordinator.py
@@ -178,6 +178,21 @@
     assert leader.store.body(tenant_key("t2")) != Tenant((), 2.0)
 
 
+def test_the_lease_is_waited_for_from_the_joint_phase_on() -> None:
+    leader = Leader()
+    ident = leader.submit(put(class_key("read"), UNSAFE), checked=True)
+    leader.run()
+    leader.now = OPTIONS.lease_wait - 1
+    leader.coordinator.approve(ident)
+    leader.run()
+    leader.now += OPTIONS.lease_wait - 1
+    leader.run()
+    assert leader.phase(ident) is Phase.JOINT
+    leader.now += 1
+    leader.run()
+    assert leader.phase(ident) is Phase.COMMITTED
+
+
 def test_an_abort_goes_straight_back() -> None:
     leader = Leader()
     ident = leader.submit(put(class_key("read"), UNSAFE))
--- a/tests/configuration/test_subscriber_wire.py
+++ b/tests/configuration/test_subscriber_wire.py
@@ -27,6 +27,7 @@
     wire.Audit(1, b"a few services"),
     wire.Audited(U64, U64, U64, U64, wire.NO_AGE),
     wire.Gone(U64),
+    wire.Fence(U16, U64, U64),
 ]
 
 
