--- a/dykeshift/scale/daemon.py
+++ b/dykeshift/scale/daemon.py
@@ -13,6 +13,7 @@
     day     requests while a day's worth of restarts and replacements goes by, sped up
     change  configurations with one class changed, each taken at a SIGHUP
     zone    a zone of five leaves the list at once
+    after   requests, of which none may go to what is gone
 
 Of each phase the daemon's processor time (its process clock), its resident memory and how long it waited
 for a processor (the kernel's count) are noted. After `day` and `zone` the daemon's own count of upstreams is
@@ -56,6 +57,7 @@
 CHURN_RESTARTS_A_SECOND = 2.0
 TENFOLD = 10
 DAY_S = 86_400.0
+MOST_AFTER_S = 2.0
 CONFIGURATION_CHANGES = 20
 SPARE_DESCRIPTORS = 2_000  # beside one for each upstream
 SETTLE_S = 2.0
@@ -74,6 +76,7 @@
 class Timing:
     """How long the phases last, in seconds, and how many configurations are changed."""
 
+    settle_s: float = SETTLE_S
     quiet_s: float = 5.0
     churn_s: float = 10.0
     load_s: float = 20.0
@@ -240,7 +243,7 @@
         timing, home = self.timing, self.home
         await self._follows()
         with self._phase("start"):
-            await asyncio.sleep(SETTLE_S)
+            await asyncio.sleep(timing.settle_s)
         with self._phase("quiet"):
             await asyncio.sleep(timing.quiet_s)
         steps = self._draw(max(1, round(CHURN_RESTARTS_A_SECOND * timing.churn_s)), timing.churn_s, 1)
@@ -255,6 +258,8 @@
         if timing.changes:
             await self._change_configuration(timing.changes)
         await self._lose_zone()
+        home.upstream_slots.told()
+        await self._load("after", min(MOST_AFTER_S, timing.load_s), ())
         self.figures.upstreams_met = home.upstream_slots.met
         self.figures.late_requests = home.upstream_slots.late
         if home.upstream_slots.late:
@@ -297,7 +302,8 @@
     async def _load(self, name: str, seconds: float, steps: tuple[ChurnStep, ...]) -> None:
         """Requests through the daemon and, at upstreams that no step touches, directly."""
         touched = {step.slot for step in steps}
-        free = [number for number in range(self.home.shape.upstreams) if number not in touched]
+        slots = enumerate(self.home.upstream_slots.slots)
+        free = [number for number, slot in slots if slot.up and number not in touched]
         chosen = Random(self.seed).sample(free, min(DIRECT_UPSTREAMS, len(free)))
         plan = ProbePlan(
             name=name,
--- a/dykeshift/scale/slots.py
+++ b/dykeshift/scale/slots.py
@@ -3,7 +3,8 @@
 Every slot of a population listens on its own loopback address, so that a balancer sees as many upstreams as
 discovery lists. An upstream answers each request after a fixed time of work. While its slot is empty (its
 process has left) connections are reset. What reaches a process that should get nothing any more is counted
-and told by `late`: requests at an empty slot, or at one that was listed as leaving for longer than a grace.
+and told by `late`: requests at an empty slot, connections to one that the balancer is known to know of
+(`told`), and requests at one that was listed as leaving for longer than a grace.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
         self.grace_s = grace_s
         self.open: set[UpstreamConnection] = set()
         self.up = True
+        self.known_empty = False  # the balancer is known to have been told that nobody lives here
         self.leaving_since: float | None = None
         self.served = 0
         self.late = 0
@@ -46,7 +48,11 @@
 
     def begin(self) -> None:
         """A new process lives here."""
-        self.up, self.leaving_since = True, None
+        self.up, self.leaving_since, self.known_empty = True, None, False
+
+    def refuse(self) -> None:
+        """A connection came while nobody lives here."""
+        self.late += self.known_empty
 
     def take(self, now: float) -> bool:
         """Count a request; whether it is answered."""
@@ -70,6 +76,7 @@
         if self.slot.up:
             self.slot.open.add(self)
         else:
+            self.slot.refuse()
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -138,6 +145,11 @@
             server.close()
         self.servers.clear()
 
+    def told(self) -> None:
+        """The balancer has been seen to know who is gone: from now on it connects to none of them."""
+        for slot in self.slots:
+            slot.known_empty = not slot.up
+
     @property
     def served(self) -> int:
         """Requests answered or being answered."""
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ipaddress
 import json
 from collections.abc import Callable
@@ -312,7 +313,7 @@
 
 # ---- one whole daemon ----
 
-SHORT = Timing(quiet_s=0.2, churn_s=1.0, load_s=2.0, day_s=3.0, changes=3, longest_wait_s=30.0)
+SHORT = Timing(settle_s=0.2, quiet_s=0.2, churn_s=1.0, load_s=2.0, day_s=3.0, changes=3, longest_wait_s=30.0)
 CHURN_SHAPE = 40  # upstreams; a day of them has 14 restarts
 
 
@@ -321,7 +322,14 @@
 
     def __init__(self, defect: str) -> None:
         timing = Timing(
-            quiet_s=0.1, churn_s=1.0, load_s=1.2, day_s=3.0, changes=0, longest_wait_s=3.0, grace_s=0.2
+            settle_s=0.1,
+            quiet_s=0.1,
+            churn_s=1.0,
+            load_s=1.2,
+            day_s=2.0,
+            changes=0,
+            longest_wait_s=3.0,
+            grace_s=0.2,
         )
         super().__init__(CHURN_SHAPE, 1, 100.0, timing)
         program = f"import sys\n{defect}\nfrom dykeshift.node.__main__ import main\nsys.exit(main())"
@@ -344,13 +352,47 @@
     assert found.faults == []
     assert found.zone_upstreams == 8 and found.configuration_changes == 3
     assert found.list_steps == {"churn": 6, "tenfold": 3, "day": 42}
-    assert set(found.phases) == {"start", "quiet", "churn", "load", "tenfold", "day", "change", "zone"}
+    assert set(found.phases) == {
+        "start",
+        "quiet",
+        "churn",
+        "load",
+        "tenfold",
+        "day",
+        "change",
+        "zone",
+        "after",
+    }
     for probe in found.probes.values():
         assert probe.through and probe.direct
     check(ResultsFile(measurements=tuple(measurements([found], RUN, 50.0))))
 
 
 KEEPS_DROPPED = "import dykeshift.engine.upstream as u\nu.Pool.drop = lambda self, number: None"
+SENDS_TO_GONE = """
+import dykeshift.engine.upstream as u
+import dykeshift.rules as r
+gone, drop, start = {}, u.Pool.drop, u.Pool.start
+def keep(self, number):
+    known = self.upstreams.get(number)
+    drop(self, number)
+    if known is not None:
+        known.open_to_new = True
+        gone[number] = known
+def begin(self, number, *rest):
+    if number in self.upstreams or number not in gone:
+        return start(self, number, *rest)
+    self.upstreams[number] = gone[number]
+    try:
+        return start(self, number, *rest)
+    finally:
+        del self.upstreams[number]
+def sort(self, now):
+    self.ready = list(self.servers.values())
+    self.cold, self.groups, self.sorted = [], {}, False
+    self._gather(now)
+u.Pool.drop, u.Pool.start, r.Balancer._sort_out = keep, begin, sort
+"""
 SENDS_TO_LEAVING = """
 import dykeshift.engine.discovery as d
 from dykeshift.interface import ServerState
@@ -361,8 +403,12 @@
 
 @pytest.mark.parametrize(
     "defect, said",
-    [(KEEPS_DROPPED, "are listed"), (SENDS_TO_LEAVING, "requests came to upstreams that were gone")],
-    ids=["keeps-dropped", "sends-to-leaving"],
+    [
+        (KEEPS_DROPPED, "are listed"),
+        (SENDS_TO_LEAVING, "requests came to upstreams that were gone"),
+        (SENDS_TO_GONE, "requests came to upstreams that were gone"),
+    ],
+    ids=["keeps-dropped", "sends-to-leaving", "sends-to-gone"],
 )
 def test_a_daemon_that_keeps_what_is_gone_is_found(defect: str, said: str) -> None:
     found = uvloop.run(DefectiveDaemon(defect).run())
@@ -389,6 +435,26 @@
     assert uvloop.run(play()) == (1, 2)
 
 
+def test_connections_to_an_empty_slot_count_once_it_is_known_to_be_empty() -> None:
+    async def play() -> list[int]:
+        slots, seen = Slots(2), list[int]()
+        await slots.listen()
+        host, port = slots.servers[0].sockets[0].getsockname()
+        slots.slots[0].end()
+        for known in (False, True):
+            if known:
+                slots.told()
+            reader, writer = await asyncio.open_connection(host, port)
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read()
+            writer.close()
+            seen.append(slots.late)
+        slots.close()
+        return seen
+
+    assert uvloop.run(play()) == [0, 1]
+
+
 # ---- the command ----
 
 
