--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -741,7 +741,7 @@
             "control.change.length",
             CONTROL,
             DAY,
-            "what a change carries: the whole settings of all tenants",
+            "what a change carries (the tier: one tenant; before: all settings)",
             TAKEN_LENGTH,
             "configuration",
             (
@@ -753,7 +753,7 @@
             "control.change.carried",
             CONTROL,
             DAY,
-            "a change carried to one balancer at 12 KB/s",
+            "the same, carried to one balancer at 12 KB/s",
             IN_FORCE,
             "configuration",
             (
@@ -768,7 +768,7 @@
             "control.restart.carried",
             CONTROL,
             NOTHING,
-            "the settings carried to one that restarts, at 12 KB/s",
+            "carried to one that restarts, at 12 KB/s (the tier: ten services)",
             RETURN,
             "configuration",
             (
--- a/dykeshift/scale/page_text.py
+++ b/dykeshift/scale/page_text.py
@@ -19,8 +19,9 @@
 and file agree. Nothing is changed by hand. What is *measured* was run at that very size; *interpolated*
 lies between measured sizes; *extrapolated* goes beyond them by the fit, and is a reckoning. A line
 without a measurement has no figure and is *not shown*. A factor is how many times the target the value
-is: up to 1 fits. How it is measured and read: [operators/capacity.md](operators/capacity.md); ways
-weighed: [design/capacity.md](design/capacity.md).
+is: up to 1 fits. In brackets behind the basis stands the way; what is *played on the virtual clock* shows
+the cores, not a whole daemon with sockets. How it is measured and read:
+[operators/capacity.md](operators/capacity.md); ways weighed: [design/capacity.md](design/capacity.md).
 """
 
 REGIONS_APART = """
