--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -109,15 +109,16 @@
 
 @command.command("take")
 @click.argument("runs", nargs=-1, required=True, metavar="RUN.json...")
+@click.option("--program", default="", metavar="WORD", help="Version or commit that was run, if not this.")
 @RESULTS
-def take(runs: tuple[str, ...], path: str) -> int:
+def take(runs: tuple[str, ...], program: str, path: str) -> int:
     """Take the JSON that `scale run` printed into the results file, as points of its size."""
     from dykeshift.scale import results, run_results
 
     held = load_results(path) if Path(path).exists() else results.ResultsFile()
     for name in runs:
         try:
-            held = run_results.take(held, run_results.decode(Path(name).read_bytes()))
+            held = run_results.take(held, run_results.decode(Path(name).read_bytes()), program)
         except OSError as exc:
             raise Usage(f"lifttrail scale take: {name}: {exc.strerror}") from None
         except results.ResultsError as exc:
--- a/dykeshift/scale/run_results.py
+++ b/dykeshift/scale/run_results.py
@@ -156,9 +156,15 @@
     )
 
 
-def take(results: ResultsFile, record: RunRecord) -> ResultsFile:
-    """The results with the run's points in them, by size and seed; raises `ResultsError`."""
-    return results.merged(_joined(results.find(one.id), one) for one in measurements(record))
+def take(results: ResultsFile, record: RunRecord, program: str = "") -> ResultsFile:
+    """The results with the run's points in them, by size and seed; raises `ResultsError`.
+
+    `program`: which one was run, where it is not this one.
+    """
+    found = measurements(record)
+    if program:
+        found = tuple(msgspec.structs.replace(one, program=program) for one in found)
+    return results.merged(_joined(results.find(one.id), one) for one in found)
 
 
 def _joined(before: Measurement | None, new: Measurement) -> Measurement:
--- a/tests/scale/test_run_results.py
+++ b/tests/scale/test_run_results.py
@@ -69,6 +69,11 @@
     assert [(point.seed, point.median) for point in cpu.points] == [(1, 7.0), (2, 9.0)]
 
 
+def test_a_run_of_another_program_says_so() -> None:
+    results = take(ResultsFile(), decode(encoded()), "0.1.0+abc")
+    assert {one.program for one in results.measurements} == {"0.1.0+abc"}
+
+
 def test_the_command_says_what_was_asked_for() -> None:
     plain = decode(encoded()).command
     assert plain == "lifttrail scale run --members 40 --real 2 --seconds 120 --seed 1 --json"
