--- a/benchmarks/configuration_tier.py
+++ b/benchmarks/configuration_tier.py
@@ -26,10 +26,13 @@
 import msgspec
 
 from dykeshift.configuration.catch_up import Staging, build_part
+from dykeshift.configuration.coordinator import CoordinatorOptions
+from dykeshift.configuration.resources import Ban, ban_key, encode_body
 from dykeshift.configuration.scope import Scope
 from dykeshift.configuration.state import SubscriberState
 from dykeshift.configuration.store import ConfigStore
 from dykeshift.configuration.tier import Tier, TierOptions
+from dykeshift.configuration.transactions import Put
 from dykeshift.configuration.virtual import SECOND, Cost, Host
 from dykeshift.scale.results import (
     DEFAULT_PATH,
@@ -46,6 +49,7 @@
 SERVICES, TENANTS, ROUTES, HELD = 510, 30_000, 2_400, 10
 BUSY_RATE = 3_400 / (8 * 3_600)  # changes a second
 REST_SECONDS, BUSY_SECONDS, TENFOLD_SECONDS = 10.0, 40.0, 20.0
+GUARDED_CHANGES = 12
 AWAY_CHANGES = 425  # an hour of the busy eight
 CONDITIONS = {
     "tenants": str(TENANTS),
@@ -129,10 +133,16 @@
 class Run:
     """One number of subscribers."""
 
-    def __init__(self, size: int, seed: int, measured: Measured) -> None:
+    def __init__(self, size: int, seed: int, measured: Measured, led: bool = False) -> None:
+        """`led`: whether the tier leads guarded changes through their phases."""
         self.size, self.measured = size, measured
         options = TierOptions(
-            subscribers=size, services=SERVICES, tenants=TENANTS, routes=ROUTES, services_held=HELD
+            subscribers=size,
+            services=SERVICES,
+            tenants=TENANTS,
+            routes=ROUTES,
+            services_held=HELD,
+            coordinator=CoordinatorOptions() if led else None,
         )
         self.tier = Tier(f"{seed}/{size}", options)
         self.rng = Random(f"changes/{seed}/{size}")
@@ -149,6 +159,45 @@
         self._changes(10 * BUSY_RATE, TENFOLD_SECONDS, Situation.TEN_TIMES_CHANGES)
         self._after_an_hour()
 
+    def play_guarded(self) -> None:
+        """Changes that contradict what is in force: bans, put and lifted, one after the other."""
+        tier, network = self.tier, self.tier.network
+        tier.start_control(20)
+        tier.start_subscribers()
+        self._wait_for(tier.subscribers, 300)
+        network.run(6)
+        times: list[float] = []
+        for number in range(GUARDED_CHANGES):
+            service = f"service-{number // 2:03d}"
+            key = ban_key(service, "10.0.0.1:80")
+            before, began = tier.newest().version, network.now
+            if number % 2:
+                tier.change(deletes=(key,))
+            else:
+                tier.change((Put(key, encode_body(Ban(service, "10.0.0.1:80", "test"))),))
+            if not network.run(15, partial(self._ended, before)):
+                raise RuntimeError("a guarded change is not in force everywhere after 15 s")
+            times.append((network.now - began) / SECOND)
+            network.run(self.rng.uniform(1.0, 2.0))
+        self.measured.add(
+            "subscribers.in-force.guarded",
+            self.size,
+            times,
+            lambda: Samples(
+                "a change that contradicts what is in force: a ban put or lifted",
+                Role.CONTROL,
+                "time from the proposal until every subscriber shows its end",
+                "s",
+                Situation.ORDINARY_DAY,
+                "looked at ten times a second; one after the other",
+            ),
+        )
+
+    def _ended(self, before: int) -> bool:
+        """Whether what began behind a version has come to its end, and all show that."""
+        store = self.tier.newest()
+        return store.version > before + 1 and not store.pending and self.tier.in_force(store.version)
+
     def _note_bytes(self, source: Host, target: Host, data: bytes) -> None:
         second = self.tier.network.now // SECOND
         for host in (source, target):
@@ -457,6 +506,9 @@
     for size in (int(word) for word in arguments.members.split(",")):
         if size not in measured.sizes():
             Run(size, arguments.seed, measured).play()
+        guarded = measured.samples.get("subscribers.in-force.guarded")
+        if guarded is None or size not in guarded.by_size:
+            Run(size, arguments.seed, measured, led=True).play_guarded()
         gc.collect()
         if kept is not None:
             kept.write_bytes(msgspec.json.encode(measured.samples))
