--- a/dykeshift/scale/membership.py
+++ b/dykeshift/scale/membership.py
@@ -25,7 +25,7 @@
 
 HISTORY = 0x5CA1E  # of a fleet that starts settled
 SECTIONS = {"view": view, "agree": agree, "versions": versions}
-GUARDED = 300  # the first value of the setting whose change contradicts what was in force
+GUARDED = 10_000  # the first value of the setting whose change contradicts: balancers that there may be
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/scale/verdict.py
+++ b/dykeshift/scale/verdict.py
@@ -108,9 +108,22 @@
         others = {acted for version, acted in acting if version == change.version} - {change.digest, ""}
         if change.digest and others:
             lost.append(change.version)
+    findings = _never_in_force(found, committed, set(lost))
     if not lost:
-        return []
-    return [Finding("lost-change", f"committed and gone: version {', '.join(map(str, sorted(set(lost))))}")]
+        return findings
+    return [
+        *findings,
+        Finding("lost-change", f"committed and gone: version {', '.join(map(str, sorted(set(lost))))}"),
+    ]
+
+
+def _never_in_force(
+    found: Sequence[MemberState], committed: Sequence[Committed], lost: set[int]
+) -> list[Finding]:
+    """A change that the fleet has, and that it refused or still waits for."""
+    acted = max((state.version for state in found if state.in_force), default=0)
+    never = [c.version for c in committed if c.version > acted and c.version not in lost]
+    return [Finding("never-in-force", f"committed, and acted on by nobody: {never}")] if never else []
 
 
 def budgets(measured: Sequence[Measured], starved: bool) -> list[Finding]:
--- a/tests/scale/defects.py
+++ b/tests/scale/defects.py
@@ -16,6 +16,7 @@
 from dykeshift.scale.session import Session
 from dykeshift.scale.shard import Plan
 from dykeshift.scale.verdict import Finding
+from dykeshift.versions.checks import Sight
 
 BAD = 3  # the number of the member that has the fault
 OPTIONS: dict[str, dict[str, Any]] = {
@@ -125,6 +126,14 @@
             self.view.port.datagram_received = lambda data, addr: None  # type: ignore[method-assign]
 
 
+class Stubborn(Member):
+    """Says that it can't act on any change."""
+
+    async def start(self) -> None:
+        await super().start()
+        self.versions.core.sight = lambda: Sight(at_work=1 << 20)
+
+
 class Own(Member):
     """Has its own text under the same version."""
 
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -19,7 +19,7 @@
 from dykeshift.scale.membership import Membership
 from dykeshift.scale.placement import REGIONS, ZONES, place
 from dykeshift.scale.results import load
-from dykeshift.scale.run import RunError, Wanted, play
+from dykeshift.scale.run import MOST_MEMBERS, RunError, Wanted, play
 from dykeshift.scale.session import Session
 from dykeshift.scale.shard import Plan
 from tests.scale import defects
@@ -101,6 +101,7 @@
     [
         (defects.Deaf, [ONE_CHANGE], "left-behind"),
         (defects.Own, [ONE_CHANGE], "disagreement"),
+        (defects.Stubborn, [ONE_CHANGE], "never-in-force"),
         (defects.Loud, [Rest()], "budget-bytes"),
         (defects.Secret, [Rest()], "hidden-cost"),
         (defects.Elsewhere, [Rest()], "hidden-cost"),
@@ -233,6 +234,10 @@
     assert result.cut_short == ["settle", "rest", "zone"]
 
 
+def test_a_change_fits_every_size_that_can_be_run() -> None:
+    assert all(Membership().change(n)["balancers"] >= MOST_MEMBERS for n in range(8))
+
+
 def test_a_wanted_run_is_checked_whole() -> None:
     Wanted().check()
     with pytest.raises(RunError, match="--events"):
