--- a/dykeshift/scale/session.py
+++ b/dykeshift/scale/session.py
@@ -361,13 +361,17 @@
         usages: list[Usage] = await self.cluster.call("usage")
         return [
             *(verdict.states(states, self.expected(), self.committed) if self.judged else ()),
-            *verdict.budgets(self.measured, self.starved),
+            *verdict.budgets(self.measured, self.starved, self._control_kinds(states)),
             *verdict.memory(usages, self.growth),
             *verdict.accounts(usages, counted, states),
             *self._likeness(),
             *verdict.faults(usages),
         ]
 
+    def _control_kinds(self, states: Sequence[MemberState]) -> frozenset[str]:
+        seats = self.plan.roster.seats
+        return frozenset(state.kind for state in states if seats[state.number].control)
+
     def _likeness(self) -> list[Finding]:
         """Only where whole daemons were there to compare with, and the hosts were not late."""
         said = self.at_rest.said_s if self.at_rest is not None and not self.starved else {}
--- a/dykeshift/scale/verdict.py
+++ b/dykeshift/scale/verdict.py
@@ -126,15 +126,18 @@
     return [Finding("never-in-force", f"committed, and acted on by nobody: {never}")] if never else []
 
 
-def budgets(measured: Sequence[Measured], starved: bool) -> list[Finding]:
+def budgets(
+    measured: Sequence[Measured], starved: bool, control: frozenset[str] = frozenset()
+) -> list[Finding]:
     """Control's lines, held against the 99th of a hundred members of each kind at rest and at work.
 
-    Not against whole daemons, whose account has their data path and the run's own questions in it.
+    Not against whole daemons, whose account has their data path and the run's own questions in it, nor
+    against kinds of members that are `control` machines: the lines are those of balancers.
     """
     findings = list[Finding]()
     for event in measured:
         for kind, rates in event.rates.items():
-            if kind == WHOLE:
+            if kind == WHOLE or kind in control:
                 continue
             told = f"{kind}, {event.event}"
             for way, spread in (("sent", rates.bytes_s), ("received", rates.received_bytes_s)):
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -152,6 +152,14 @@
     assert not verdict.likeness(whole, whole)
 
 
+def test_the_lines_are_those_of_balancers() -> None:
+    session, _ = defects.run(Faulty(defects.Loud, everybody=True), [Rest()], limit=8)
+    over = {f.text.split(",")[0] for f in verdict.budgets(session.measured, True)}
+    assert over == {"learner", "voter"}
+    left = {f.text.split(",")[0] for f in verdict.budgets(session.measured, True, frozenset({"voter"}))}
+    assert left == {"learner"}
+
+
 # ---- places and plans ----
 
 
