--- a/benchmarks/joint_phase.py
+++ b/benchmarks/joint_phase.py
@@ -90,7 +90,7 @@
         }
         found.append(
             Measurement(
-                id=f"configuration.guarded-change.{name}{ending}",
+                id=f"configuration.subscribers.{name}.guarded{ending}",
                 name=f"a guarded change, {quantity}",
                 role=Role.OPERATOR,
                 quantity=f"time {quantity}",
