--- a/dykeshift/scale/lines.py
+++ b/dykeshift/scale/lines.py
@@ -687,6 +687,15 @@
                 Way(ALL_VOTE_VIRTUAL, (Term("versions.change.contradicting", MEMBERS, statistic=P99),)),
             ),
         ),
+        Line(
+            "control.change.loss",
+            CONTROL,
+            DAY,
+            "the same, a tenth of the datagrams lost",
+            IN_FORCE,
+            "configuration",
+            (Way(TIER_VIRTUAL, (_tier_term("configuration.subscribers.in-force.guarded-loss-10"),)),),
+        ),
         Line(
             "control.change.free",
             CONTROL,
@@ -988,7 +997,7 @@
             Role.OPERATOR,
             situation,
             f"a change in force at all that can be reached, {event}",
-            OPERATOR_WAIT,
+            RETURN if situation is NOTHING else OPERATOR_WAIT,
             mechanism,
             (
                 *_run_ways(TIER_DESIGN, event, "", "everywhere", P99),
