--- a/benchmarks/configuration_tier.py
+++ b/benchmarks/configuration_tier.py
@@ -180,7 +180,7 @@
             times.append((network.now - began) / SECOND)
             network.run(self.rng.uniform(1.0, 2.0))
         self.measured.add(
-            "subscribers.in-force.guarded",
+            "subscribers.in-force.guarded-one-service",
             self.size,
             times,
             lambda: Samples(
@@ -506,7 +506,7 @@
     for size in (int(word) for word in arguments.members.split(",")):
         if size not in measured.sizes():
             Run(size, arguments.seed, measured).play()
-        guarded = measured.samples.get("subscribers.in-force.guarded")
+        guarded = measured.samples.get("subscribers.in-force.guarded-one-service")
         if guarded is None or size not in guarded.by_size:
             Run(size, arguments.seed, measured, led=True).play_guarded()
         gc.collect()
