--- a/tests/node/test_crowded.py
+++ b/tests/node/test_crowded.py
@@ -128,7 +128,9 @@
     address = address_of(given)
     daemon, crowd = with_few_descriptors(folder, given), None
     try:
-        for one in [READY, *words]:
+        ready = asked(address, READY)
+        assert given.get("known") or b"503" in ready  # nothing is known yet
+        for one in words:
             asked(address, one)
         crowd = Crowd(address)
         crowd.turned_away.wait()
