--- a/dykeshift/cli/scale.py
+++ b/dykeshift/cli/scale.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 from pathlib import Path
 
 import click
@@ -185,6 +186,7 @@
     if out and not Path(out).parent.is_dir():
         raise Usage(f"lifttrail scale run: --out: {Path(out).parent} is no folder")
     held = load_results(out) if out and Path(out).exists() else results.ResultsFile()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the hosts and daemons with the run
     try:
         result = asyncio.run(runs.play(wanted))
     except runs.RunError as exc:
