Discovery: zones that the settings do not name are not taken for one

Cause: engine/discovery.py, `Reader._row`: each zone that the settings do not name became -1, so that a key which holds within a zone was repeated in another (three attempts where one is allowed, seen by the test). Each has a number of its own below zero now.

--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -85,7 +85,7 @@
             self.starts.pop(number, None)
         entry = ServerEntry(
             id=number,
-            zone=self.zones.get(str(row.get("zone")), -1),
+            zone=self._zone(str(row.get("zone"))),
             cell=int(row.get("cell", 0)),
             kind=self.kinds.get(str(row.get("machineType")), -1),
             state=state,
@@ -95,6 +95,13 @@
         gone = state is ServerState.GONE
         return Listed(entry, NOWHERE if gone else read_address(row["hostPort"]))
 
+    def _zone(self, name: str) -> int:
+        """Its place in the settings; else one of its own below zero.
+
+        Protects keys that hold within a zone: two zones that the settings do not name are not one.
+        """
+        return self.zones[name] if name in self.zones else -1 - number_of(name)
+
     def _start(self, number: int, began: int) -> int:
         """When it started, on this clock; 0: long ago.
 
--- a/tests/node/test_carried_over.py
+++ b/tests/node/test_carried_over.py
@@ -55,6 +55,25 @@
     run(main())
 
 
+def test_zones_that_the_settings_do_not_name_are_not_taken_for_one() -> None:
+    """A key that holds within a zone was repeated in another: both counted as no zone."""
+
+    async def main() -> None:
+        async def breaks(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        stubs = [await Stub(breaks).start() for _ in range(3)]
+        rows = [instance(f"x{n}", stub.address, zone=f"elsewhere{n}") for n, stub in enumerate(stubs)]
+        given = settings(services=[service("set", "token", group="zone")])
+        async with node(settings=given, known=None) as balancer:
+            balancer.registry.put(listing(9, True, *rows))
+            await until(lambda: len(balancer.front.driver.ready) == 3)
+            assert (await balancer.ask(request("set", rid="r1"))).start.split()[1] == "500"
+            assert sum(len(stub.seen) for stub in stubs) == 1
+
+    run(main())
+
+
 def test_a_known_address_that_belongs_to_another_now_is_given_up() -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
