--- /dev/null
+++ b/tests/faults/daemon.py
@@ -0,0 +1,105 @@
+"""A daemon as a process of its own on loopback, under faults of its system calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tests.faults.fault_control import FaultControl
+from tests.node.messages import Message, instance, listing
+from tests.node.stubs import Caller, Registry, Stub, configuration, until
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+COMMAND = (sys.executable, "-m", "dykeshift.node")
+READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def free_address() -> tuple[str, int]:
+    """An address on loopback at which nobody listens now."""
+    with socket.create_server(("127.0.0.1", 0)) as one:
+        found: tuple[str, int] = one.getsockname()
+    return found
+
+
+@dataclass
+class Daemon:
+    """A running daemon, and what fails in it."""
+
+    process: subprocess.Popen[bytes]
+    address: tuple[str, int]
+    faults: FaultControl
+    folder: Path
+    registry: Registry
+
+    async def open(self) -> Caller:
+        """A client's new connection."""
+        return Caller(*await asyncio.open_connection(*self.address))
+
+    async def ask(self, request: bytes) -> Message:
+        """One request on a connection of its own."""
+        caller = await self.open()
+        try:
+            return await caller.ask(request)
+        finally:
+            caller.writer.close()
+
+    def log(self) -> str:
+        """What it has written to standard error."""
+        return (self.folder / "log").read_text()
+
+    async def ended(self) -> int:
+        """Its exit code, once it has ended."""
+        await until(lambda: self.process.poll() is not None)
+        return self.process.returncode
+
+
+@asynccontextmanager
+async def daemon(
+    folder: Path, *upstreams: Stub, environment: dict[str, str] | None = None, **changes: Any
+) -> AsyncIterator[Daemon]:
+    """Started with a list of these upstreams, and ready; killed at the end if it still runs."""
+    faults = FaultControl(folder / "faults", folder)
+    registry = await Registry().start()
+    known = listing(1, True, *(instance(f"s{n}", one.address) for n, one in enumerate(upstreams)))
+    address = free_address()
+    given = {**configuration(registry.address, known), "listen": f"{address[0]}:{address[1]}", **changes}
+    (folder / "config.json").write_text(json.dumps(given))
+    with (folder / "log").open("wb") as log:
+        process = subprocess.Popen(
+            COMMAND,
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "NODE_CONFIG": str(folder / "config.json"),
+                **faults.environment(),
+                **(environment or {}),
+            },
+            stdout=log,
+            stderr=log,
+        )
+    made = Daemon(process, address, faults, folder, registry)
+    try:
+        await _ready(made)
+        yield made
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
+async def _ready(made: Daemon) -> None:
+    while made.process.poll() is None:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            if "200" in (await made.ask(READY)).start:
+                return
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"the daemon ended: {made.log()}")
--- /dev/null
+++ b/tests/faults/test_failing_calls.py
@@ -0,0 +1,81 @@
+"""System calls that fail for a moment, as Linux documents: each request read gets its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from pathlib import Path
+
+import pytest
+
+from tests.faults.daemon import Daemon, daemon
+from tests.faults.fault_control import (
+    ACCEPT_ERRORS,
+    BROKEN_ERRORS,
+    CONNECT_ERRORS,
+    SOCKET_ERRORS,
+    Kind,
+)
+from tests.node.messages import answer, request
+from tests.node.stubs import Stub, run, says
+
+ROUNDS, TOGETHER = 12, 8  # requests on new connections: so many rounds of so many at once
+
+
+async def asked(balancer: Daemon, name: str) -> list[str]:
+    """The statuses of many requests on new connections; a connection that ends unanswered raises."""
+    statuses = list[str]()
+    for turn in range(ROUNDS):
+        together = (balancer.ask(request(rid=f"{name}-{turn}-{n}")) for n in range(TOGETHER))
+        statuses += [one.start.split()[1] for one in await asyncio.gather(*together)]
+    return statuses
+
+
+@pytest.mark.parametrize("failure", ACCEPT_ERRORS, ids=lambda code: errno.errorcode[code])
+def test_a_connection_is_served_however_accept_fails_for_a_moment(failure: int, tmp_path: Path) -> None:
+    """With no descriptor left in the system the event loop closed connections unread to clear its queue."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with daemon(tmp_path, stub) as balancer:
+            balancer.faults.fail(Kind.ACCEPT, 0.4, [failure])
+            assert set(await asked(balancer, "failing")) == {"200"}
+            assert balancer.faults.injected(Kind.ACCEPT) > 0
+            balancer.faults.calm()
+            assert set(await asked(balancer, "calm")) == {"200"}
+            balancer.process.terminate()
+            assert await balancer.ended() == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("kind", "share", "errors"),
+    [
+        (Kind.CONNECT, 0.4, CONNECT_ERRORS),
+        (Kind.SOCKET, 0.4, SOCKET_ERRORS),
+        (Kind.WAIT, 0.4, (errno.EINTR,)),
+        (Kind.SHORT_READ, 0.8, ()),
+        (Kind.SHORT_WRITE, 0.8, ()),
+        (Kind.BROKEN, 1.0, BROKEN_ERRORS),
+    ],
+    ids=lambda value: value.name if isinstance(value, Kind) else "",
+)
+def test_each_request_is_answered_whatever_other_calls_fail(
+    kind: Kind, share: float, errors: tuple[int, ...], tmp_path: Path
+) -> None:
+    """Refused or failed where no connection comes up; never left without an answer."""
+
+    async def main() -> None:
+        # Each answer ends its connection, so that each request needs a connect.
+        stub = await Stub(says(answer(Connection="close"), close=True)).start()
+        async with daemon(tmp_path, stub) as balancer:
+            balancer.faults.fail(kind, share, errors)
+            assert set(await asked(balancer, "failing")) <= {"200", "500", "503", "504"}
+            if kind is not Kind.BROKEN:  # nothing breaks here by itself
+                assert balancer.faults.injected(kind) > 0
+            balancer.faults.calm()
+            balancer.process.terminate()
+            assert await balancer.ended() == 0
+
+    run(main())
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -27,15 +27,21 @@
     return b"".join(b"%x%s\r\n%s\r\n" % (len(p), extension, p) for p in pieces)
 
 
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """A body in chunks, from behind its head on."""
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
+
+
 async def read_any(reader: asyncio.StreamReader) -> Message:
     """By its length, its chunks, or the end of its connection."""
     lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:] if line)}
     if headers.get("transfer-encoding") == "chunked":
-        body = b""
-        while size := int(await reader.readline(), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readexactly(2)
+        body = await read_chunks(reader)
     elif "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
     else:
--- /dev/null
+++ b/tests/node/test_one_answer.py
@@ -0,0 +1,46 @@
+"""A client gets the bytes of one answer: nothing else is written into one that has begun."""
+
+from __future__ import annotations
+
+
+from tests.node.messages import answer, request
+from tests.node.stubs import Stub, node, run, settings, silent, until
+from tests.node.test_bodies import CHUNKED, chunks, read_any, read_chunks
+
+BEGINNING = chunks(b"a" * 20_000, 4096)  # so much that the balancer begins to pass it on
+
+
+def uncancellable() -> dict[str, object]:
+    """Settings under which no attempt may be called off."""
+    given = settings()
+    given["bounds"]["cancelling"] = False
+    return given
+
+
+def test_a_copy_that_is_answered_whole_is_not_written_into_a_long_answer() -> None:
+    """Where nothing may be called off, a copy goes on beside the answer that its client is getting."""
+
+    async def main() -> None:
+        first, second = await Stub(silent).start(), await Stub(silent).start()
+        async with node(first, second, settings=uncancellable()) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request("check"))
+            await until(lambda: bool(first.seen and second.seen))  # it has been copied
+            first.writers[0].write(CHUNKED + BEGINNING)
+            assert b"chunked" in await caller.reader.readuntil(b"\r\n\r\n")
+            second.writers[0].write(answer(b"whole"))
+            tier = balancer.front.driver.ledger.tier("check")
+            pool = balancer.front.driver.pool
+            await until(lambda: any(u.idle for u in pool.upstreams.values()))  # the copy's answer was read
+            first.writers[0].write(b"3\r\nend\r\n0\r\n\r\n")
+            assert await read_chunks(caller.reader) == b"a" * 20_000 + b"end"
+            await until(lambda: not balancer.front.driver.jobs)
+            assert (tier.taken, tier.success, tier.inflight) == (1, 1, 0)
+            caller.writer.write(request("check", rid="next"))
+            await until(lambda: len(first.seen) + len(second.seen) > 2)
+            for stub in (first, second):
+                if len(stub.seen) > 1:
+                    stub.writers[0].write(answer(b"next"))
+            assert (await read_any(caller.reader)).body == b"next"
+
+    run(main())
