One answer to a request, decided in one place; connections wait until they can be accepted

With EMFILE or ENFILE from accept the event loop closes connections unread. Change: Stage says whether an answer may begin, _finish and _began are its only users, the front refuses to write into an answer; all three are counted and logged (invariants.py), with the reasons for which attempts are kept back and connections closed. A listener of its own accepts for clients, operators and clinics and leaves in the queue what cannot be accepted; it is opened last, and takes what is queued before it closes. A folder that cannot be used is one line of log. Whole suite: not run yet. Ruled out: raising the spare descriptors, as ENFILE is the system's.

--- a/dykeshift/console/shell.py
+++ b/dykeshift/console/shell.py
@@ -10,6 +10,7 @@
 
 from dykeshift.console import calls
 from dykeshift.console.calls import Answer, Desk
+from dykeshift.engine.listener import Listen, Listening, listen
 from dykeshift.engine.http1 import Gatherer, Unacceptable, status_of
 
 HOLD = 6.0  # seconds for a whole call, and again for reading its answer
@@ -23,11 +24,11 @@
         """`most`: callers at once; their descriptors are set aside."""
         self.loop, self.desk, self.most = loop, desk, most
         self.callers: dict[Caller, None] = {}  # in the order of their coming
-        self.server: asyncio.Server | None = None
+        self.server: Listening | None = None
 
-    async def listen(self, address: tuple[str, int]) -> None:
+    async def listen(self, address: tuple[str, int], listen: Listen = listen) -> None:
         """Bind `address` (host, port) and accept callers. Raises OSError when it cannot be bound."""
-        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
+        self.server = await listen(self.loop, lambda: Caller(self), address, BACKLOG)
 
     def admit(self, caller: Caller) -> None:
         """Count one in. Over the number, the oldest that has sent nothing makes room, else the oldest."""
@@ -46,7 +47,7 @@
     def close(self) -> None:
         """Stop listening and drop the callers that have no answer yet."""
         if self.server is not None:
-            self.server.close()
+            self.server.abandon()
         for caller in list(self.callers):
             if not caller.answered:
                 caller.abort()
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -32,6 +32,7 @@
     Watch,
     Word,
 )
+from dykeshift.engine.invariants import Invariant, Stage
 from dykeshift.engine.ledger import Tier
 from dykeshift.engine.tenants import Listed, Tenants
 from dykeshift.engine.terms import FAILED, LATE, Asked, Final, How
@@ -60,12 +61,17 @@
     attempts: list[Attempt | None] = field(default_factory=list)  # None: has come back
     sent: list[int] = field(default_factory=list)
     out: int = 0
-    closed: bool = False
+    stage: Stage = Stage.WAITING
     first: int = 0  # when the long answer that its client is getting began
     streaming: Attempt | None = None  # what brings that answer
     guard: asyncio.TimerHandle | None = None
     gone: Callable[[], bool] = lambda: False  # whether its client has left, be that read or not
 
+    @property
+    def closed(self) -> bool:
+        """Whether it is answered to the end, or its client has gone."""
+        return self.stage is Stage.OVER
+
 
 class Driver:
     """Takes requests from the fronts and keeps them until they are answered and their attempts are back."""
@@ -149,7 +155,7 @@
     def whole(self, request_id: str, arrived: int) -> None:
         """The last byte of a request that went out early has come: its time, and its attempt's, begins."""
         job = self.jobs.get(request_id)
-        if job is not None and not job.closed and job.streaming is None:
+        if job is not None and job.stage.may_be_answered:
             job.deadline = arrived + max(0, job.incoming.patience - RETURN)
             job.sent = [max(sent, arrived) for sent in job.sent]
             if job.guard is not None:
@@ -160,7 +166,7 @@
         """The client of a request has left; one that is answered already is passed over."""
         job = self.jobs.get(request_id)
         if job is not None and not job.closed:
-            job.closed = True
+            job.stage = Stage.OVER
             job.tier.end(None)
             self._keep_back(job)
             self._tell(self.balancer.on_client_gone, request_id, job=job)
@@ -252,12 +258,12 @@
         """A long answer has begun: it is the request's, whatever else comes."""
         attempt = job.attempts[number]
         assert attempt is not None
-        if job.closed or job.streaming is not None:
+        if not job.stage.may_be_answered:
             attempt.give_up(Outcome.CANCELLED)
         elif not job.incoming.streams:
             attempt.give_up(Outcome.RESET)
         else:
-            job.streaming, job.first = attempt, self.clock.monotonic_ns()
+            job.stage, job.streaming, job.first = Stage.ANSWERING, attempt, self.clock.monotonic_ns()
             self._keep_back(job)
             job.reply(Final(How.SERVED, end.answer))
             self._tell(self.balancer.on_stream_started, job.incoming.id, number)
@@ -273,9 +279,9 @@
             took = job.first  # until its first bytes: how fast the rest is read is its client's affair
             job.streaming = None  # a cycle: job and attempt would wait for a collection with all they hold
             if not job.closed:
-                job.closed = True
+                job.stage = Stage.OVER
                 job.tier.end(How.SERVED if end.outcome is Outcome.OK else How.FAILED)
-        elif end.outcome is Outcome.OK and end.answer is not None and not job.closed:
+        elif end.outcome is Outcome.OK and end.answer is not None and job.stage.may_be_answered:
             self._finish(job, Final(How.SERVED, end.answer))
         told = AttemptEnd(
             job.incoming.id,
@@ -343,11 +349,7 @@
     def _send(self, action: Send, stamp: int) -> None:
         job = self.jobs.get(action.request_id)
         if job is None:
-            log.error(
-                "the module sends for a request that is over: %s",
-                action.request_id,
-                extra={"event": "module.sends-late", "fields": {"request": action.request_id}},
-            )
+            self.ledger.occurrences.violated(Invariant.NO_SEND_AFTER_END, action.request_id)
             return
         number, now = len(job.attempts), self.clock.monotonic_ns()
         until = job.deadline
@@ -394,13 +396,13 @@
 
     def _final(self, request_id: str, final: Final) -> None:
         job = self.jobs.get(request_id)
-        if job is not None and not job.closed and job.streaming is None:
+        if job is not None and job.stage.may_be_answered:
             self._finish(job, final)
             self._forget(job)
 
     def _answer(self, job: Job, final: Final) -> None:
         """An answer that is this program's own: the module is told that the request is over."""
-        if job.closed or job.streaming is not None:
+        if not job.stage.may_be_answered:
             return
         self._finish(job, final)
         self._tell(self.balancer.on_client_gone, job.incoming.id, job=job)
@@ -410,7 +412,11 @@
         self._forget(job)
 
     def _finish(self, job: Job, final: Final) -> None:
-        job.closed = True
+        """The only place that gives a whole answer; `_began` is the only one that begins a long one."""
+        if not job.stage.may_be_answered:
+            self.ledger.occurrences.violated(Invariant.ONE_ANSWER, job.incoming.id)
+            return
+        job.stage = Stage.OVER
         job.tier.end(final.how)
         self._keep_back(job)
         job.reply(final)
--- a/dykeshift/engine/ledger.py
+++ b/dykeshift/engine/ledger.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dykeshift.engine.invariants import Occurrences
 from dykeshift.engine.terms import How
 
 
@@ -40,6 +41,7 @@
         self.tiers: dict[str, Tier] = {}  # by name; one that vanished keeps its counts
         self.attempts = 0  # written whole to upstreams
         self.reloads = self.reloads_failed = 0
+        self.occurrences = Occurrences()
 
     def tier(self, name: str) -> Tier:
         """Made when first asked for; kept by whoever counts, so that no request looks a name up."""
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -17,6 +17,7 @@
 from dykeshift.engine.budget import Budget
 from dykeshift.engine.drain import Drain, Orders
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.invariants import CloseReason, Invariant
 from dykeshift.engine.http1 import MAX_BODY, MAX_LONG, Gatherer, Unacceptable, status_of
 from dykeshift.engine.requests import BadRequest, Reader
 from dykeshift.engine.terms import FAILED, Final, How
@@ -127,7 +128,7 @@
         if len(self.clients) > self.limit:
             idle = [c for c in self.clients if c.between() and c is not client]
             idle.sort(key=lambda c: (min(c.answers, 2), c.since))
-            next((c for c in idle if not c.has_input()), client).abort()
+            next((c for c in idle if not c.has_input()), client).close_by_us(CloseReason.CROWDED)
 
     def make_room(self) -> None:
         """Over the budget, the request that holds most and is still coming goes out early.
@@ -156,14 +157,14 @@
     def close_all(self) -> None:
         """The process ends: from here on nothing is read, and so nothing sent on that nobody would answer."""
         for client in list(self.clients):
-            client.abort()
+            client.close_by_us(CloseReason.ENDING)
 
     def close_idle(self, orders: Orders) -> None:
         """Close connections on which no request has arrived, be it unread."""
         if orders.close_kept:
             for client in list(self.clients):
                 if client.between() and (client.answers or orders.close_silent) and not client.has_input():
-                    client.abort()
+                    client.close_by_us(CloseReason.DRAINING)
 
 
 class Client(Gatherer, asyncio.Protocol):
@@ -247,7 +248,7 @@
         stalled = now - self.moved > STALL
         if self.busy:
             if stalled and (self.rest is not None or self.upload is not None):
-                self.abort()  # the driver hears it as a client that has gone
+                self.close_by_us(CloseReason.STALLED)  # the driver hears it as a client that has gone
             return
         if self.closing:
             late = now - self.since > LINGER if not unread else stalled
@@ -262,7 +263,12 @@
         if late and self.began and not self.closing:
             self._reject(408, "the request did not come in time")
         elif late and not self.has_input():
-            self.abort()
+            self.close_by_us(CloseReason.IDLE)
+
+    def close_by_us(self, reason: CloseReason) -> None:
+        """Reset or end the connection, whatever is on it; counted by its reason."""
+        self.front.driver.ledger.occurrences.closed[reason] += 1
+        self.abort()
 
     def abort(self) -> None:
         # Out of the count at once: its end is told later, and until then it would be let go once more
@@ -442,10 +448,15 @@
         return self.keep and self.front.drain.keeping and (self.answers > 0 or not self.front.crowded())
 
     def answer(self, reply: Reply) -> None:
-        if self.transport is not None and self.busy:
-            keep = self._keeps()
-            self.transport.write(render(reply, keep))
-            self._answered(keep)
+        if self.transport is None or not self.busy:
+            return
+        if self.rest is not None:  # what follows would be taken for a part of the answer that has begun
+            self.front.driver.ledger.occurrences.violated(Invariant.WHOLE_ANSWER, self.request_id)
+            self.cut()
+            return
+        keep = self._keeps()
+        self.transport.write(render(reply, keep))
+        self._answered(keep)
 
     def _begin_long(self, answer: Answer) -> None:
         """As it comes, framed as the upstream framed it; where nobody told its length, in chunks."""
@@ -484,7 +495,7 @@
         if self.transport is not None and not self.framed:
             raw: Any = self.transport.get_extra_info("socket")
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.abort()
+        self.close_by_us(CloseReason.ANSWER_CUT)
 
     def _answered(self, keep: bool) -> None:
         assert self.transport is not None
@@ -510,10 +521,15 @@
 
         Protects against serving one request of several that came together, or one with unreadable
         bytes behind it: nobody can tell what such a client takes for the answer to what. One that is
-        with the driver already is given up, and may have run.
+        with the driver already is given up, and may have run. Where its answer has begun the rejection would
+        be read as a part of it: the answer is cut.
         """
         self.keep, self.whole, self.cut_short = False, False, True
         if self.busy:
             self.front.driver.client_gone(self.request_id)
+        if self.rest is not None:
+            self.cut()
+            return
+        self.front.driver.ledger.occurrences.closed[CloseReason.REJECTED] += 1
         self.busy = True
         self.answer(Reply(status, f"{text}\n".encode()))
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -11,6 +11,7 @@
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.bodies import Message
 from dykeshift.engine.config import Address
+from dykeshift.engine.invariants import KeptBack
 from dykeshift.engine.ledger import Ledger
 from dykeshift.engine.link import Link
 from dykeshift.engine.terms import Asked
@@ -113,27 +114,36 @@
         """
         if self.over:
             return False
-        gate = self.pool.gate
-        lapsed = gate is not None and gate.look() != self.stamp
         now = self.pool.clock.monotonic_ns()
-        left = self.until - now
-        if (
-            lapsed
-            or left <= 0
-            or not self.upstream.open_to_new
-            or 0 < self.begin_by < now
-            or not self.wanted()
-        ):
+        reason = self._kept_back(now)
+        if reason is not None:
+            self.pool.ledger.occurrences.kept_back[reason] += 1
             # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
             self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
         self.connection, self.written = connection, self.pool.loop.time()
         self.idle = self.written - connection.idle_since if connection.used else None
-        connection.send(self.message(left), self)
+        connection.send(self.message(self.until - now), self)
         if self.begin_by and connection.unwritten:
             self.pool.loop.call_later((self.begin_by - now) / 1e9, self._recall)
         return True
 
+    def _kept_back(self, now: int) -> KeptBack | None:
+        """Why it may not begin at this instant; None: it may. The one place that decides it.
+
+        The client is asked last: that costs a system call.
+        """
+        gate = self.pool.gate
+        if gate is not None and gate.look() != self.stamp:
+            return KeptBack.RULES_CHANGED
+        if self.until <= now:
+            return KeptBack.NO_TIME
+        if not self.upstream.open_to_new:
+            return KeptBack.UPSTREAM_CLOSED
+        if 0 < self.begin_by < now:
+            return KeptBack.KEY_WINDOW_OVER
+        return None if self.wanted() else KeptBack.CLIENT_GONE
+
     def _recall(self) -> None:
         """Protects the windows of keys: what is not whole at an upstream by then would be later, where its
         key may be forgotten. It can't have run."""
--- a/dykeshift/handover/folder.py
+++ b/dykeshift/handover/folder.py
@@ -83,10 +83,14 @@
         name = f"{SERVING}{now:020d}-{os.getpid()}"
         # Locked before anybody can see it by its name: unlocked it would be taken for a dead one's.
         draft = self._at(f"draft-{name}")
-        self.descriptor = os.open(draft, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        fcntl.flock(self.descriptor, fcntl.LOCK_EX)
-        os.rename(draft, self._at(name))
-        self.own = name
+        descriptor = os.open(draft, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX)
+            os.rename(draft, self._at(name))
+        except OSError:
+            os.close(descriptor)
+            raise
+        self.descriptor, self.own = descriptor, name
 
     def others(self) -> tuple[int, int]:
         """How many other processes serve, and how many of them began later than this one."""
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -11,7 +11,7 @@
 import sys
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -19,6 +19,7 @@
 from dykeshift.engine import config
 from dykeshift.engine.drain import Drain, State
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.listener import Listen, Listening, listen
 from dykeshift.node import features
 from dykeshift.node.assembly import assemble
 from dykeshift.node.features import NONE, Features, Service
@@ -39,11 +40,16 @@
     given: config.Config,
     load: Callable[[], config.Config],
     clock: Clock = SYSTEM,
-    started: Callable[[Front, asyncio.Server, Reload, list[Service]], None] | None = None,
+    started: Callable[[Front, Any, Reload, list[Service]], None] | None = None,
     beside: Features = NONE,
     inherited: socket.socket | None = None,
+    listen: Listen = listen,
 ) -> None:
-    """`inherited`: a listener that other processes of this balancer have too, instead of `given.listen`."""
+    """Serve until told to end.
+
+    `inherited`: a listener that other processes of this balancer have too, instead of `given.listen`.
+    `listen` opens listeners. Clients are accepted last of all: whatever else may fail, nobody waits then.
+    """
     loop = asyncio.get_running_loop()
     parts = assemble(loop, clock, given, load, beside)
     driver, discovery, reader, reload = parts.driver, parts.discovery, parts.reader, parts.reload
@@ -70,36 +76,36 @@
     if not given.settings.ask_discovery:
         discovery.watch()
     if inherited is not None:
-        await first_list(driver)
-    try:
-        if inherited is not None:
-            server = await loop.create_server(front.connect, sock=inherited, backlog=BACKLOG)
-        else:
-            server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
-    except OSError as exc:
-        raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
+        await first_list(driver, together)
     offers = features.Offers()
-    services = await beside.start(loop, clock, given, driver, inherited is not None, offers, reload)
+    services = await beside.start(loop, clock, given, driver, inherited is not None, offers, reload, listen)
     if given.console is not None:
         from dykeshift.console.shell import Console
         from dykeshift.node.desk import Desk
 
         console = Console(loop, Desk(clock, driver, drain, standby, together, offers), given.callers)
         try:
-            await console.listen(given.console)
+            await console.listen(given.console, listen)
         except OSError as exc:
             raise config.ConfigError(f"cannot listen for operators: {exc}") from None
         services.append(console)
     if together is not None:
         together.serve()
-    if started is not None:
-        started(front, server, reload, services)
-    while drain.state is not State.OVER:
-        await leaving.wait()
-        await wind_down(front, server, services)
-        leaving.clear()
-    if together is not None:
-        together.leave()
+    try:
+        server = await listen(loop, front.connect, given.listen, BACKLOG, inherited)
+    except OSError as exc:
+        raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
+    try:
+        if started is not None:
+            started(front, server, reload, services)
+        while drain.state is not State.OVER:
+            await leaving.wait()
+            await wind_down(front, server, services)
+            leaving.clear()
+    finally:
+        server.abandon()
+        if together is not None:
+            together.leave()
 
 
 def meet(loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, front: Front) -> Together | None:
@@ -116,14 +122,21 @@
     return together
 
 
-async def first_list(driver: Driver) -> None:
-    """Wait for discovery: the list from before the start may be as old as the process that serves already."""
+async def first_list(driver: Driver, together: Together | None) -> None:
+    """Wait for discovery: the list from before the start may be as old as the process that serves already.
+
+    And for the bans, where they cannot be read at once.
+    """
     until = driver.loop.time() + FIRST_LIST
-    while not driver.informed and driver.loop.time() < until:
+
+    def informed() -> bool:
+        return driver.informed and (together is None or together.restored)
+
+    while not informed() and driver.loop.time() < until:
         await asyncio.sleep(TICK)
 
 
-async def wind_down(front: Front, server: asyncio.Server, services: list[Service]) -> None:
+async def wind_down(front: Front, server: Listening, services: list[Service]) -> None:
     """Let go of the clients, until it is over or taken back.
 
     None is turned away while some may still come, all that were taken are answered.
@@ -135,8 +148,9 @@
             told = True
             for service in services:
                 service.drain()
-        busy = front.busy() or any(service.busy() for service in services)
-        orders = drain.look(loop.time(), busy, busy and front.taken())
+        pending = server.pending()
+        busy = pending or front.busy() or any(service.busy() for service in services)
+        orders = drain.look(loop.time(), busy, pending or (busy and front.taken()))
         if orders.stop_accepting:
             server.close()
         front.close_idle(orders)
--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -11,6 +11,7 @@
 from dykeshift.clock import Clock
 from dykeshift.engine import config, features
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.listener import Listen, listen
 from dykeshift.engine.requests import Objection
 from dykeshift.engine.upstream import Carrier
 from dykeshift.interface import Settings
@@ -63,6 +64,7 @@
     given: config.Config
     driver: Driver
     disk: Disk
+    listen: Listen = listen  # opens listeners
     inherited: bool = False  # another process of this balancer may be at work beside this one
     reload: Reload | None = None  # takes new settings and moves to another discovery
     offers: Offers = field(default_factory=Offers)
@@ -102,6 +104,7 @@
         inherited: bool = False,
         offers: Offers | None = None,
         reload: Reload | None = None,
+        listen: Listen = listen,
     ) -> list[Service]:
         """`offers`: takes up what the features answer operators."""
         if not self.parts:
@@ -111,7 +114,7 @@
             from dykeshift.store.disk import MachineDisk
 
             disk = MachineDisk()
-        host = Host(loop, clock, given, driver, disk, inherited, reload, offers or Offers())
+        host = Host(loop, clock, given, driver, disk, listen, inherited, reload, offers or Offers())
         for module, options in self.parts:
             if hasattr(module, "prepare"):
                 module.prepare(options, host)
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dykeshift.clock import Clock
+from dykeshift.engine.listener import Listening
 from dykeshift.engine.config import Config, ConfigError, read_address
 from dykeshift.engine.requests import Objection
 from dykeshift.interface import Settings
@@ -137,7 +138,7 @@
 class MllpService:
     """`servers` in the order of `listen`."""
 
-    def __init__(self, front: MllpFront, servers: list[asyncio.Server]) -> None:
+    def __init__(self, front: MllpFront, servers: list[Listening]) -> None:
         self.front, self.servers = front, servers
 
     def drain(self) -> None:
@@ -147,8 +148,8 @@
         self.front.drain()
 
     def busy(self) -> bool:
-        """Whether a message is in work."""
-        return self.front.busy()
+        """Whether a message is in work, or may be on a connection that is being accepted."""
+        return self.front.busy() or any(server.pending() for server in self.servers)
 
     def close(self) -> None:
         """Close all connections and the journal."""
@@ -173,10 +174,10 @@
         options.max_frame_kb << 10,
         connections(options, host.given),
     )
-    servers = []
+    servers = list[Listening]()
     for text in options.listen:
         try:
-            servers.append(await host.loop.create_server(front.connect, *read_address(text), backlog=BACKLOG))
+            servers.append(await host.listen(host.loop, front.connect, read_address(text), BACKLOG))
         except OSError as exc:
             raise ConfigError(f"cannot listen on {text} for MLLP: {exc}") from None
     return MllpService(front, servers)
--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -27,14 +27,27 @@
         self.limits = front.limit, driver.pool.limit, front.budget.limit
         self.ended: dict[str, int] = {}  # ends of bans that this process knows: by name, when
         self.timer: asyncio.TimerHandle | None = None
+        self.restored = False  # the bans from before have been read
+        self.failing = False  # the folder could not be used at the last look, and the log says so
+        driver.waits = self._unready(driver.waits)
+
+    def _unready(self, others: Callable[[], bool]) -> Callable[[], bool]:
+        return lambda: not self.restored or others()
 
     def restore(self) -> None:
-        """The bans that another process, or an earlier one, left: before anything is sent."""
-        self._take(self.folder.read())
+        """The bans that another process, or an earlier one, left: before anything is sent.
+
+        Where they cannot be read now, `/ready` says no until they can be.
+        """
+        try:
+            self._take(self.folder.read())
+        except OSError as exc:
+            self._note_failure(exc)
+        else:
+            self.restored = True
 
     def serve(self) -> None:
         """From now on this process counts as serving, and looks what others do."""
-        self.folder.serve(self.clock.monotonic_ns())
         self._look()
 
     def leave(self) -> None:
@@ -60,21 +73,32 @@
     def _look(self) -> None:
         self.timer = self.loop.call_later(LOOK, self._look)
         try:
-            if self.folder.changed():
+            if not self.restored or self.folder.changed():
                 self._take(self.folder.read())
+                self.restored = True
+            if not self.folder.own:
+                self.folder.serve(self.clock.monotonic_ns())
             others, younger = self.folder.others()
         except OSError as exc:
-            log.warning(
-                "the folder shared with other versions can't be read: %s",
-                exc,
-                extra={"event": "handover.unread", "fields": {"reason": str(exc)}},
-            )
+            self._note_failure(exc)
             return
+        self.failing = False
         front, pool = self.front, self.driver.pool
         shares = (max(1, most // (1 + others)) for most in self.limits)
         front.limit, pool.limit, front.budget.limit = shares
         front.drain.yielding = younger > 0
 
+    def _note_failure(self, exc: OSError) -> None:
+        """One line of log for each time that it begins to fail; it is tried again at every look."""
+        if not self.failing:
+            self.failing = True
+            log.warning(
+                "the folder shared with other versions can't be used: %s; bans of another version and its "
+                "share of the connections are not known until it can be",
+                exc,
+                extra={"event": "handover.unread", "fields": {"reason": str(exc)}},
+            )
+
     def _take(self, held: Bans) -> None:
         """A ban ends by a word that says so alone: a file that is gone or spoilt ends none."""
         offset = self.clock.monotonic_ns() - self.clock.time_ns()
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -19,7 +19,7 @@
 from dykeshift.settings import Malformed
 from dykeshift.sim import referee as rules
 from dykeshift.sim.kernel import MS, SECOND, Host, Process, VirtualClock
-from dykeshift.sim.loop import Program
+from dykeshift.sim.loop import Program, virtual_listen
 from dykeshift.sim.scenario import CLASSES, KINDS, PROGRAM_DESCRIPTORS, Scenario
 from dykeshift.sim.scene import Scene
 from dykeshift.standins import hl7
@@ -248,6 +248,7 @@
                 VirtualClock(process),
                 self._started,
                 self._features(),
+                listen=virtual_listen,
             )
         )
 
--- a/dykeshift/sim/loop.py
+++ b/dykeshift/sim/loop.py
@@ -360,6 +360,18 @@
         return made, protocol
 
 
+async def virtual_listen(
+    loop: asyncio.AbstractEventLoop,
+    factory: Any,
+    address: tuple[str, int],
+    backlog: int,
+    inherited: Any = None,
+) -> transport.VirtualServer:
+    """See `engine.listener.Listen`; nobody inherits a listener here."""
+    assert isinstance(loop, VirtualLoop) and inherited is None
+    return await loop.create_server(factory, *address, backlog=backlog)
+
+
 @dataclass(slots=True, eq=False)
 class Program(Process):
     """A process with the event loop that runs it."""
--- a/dykeshift/sim/transport.py
+++ b/dykeshift/sim/transport.py
@@ -215,6 +215,14 @@
         """See `asyncio.AbstractServer`."""
         self.listener.close()
 
+    def abandon(self) -> None:
+        """See `engine.listener.Listening`."""
+        self.close()
+
+    def pending(self) -> bool:
+        """See `engine.listener.Listening`: here a connection is handed over as it is accepted."""
+        return False
+
     def is_serving(self) -> bool:
         """See `asyncio.AbstractServer`."""
         return self.listener.open
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -209,8 +209,8 @@
     given = config.parse({**configuration(registry.address, known), **changes}, beside.peering())
     ready: asyncio.Future[Node] = asyncio.get_running_loop().create_future()
 
-    def started(front: Front, server: asyncio.Server, reload: Reload, services: list[Any]) -> None:
-        ready.set_result(Node(front, registry, server.sockets[0].getsockname(), given, reload, services))
+    def started(front: Front, server: Any, reload: Reload, services: list[Any]) -> None:
+        ready.set_result(Node(front, registry, server.address, given, reload, services))
 
     task = asyncio.create_task(serve(given, lambda: ready.result().given, started=started, beside=beside))
     try:
--- a/tests/node/test_drain.py
+++ b/tests/node/test_drain.py
@@ -59,7 +59,7 @@
     async def main() -> None:
         stub = await Stub(silent).start()
         async with node(stub, console="127.0.0.1:0") as balancer:
-            address = balancer.services[-1].server.sockets[0].getsockname()
+            address = balancer.services[-1].server.address
 
             async def call(what: str) -> str:
                 reader, writer = await asyncio.open_connection(*address)
--- a/tests/node/test_one_answer.py
+++ b/tests/node/test_one_answer.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 
-from tests.node.messages import answer, request
+
+from tests.node.messages import Message, answer, request
 from tests.node.stubs import Stub, node, run, settings, silent, until
 from tests.node.test_bodies import CHUNKED, chunks, read_any, read_chunks
 
@@ -44,3 +46,24 @@
             assert (await read_any(caller.reader)).body == b"next"
 
     run(main())
+
+
+def test_a_rejection_is_not_written_into_a_long_answer() -> None:
+    """Bytes behind a request whose answer is coming: the answer is seen to be cut, and says nothing else."""
+
+    async def main() -> None:
+        async def begins(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(CHUNKED + BEGINNING)
+
+        stub = await Stub(begins).start()
+        async with node(stub) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request("check"))
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert b"chunked" in head
+            caller.writer.write(request("check", rid="second"))
+            rest = await caller.reader.read()
+            assert b"HTTP/1.1" not in rest and not rest.endswith(b"0\r\n\r\n")
+            await until(lambda: not balancer.front.driver.jobs)
+
+    run(main())
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -26,6 +26,7 @@
     SetTimer,
 )
 from dykeshift.node import __main__ as program
+from dykeshift.engine.invariants import Stage
 from dykeshift.engine import (
     bodies,
     arrivals,
@@ -66,7 +67,7 @@
 def _hold_back() -> list[Patch]:
     def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
         if final.how is terms.How.REFUSED:
-            job.closed = True
+            job.stage = Stage.OVER
             self.loop.call_later(0.1, job.reply, final)
         else:
             original(self, job, final)
@@ -317,7 +318,7 @@
 
 def _send_after_answer() -> list[Patch]:
     def finish(self: driver.Driver, job: driver.Job, final: terms.Final) -> None:
-        job.closed = True
+        job.stage = Stage.OVER
         job.reply(final)
 
     return [(driver.Driver, "_finish", finish)]
