--- a/dykeshift/rig/installation.py
+++ b/dykeshift/rig/installation.py
@@ -97,7 +97,7 @@
             "name": self.name,
             "listen": f"{self.home.host}:{self.address[1]}",
             "console": f"{self.home.host}:{self.console[1]}",
-            "discovery": f"127.0.0.1:{self.home.discovery[1]}",
+            "discovery": f"{self.home.discovery[0]}:{self.home.discovery[1]}",
             "seed": f"{self.name}-{self.lives}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.home.registry.whole(),
@@ -142,7 +142,7 @@
 class Installation:
     """Discovery, senders, balancers and clients, and the faults that can be done to them."""
 
-    host = "127.0.0.1"  # where balancers listen
+    host = "127.0.0.1"  # where all of it listens
 
     def __init__(
         self,
@@ -194,7 +194,7 @@
         """Start discovery, the senders, the balancers and the clients."""
         self._folder = tempfile.TemporaryDirectory(prefix="lifttrail-")
         self.folder = Path(self._folder.name)
-        self.spawn(self.registry.serve("127.0.0.1", 0))
+        self.spawn(self.registry.serve(self.host, 0))
         for _ in range(self.senders_wanted):
             await self.add_sender(cold=False)
         self.discovery = await self._address(self.registry)
@@ -235,7 +235,7 @@
             f"s{number}", cell, self.racks[cell], self.tally, Random(self.rng.random()), shape, cold=cold
         )
         self.senders.append(sender)
-        self.spawn(sender.serve("127.0.0.1", 0))
+        self.spawn(sender.serve(self.host, 0))
         address = await self._address(sender)
         self.registry_put(
             Instance(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -45,6 +45,9 @@
         """`program`: what a daemon is started as, after the interpreter."""
         super().__init__(plan.seed, plan.senders, plan.balancers, rate=0.0, slots=8)
         self.plan, self.program = plan, program
+        # A loopback address of its own: a port that one run lets go of may be taken by another at once.
+        process = os.getpid()
+        self.host = f"127.{1 + process // 250 % 250}.{1 + process % 250}.{1 + plan.seed % 250}"
         self.oracle = self.tally = Oracle()
         self.crowd = Crowd(self.front, self.oracle, self.crowd.rng, grace=CLIENT_GRACE)
         self.crowd.on_unserved = self.oracle.unserved
@@ -243,10 +246,15 @@
     )
 
 
-def play(seed: int, program: tuple[str, ...]) -> Result:
-    """One run in this process."""
+def play_plan(plan: Plan, program: tuple[str, ...] = ("-m", "dykeshift.node")) -> Result:
+    """One run in this process, on an event loop of its own."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(run(draw(seed), program))
+        return runner.run(run(plan, program))
+
+
+def play(seed: int, program: tuple[str, ...] = ("-m", "dykeshift.node")) -> Result:
+    """The run of a seed."""
+    return play_plan(draw(seed), program)
 
 
 def _keep_logs(folder: Path, where: Path) -> None:
