--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -61,9 +61,12 @@
         """See `Clock.input_age`; read from Linux's TCP_INFO, which counts in milliseconds."""
         if not hasattr(socket, "TCP_INFO"):
             return 0
-        info = transport.get_extra_info("socket").getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4
-        )
+        try:
+            info = transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4
+            )
+        except OSError:  # it does not tell now: what was read is answered all the same
+            return 0
         age: int = struct.unpack_from("=I", info, LAST_DATA_RECEIVED)[0]
         return age * 1_000_000
 
--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -37,6 +37,8 @@
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
 PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
+MOST_LEFT = 4096  # servers that are listed no more and whose starts are remembered
+LISTED_LATE = 3_000_000_000  # nanoseconds from a server's start until discovery tells it, at the most
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 Apply = Callable[[ListKind, list[Listed]], bool]
@@ -57,6 +59,16 @@
         # One offset for the whole run: starts are compared with one another.
         self.offset = clock.monotonic_ns() - clock.time_ns()
         self.starts: dict[int, tuple[int, int]] = {}  # of those listed: as told, and on this clock
+        self.left: dict[
+            int, tuple[int, int]
+        ] = {}  # the same of those that are listed no more, MOST_LEFT of them
+        self.heard_at = (
+            0  # when discovery gave the latest sound answer of this life, on the monotonic clock; 0: none
+        )
+
+    def heard(self) -> None:
+        """Discovery has spoken: a start that it tells of later, and has not until now, is not much older."""
+        self.heard_at = self.clock.monotonic_ns()
 
     def read(self, raw: Any) -> tuple[int, bool, list[Listed]]:
         """Generation, whether the list is whole, entries; ValueError if any part is unsound."""
@@ -67,7 +79,8 @@
             listed = [self._row(row) for row in rows]
             if whole:
                 there = {one.entry.id for one in listed}
-                self.starts = {number: start for number, start in self.starts.items() if number in there}
+                for number in [number for number in self.starts if number not in there]:
+                    self._leave(number)
             return generation, whole, listed
         except (KeyError, TypeError, AttributeError, OverflowError) as exc:
             raise ValueError(f"{type(exc).__name__}: {exc}") from None
@@ -82,7 +95,7 @@
         number = number_of(str(row["instanceId"]))
         started = self._start(number, int(row.get("startedAtMs", 0)) * 1_000_000)
         if state is ServerState.GONE:
-            self.starts.pop(number, None)
+            self._leave(number)
         entry = ServerEntry(
             id=number,
             zone=self._zone(str(row.get("zone"))),
@@ -102,17 +115,30 @@
         """
         return self.zones[name] if name in self.zones else -1 - number_of(name)
 
+    def _leave(self, number: int) -> None:
+        """Of the list; it may come back without having started anew."""
+        start = self.starts.pop(number, None)
+        if start is not None:
+            self.left[number] = start
+            if len(self.left) > MOST_LEFT:
+                del self.left[next(iter(self.left))]
+
     def _start(self, number: int, began: int) -> int:
         """When it started, on this clock; 0: long ago.
 
         Not later than it was first told: where the wall clock was minutes behind as this process started, a
-        server would count as cold for so much longer.
+        server would count as cold for so much longer. And not much earlier than the answer before, which did
+        not tell it yet: where the wall clock was ahead, a server would count as warm while it is cold.
         """
         if began <= 0:
             return 0
         told, started = self.starts.get(number, (0, 0))
+        if told != began and self.left.get(number, (0, 0))[0] == began:  # it has come back, and not started
+            self.starts[number] = self.left.pop(number)
+            return self.starts[number][1]
         if told != began:
-            started = max(1, min(began + self.offset, self.clock.monotonic_ns()))
+            earliest = max(1, self.heard_at - LISTED_LATE)
+            started = max(earliest, min(began + self.offset, self.clock.monotonic_ns()))
             self.starts[number] = began, started
         return started
 
@@ -225,6 +251,8 @@
                 end = CallEnd.BROKEN
         except (OSError, TimeoutError, WatchEndedError):
             pass
+        except Exception:  # the program's own fault: nobody would ask again, and what drains would go unheard
+            log.exception("the watch on discovery failed", extra={"event": "discovery.failed"})
         finally:  # its own connection alone: after a move another watch has one of its own
             self._hang_up(connection)
         if self.task is not this:
@@ -281,6 +309,7 @@
                 extra={"event": "list.dropped", "fields": {"reason": str(exc)}},
             )
             raise WatchEndedError from None
+        self.reader.heard()
         anew = not whole and asked_from is not None and generation < asked_from
         if current:
             self._hear_no_more()
--- a/dykeshift/engine/listener.py
+++ b/dykeshift/engine/listener.py
@@ -23,6 +23,8 @@
 # those that a front lets go for them keep theirs until the next round of the loop.
 MOST_AT_ONCE = 4
 RETRY = 0.01  # seconds until accept is tried again after the system had nothing left for it
+BIND_PATIENCE = 5.0  # seconds for which opening a listener is tried again
+BIND_RETRY = 0.1  # seconds between two tries
 LOG_EVERY = 5.0  # seconds between two lines of log about failing calls of accept
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
@@ -163,11 +165,29 @@
     inherited: socket.socket | None = None,
 ) -> Listener:
     """Listen on `address` (host, port), or accept from a listener that was inherited. Raises OSError."""
-    listening = inherited
-    if listening is None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listening = socket.create_server(address, family=family, backlog=backlog)
+    if inherited is None:
+        listening = await _bound(loop, address, backlog)
     else:
+        listening = inherited
         listening.listen(backlog)
     listening.setblocking(False)
     return Listener(loop, factory, listening)
+
+
+async def _bound(loop: asyncio.AbstractEventLoop, address: Address, backlog: int) -> socket.socket:
+    """A listening socket. Where the system has nothing left for it, it is tried again for a while."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    until = loop.time() + BIND_PATIENCE
+    while True:
+        try:
+            return socket.create_server(address, family=family, backlog=backlog)
+        except OSError as exc:
+            if exc.errno not in EXHAUSTED or loop.time() >= until:
+                raise
+            log.warning(
+                "listening on %s:%d fails for now: %s",
+                *address,
+                exc,
+                extra={"event": "listener.bind-fails", "fields": {"error": errno.errorcode[exc.errno]}},
+            )
+        await asyncio.sleep(BIND_RETRY)
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -16,6 +17,8 @@
 from dykeshift.engine.link import Link
 from dykeshift.engine.terms import Asked
 
+log = logging.getLogger(__name__)
+
 FRESH = 0.8  # of the keepalive: a connection idle for longer is closed, well before the upstream does it
 SWEEP = 0.5  # seconds between two looks for such connections
 RISK, DOUBT = 0.15, 10  # part of the reuses, and of so many more, that may break at some idle time
@@ -358,7 +361,9 @@
                 _, connection = await self.loop.create_connection(
                     lambda: self.carrier.connection(idle, lost), *upstream.address
                 )
-        except (OSError, TimeoutError):
+        except Exception as exc:
+            if not isinstance(exc, OSError):  # a TimeoutError is one
+                log.exception("a connect failed", extra={"event": "upstream.connect-failed"})
             release()
             attempt.finish(End(Outcome.CONNECT_FAILED))
             return
--- a/tests/faults/daemon.py
+++ b/tests/faults/daemon.py
@@ -8,7 +8,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -64,13 +64,27 @@
 
 @asynccontextmanager
 async def daemon(
-    folder: Path, *upstreams: Stub, environment: dict[str, str] | None = None, **changes: Any
+    folder: Path,
+    *upstreams: Stub,
+    before: Callable[[FaultControl], None] = lambda faults: None,
+    inherited: socket.socket | None = None,
+    **changes: Any,
 ) -> AsyncIterator[Daemon]:
-    """Started with a list of these upstreams, and ready; killed at the end if it still runs."""
-    faults = FaultControl(folder / "faults", folder)
+    """Started with a list of these upstreams, and ready; killed at the end if it still runs.
+
+    `before` orders what fails from the start on. `inherited`: a listener that it accepts from, beside others.
+    Files fail below its `$TMPDIR`, which is `folder / "shared"`.
+    """
+    shared = folder / "shared"
+    shared.mkdir(exist_ok=True)
+    faults = FaultControl(folder / "faults", shared)
+    before(faults)
+    environment = {"TMPDIR": str(shared)}
+    if inherited is not None:
+        environment["NODE_INHERITED_FD"] = str(inherited.fileno())
     registry = await Registry().start()
     known = listing(1, True, *(instance(f"s{n}", one.address) for n, one in enumerate(upstreams)))
-    address = free_address()
+    address = inherited.getsockname() if inherited is not None else free_address()
     given = {**configuration(registry.address, known), "listen": f"{address[0]}:{address[1]}", **changes}
     (folder / "config.json").write_text(json.dumps(given))
     with (folder / "log").open("wb") as log:
@@ -81,8 +95,9 @@
                 **os.environ,
                 "NODE_CONFIG": str(folder / "config.json"),
                 **faults.environment(),
-                **(environment or {}),
+                **environment,
             },
+            pass_fds=[] if inherited is None else [inherited.fileno()],
             stdout=log,
             stderr=log,
         )
--- a/tests/faults/test_failing_calls.py
+++ b/tests/faults/test_failing_calls.py
@@ -14,6 +14,7 @@
     BROKEN_ERRORS,
     CONNECT_ERRORS,
     SOCKET_ERRORS,
+    FaultControl,
     Kind,
 )
 from tests.node.messages import answer, request
@@ -79,3 +80,23 @@
             assert await balancer.ended() == 0
 
     run(main())
+
+
+@pytest.mark.parametrize("failure", SOCKET_ERRORS, ids=lambda code: errno.errorcode[code])
+def test_a_process_starts_though_the_system_has_no_socket_for_a_moment(failure: int, tmp_path: Path) -> None:
+    """It ended with 2 and said that it could not listen."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+
+        def before(faults: FaultControl) -> None:
+            faults.fail(Kind.SOCKET, 0.7, [failure])
+
+        async with daemon(tmp_path, stub, before=before) as balancer:
+            assert balancer.faults.injected(Kind.SOCKET) > 0
+            balancer.faults.calm()
+            assert (await balancer.ask(request(rid="r1"))).body == b"done"
+            balancer.process.terminate()
+            assert await balancer.ended() == 0
+
+    run(main())
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -378,6 +378,44 @@
         return 0
 
 
+class WallClock(Behind):
+    """A wall clock that is off by so many nanoseconds, and a monotonic one that a test moves on."""
+
+    def __init__(self, off: int) -> None:
+        self.off = off
+        self.now = 1_000_000_000_000
+
+    def time_ns(self) -> int:
+        return self.now + TRUE_OFFSET + self.off
+
+
+TRUE_OFFSET = 1_700_000_000_000_000_000  # nanoseconds from the monotonic clock to Unix time
+SECOND = 1_000_000_000
+
+
+@pytest.mark.parametrize("off", [-3600, -7, 0, 7, 3600])
+def test_a_server_that_starts_is_cold_however_far_off_the_wall_clock_was_at_the_start(off: int) -> None:
+    """An hour ahead, every later start seemed an hour old: no slow start at all."""
+    clock = WallClock(off * SECOND)
+    reader = Reader(clock, ("a",), ("m",))
+    reader.read(listing(1, True, instance("s0", ("127.0.0.1", 1))))
+    reader.heard()
+    clock.now += 5 * SECOND
+    began = clock.now
+    row = instance("s1", ("127.0.0.1", 2), startedAtMs=(began + TRUE_OFFSET) // 1_000_000)
+    clock.now += SECOND // 2
+    [told] = reader.read(listing(2, False, row))[2]
+    assert began - 8 * SECOND <= told.entry.started <= clock.now
+    if off <= 0:
+        assert told.entry.started >= began - 1_000_000
+    reader.heard()
+    clock.now += 40 * SECOND
+    [gone] = reader.read(listing(3, False, {**row, "lifecycle": "left"}))[2]
+    clock.now += 10 * SECOND
+    [back] = reader.read(listing(4, False, row))[2]
+    assert back.entry.started == told.entry.started  # it has come back, and not started anew
+
+
 # ---- generations ----
 
 
