Accept: a round of the loop ends however calls fail; connections rest before they are used again

And a second answer that comes some milliseconds late on a connection in use again was taken for the next request's: one that has rested 10 ms goes first. No connection is dialled for it.

--- a/dykeshift/engine/listener.py
+++ b/dykeshift/engine/listener.py
@@ -22,7 +22,8 @@
 # Connections that are being handed over at once: few, as each has a descriptor that no front counts yet, and
 # those that a front lets go for them keep theirs until the next round of the loop.
 MOST_AT_ONCE = 4
-RETRY = 0.01  # seconds until accept is tried again after the system had nothing left for it
+MOST_FAILURES = 16  # calls of accept that may fail in one round of the loop
+RETRY = 0.01  # seconds until accept is tried again after that, or after the system had nothing left for it
 BIND_PATIENCE = 5.0  # seconds for which opening a listener is tried again
 BIND_RETRY = 0.1  # seconds between two tries
 LOG_EVERY = 5.0  # seconds between two lines of log about failing calls of accept
@@ -93,6 +94,7 @@
 
     def _accept(self) -> None:
         """Accept what is queued; how `accept` fails says whether to go on, to wait, or that none is left."""
+        failed = 0
         while not self.closed and len(self.handing_over) < MOST_AT_ONCE:
             try:
                 accepted, _ = self.socket.accept()
@@ -102,11 +104,12 @@
                 return
             except OSError as exc:
                 self._note(exc)
-                if exc.errno in EXHAUSTED:
-                    self._pause()
-                    self.retry = self.loop.call_later(RETRY, self._resume)
-                    return
-                continue  # of the one connection: the next may be sound
+                failed += 1
+                if exc.errno not in EXHAUSTED and failed < MOST_FAILURES:
+                    continue  # of the one connection: the next may be sound
+                self._pause()
+                self.retry = self.loop.call_later(RETRY, self._resume)
+                return
             self._hand_over(accepted)
         self._pause()  # until one of them has been handed over
 
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 FRESH = 0.8  # of the keepalive: a connection idle for longer is closed, well before the upstream does it
+REST = 0.01  # seconds without use after which a second answer to the last request has come, if ever
 SWEEP = 0.5  # seconds between two looks for such connections
 RISK, DOUBT = 0.15, 10  # part of the reuses, and of so many more, that may break at some idle time
 FADE = 0.9  # what is left of those counts after each look
@@ -320,13 +321,23 @@
 
     def _warm(self, upstream: Upstream) -> Link | None:
         while upstream.idle:
-            connection = upstream.idle.pop()
+            connection = self._least_risky(upstream.idle)
             idle = self.loop.time() - connection.idle_since
             if idle < self.keepalive and self.staleness.fresh(idle) and connection.alive():
                 return connection
             connection.close()
         return None
 
+    def _least_risky(self, idle: list[Link]) -> Link:
+        """The latest used of those that have rested, else the latest used.
+
+        Protects against an upstream that answers a request twice, the second time some milliseconds later:
+        on a connection in use again by then it would be taken for the answer to the next request.
+        """
+        rested = self.loop.time() - REST
+        found = next((n for n in range(len(idle) - 1, -1, -1) if idle[n].idle_since <= rested), -1)
+        return idle.pop(found)
+
     def _room(self) -> bool:
         if self.open < self.limit:
             return True
--- a/tests/faults/test_failing_calls.py
+++ b/tests/faults/test_failing_calls.py
@@ -18,7 +18,7 @@
     Kind,
 )
 from tests.node.messages import answer, request
-from tests.node.stubs import Stub, run, says
+from tests.node.stubs import Stub, run, says, until
 
 ROUNDS, TOGETHER = 12, 8  # requests on new connections: so many rounds of so many at once
 
@@ -100,3 +100,24 @@
             assert await balancer.ended() == 0
 
     run(main())
+
+
+@pytest.mark.parametrize("failure", (errno.EPERM, errno.ENFILE), ids=lambda code: errno.errorcode[code])
+def test_other_clients_are_served_while_every_accept_fails(failure: int, tmp_path: Path) -> None:
+    """The loop goes on turning, and what waits is accepted once that works again."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with daemon(tmp_path, stub) as balancer:
+            kept = await balancer.open()
+            assert (await kept.ask(request(rid="first"))).body == b"done"
+            balancer.faults.fail(Kind.ACCEPT, 1.0, [failure])
+            waiting = asyncio.create_task(balancer.ask(request(rid="waiting")))
+            await until(lambda: balancer.faults.injected(Kind.ACCEPT) > 0)
+            for turn in range(5):
+                assert (await kept.ask(request(rid=f"kept-{turn}"))).body == b"done"
+            assert not waiting.done()
+            balancer.faults.calm()
+            assert (await waiting).body == b"done"
+
+    run(main())
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -12,6 +12,7 @@
 from dykeshift.clock import SYSTEM, SystemClock
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.http_carrier import HttpCarrier
+from dykeshift.engine.link import Link
 from dykeshift.engine.upstream import Attempt, End, Pool, Staleness
 from tests.node.messages import answer
 from tests.node.stubs import Handler, Stub, resets, run, says, silent, until
@@ -547,3 +548,25 @@
         listener.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("ages", "taken"), [((0.5, 0.2, 0.001), 0.2), ((0.003, 0.001), 0.001), ((0.2,), 0.2)]
+)
+def test_a_connection_that_has_rested_goes_before_one_that_was_just_used(
+    ages: tuple[float, ...], taken: float
+) -> None:
+    """On the latter a second answer to its last request may still be under way."""
+
+    async def main() -> None:
+        pool = make_pool(("127.0.0.1", 1))
+        now = pool.loop.time()
+        idle = list[Link]()
+        for age in ages:
+            link = HttpCarrier(pool.loop, SYSTEM).connection(lambda _: None, lambda _: None)
+            link.idle_since = now - age
+            idle.append(link)
+        assert pool._least_risky(idle).idle_since == now - taken
+        assert len(idle) == len(ages) - 1
+
+    run(main())
