--- a/tests/faults/daemon.py
+++ b/tests/faults/daemon.py
@@ -42,7 +42,7 @@
 
     async def open(self) -> Caller:
         """A client's new connection."""
-        return Caller(*await asyncio.open_connection(*self.address))
+        return await Caller.to(self.address)
 
     async def ask(self, request: bytes) -> Message:
         """One request on a connection of its own."""
--- /dev/null
+++ b/tests/faults/test_early_signals.py
@@ -0,0 +1,61 @@
+"""Signals that come while the process starts: a new configuration never ends it."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import tomllib
+from contextlib import suppress
+from pathlib import Path
+
+from tests.faults.daemon import READY, ROOT, free_address
+from tests.node.messages import answer, instance, listing, request
+from tests.node.stubs import Caller, Registry, Stub, configuration, run, says, until
+
+HANGUP = 1 << (signal.SIGHUP - 1)  # its bit in the masks of /proc/PID/status
+
+
+def spared(process: int) -> bool:
+    """Whether SIGHUP is ignored, blocked or caught there."""
+    lines = Path(f"/proc/{process}/status").read_text().splitlines()
+    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigBlk", "SigCgt"))]
+    return any(mask & HANGUP for mask in masks)
+
+
+def is_program(process: int) -> bool:
+    """Whether the shell has given way to the program."""
+    return Path(f"/proc/{process}/cmdline").read_bytes().split(b"\0")[0].endswith(b"python")
+
+
+def test_new_configurations_while_the_process_starts_do_not_end_it(tmp_path: Path) -> None:
+    """SIGHUP's default ends a process; the interpreter and the imports take a quarter of a second."""
+
+    async def main() -> None:
+        stub, registry = await Stub(says(answer())).start(), await Registry().start()
+        address = free_address()
+        given = configuration(registry.address, listing(1, True, instance("s0", stub.address)))
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**given, "listen": f"{address[0]}:{address[1]}"}))
+        command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        process = subprocess.Popen(
+            ["/bin/sh", "-c", command], cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)}
+        )
+        try:
+            await until(lambda: is_program(process.pid))
+            assert spared(process.pid)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                with suppress(OSError):
+                    if "200" in (await (await Caller.to(address)).ask(READY)).start:
+                        break
+            assert process.poll() is None
+            assert (await (await Caller.to(address)).ask(request(rid="r1"))).body == b"done"
+            process.terminate()
+            await until(lambda: process.poll() is not None)
+            assert process.returncode == 0
+        finally:
+            process.kill()
+
+    run(main())
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -179,7 +179,7 @@
         self.reload()
 
     async def open(self) -> Caller:
-        return Caller(*await asyncio.open_connection(*self.address))
+        return await Caller.to(self.address)
 
     async def ask(self, request: bytes) -> Message:
         caller = await self.open()
@@ -196,6 +196,11 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
+    @classmethod
+    async def to(cls, address: tuple[str, int]) -> Caller:
+        """A new connection."""
+        return cls(*await asyncio.open_connection(*address))
+
     async def ask(self, request: bytes) -> Message:
         self.writer.write(request)
         return await read_message(self.reader)
