--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -108,12 +108,21 @@
             await leaving.wait()
             await wind_down(front, server, services)
             leaving.clear()
+        log_end(driver)
     finally:
         server.abandon()
         if together is not None:
             together.leave()
 
 
+def log_end(driver: Driver) -> None:
+    """What was kept from happening and what was closed, by reason, in one line as the process ends."""
+    fields = driver.ledger.occurrences.figures()
+    log.info(
+        "ended: %s", fields or "nothing was kept back or closed", extra={"event": "ended", "fields": fields}
+    )
+
+
 def meet(loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, front: Front) -> Together | None:
     """The other processes of this balancer, through the folder that they share, if there is one."""
     path = os.environ.get("TMPDIR")
--- a/dykeshift/node/tally.py
+++ b/dykeshift/node/tally.py
@@ -95,6 +95,8 @@
             "admit": round(module.admit, 3),
             "crowd": round(module.crowd, 3),
         }
+        if occurrences := driver.ledger.occurrences.figures():
+            state["occurrences"] = occurrences  # since the start
         if self.host.figures:
             state["fleet"] = {name: figure() for name, figure in self.host.figures.items()}
         fields = {"seconds": self.every, "counts": dict(module.counts), "state": state}
