Bans: what two versions tell one another is ordered by what was seen, not by wall clocks

Cause: an end of a ban was taken for this ban's if its Unix time was later; a step back between two calls of operators ended no ban, or ended it at once, and a step forward made a server that came back warm. Change: an end that was there when a ban was entered or heard of belongs to an earlier one; times count from when they are heard. Measured: the new test failed for steps of -3600, -7, 7 and 3600 s before and passes now.

--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -25,7 +25,9 @@
     ) -> None:
         self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
         self.limits = front.limit, driver.pool.limit, front.budget.limit
-        self.ended: dict[str, int] = {}  # ends of bans that this process knows: by name, when
+        # By name, the end of a ban that this process has seen: as it was written, which identifies it and is no
+        # time to compare. An end that was there when a ban was entered or heard of is of an earlier ban.
+        self.ended: dict[str, tuple[int, int]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.restored = False  # the bans from before have been read
         self.failing = False  # the folder could not be used at the last look, and the log says so
@@ -60,13 +62,15 @@
     def enter(self, name: str) -> None:
         """OSError: it could not be written, and nothing has changed."""
         with self.folder.change() as held:
+            if name in held.back:
+                self.ended[name] = held.back[name]
             held.enter(name, self.clock.time_ns() // MS)
 
     def exit(self, name: str) -> None:
         with self.folder.change() as held:
             held.exit(name, self.clock.time_ns() // MS)
             if name in held.back:
-                self.ended[name] = held.back[name][1]
+                self.ended[name] = held.back[name]
 
     # ---- the other process ----
 
@@ -100,24 +104,22 @@
             )
 
     def _take(self, held: Bans) -> None:
-        """A ban ends by a word that says so alone: a file that is gone or spoilt ends none."""
-        offset = self.clock.monotonic_ns() - self.clock.time_ns()
-
-        def when(unix: int) -> int:
-            return max(1, unix * MS + offset)
+        """A ban ends by a word that says so alone: a file that is gone or spoilt ends none.
 
-        banned = self.driver.balancer.banned
-        for name, (since, until) in held.back.items():
-            number = number_of(name)
-            if self.ended.get(name) == until:
+        Wall clocks may have been stepped since it was written: what is told counts from now, so that a server
+        is taken for cold for somewhat longer rather than too short.
+        """
+        now, banned = self.clock.monotonic_ns(), self.driver.balancer.banned
+        for name, ban in held.back.items():
+            if self.ended.get(name) == ban:
                 continue  # told once more, it would close the connections that have come up since
-            self.ended[name] = until
-            if name not in held.out and banned.get(number, 0) <= when(until):
-                self._tell(name, self.driver.ban, when(since))
-                self._tell(name, self.driver.end_ban, when(until))
-        for name, since in held.out.items():
+            self.ended[name] = ban
+            if name not in held.out:
+                self._tell(name, self.driver.ban, now)
+                self._tell(name, self.driver.end_ban, now)
+        for name in held.out:
             if number_of(name) not in banned:
-                self._tell(name, self.driver.ban, when(since))
+                self._tell(name, self.driver.ban, now)
 
     def _tell(self, name: str, what: Callable[[int, int], bool], at: int) -> None:
         self.driver.note_listed(number_of(name))  # the other process has checked it
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
 
+from dykeshift.clock import SystemClock
 from dykeshift.engine.discovery import number_of
 from dykeshift.handover.bans import Bans
 from dykeshift.handover.folder import BANS, Folder
@@ -111,3 +113,42 @@
     one = [to_cold([World(seed=seed)]) for seed in range(4)]
     two = [to_cold([World(seed=seed), World(seed=seed + 50)]) for seed in range(4)]
     assert sum(two) <= 1.15 * sum(one) and sum(one) > 50
+
+
+class SteppedClock(SystemClock):
+    """The machine's own, its wall clock stepped by a test."""
+
+    step = 0  # nanoseconds
+
+    def time_ns(self) -> int:  # type: ignore[override]
+        return time.time_ns() + self.step
+
+
+@pytest.mark.parametrize("step", [-3600, -7, 7, 3600])
+def test_bans_hold_and_end_whatever_the_wall_clock_does_between(step: int, tmp_path: Path) -> None:
+    """A ban entered after a step back looked ended by the end of the one before it, and the other way round."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            here, other = beside(balancer, Folder(str(tmp_path))), beside(balancer, Folder(str(tmp_path)))
+            here.clock = other.clock = clock = SteppedClock()
+            driver = balancer.front.driver
+            other.enter("s0")
+            here.restore()
+            other.exit("s0")
+            here.restore()
+            assert S0 not in driver.balancer.banned
+            clock.step = step * 1_000_000_000
+            here.enter("s0")
+            driver.ban(S0)
+            here.restore()
+            assert S0 in driver.balancer.banned
+            before = clock.monotonic_ns()
+            clock.step = -clock.step
+            other.exit("s0")
+            here.restore()
+            assert S0 not in driver.balancer.banned
+            assert driver.balancer.servers[S0].entry.started >= before  # cold from its return on
+
+    run(main())
