--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -126,7 +126,7 @@
 
 @pytest.mark.parametrize("step", [-3600, -7, 7, 3600])
 def test_bans_hold_and_end_whatever_the_wall_clock_does_between(step: int, tmp_path: Path) -> None:
-    """A ban entered after a step back looked ended by the end of the one before it, and the other way round."""
+    """A ban entered after a step back looked ended by the end of the one before it, or never ended."""
 
     async def main() -> None:
         stub = await Stub(says(answer())).start()
