--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -25,8 +25,8 @@
     ) -> None:
         self.loop, self.clock, self.folder, self.driver, self.front = loop, clock, folder, driver, front
         self.limits = front.limit, driver.pool.limit, front.budget.limit
-        # By name, the end of a ban that this process has seen, as it was written: that identifies it and is no
-        # time to compare. An end that was there when a ban was entered or heard of is of an earlier ban.
+        # By name, the end of a ban that this process has seen, as it was written: that identifies it, and is
+        # no time to compare. An end that was there when a ban was entered or heard of is of an earlier ban.
         self.ended: dict[str, tuple[int, int]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.restored = False  # the bans from before have been read
--- a/tests/faults/daemon.py
+++ b/tests/faults/daemon.py
@@ -16,7 +16,7 @@
 
 from tests.faults.fault_control import FaultControl
 from tests.node.messages import Message, instance, listing
-from tests.node.stubs import Caller, Registry, Stub, configuration, until
+from tests.node.stubs import Caller, Registry, Stub, ask_once, configuration, until
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 COMMAND = (sys.executable, "-m", "dykeshift.node")
@@ -46,11 +46,7 @@
 
     async def ask(self, request: bytes) -> Message:
         """One request on a connection of its own."""
-        caller = await self.open()
-        try:
-            return await caller.ask(request)
-        finally:
-            caller.writer.close()
+        return await ask_once(self.address, request)
 
     def log(self) -> str:
         """What it has written to standard error."""
--- a/tests/faults/test_early_signals.py
+++ b/tests/faults/test_early_signals.py
@@ -13,7 +13,7 @@
 
 from tests.faults.daemon import READY, ROOT, free_address
 from tests.node.messages import answer, instance, listing, request
-from tests.node.stubs import Caller, Registry, Stub, configuration, run, says, until
+from tests.node.stubs import Registry, Stub, ask_once, configuration, run, says, until
 
 HANGUP = 1 << (signal.SIGHUP - 1)  # its bit in the masks of /proc/PID/status
 
@@ -50,10 +50,10 @@
             while process.poll() is None:
                 process.send_signal(signal.SIGHUP)
                 with suppress(OSError):
-                    if "200" in (await (await Caller.to(address)).ask(READY)).start:
+                    if "200" in (await ask_once(address, READY)).start:
                         break
             assert process.poll() is None
-            assert (await (await Caller.to(address)).ask(request(rid="r1"))).body == b"done"
+            assert (await ask_once(address, request(rid="r1"))).body == b"done"
             process.terminate()
             await until(lambda: process.poll() is not None)
             assert process.returncode == 0
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -182,11 +182,16 @@
         return await Caller.to(self.address)
 
     async def ask(self, request: bytes) -> Message:
-        caller = await self.open()
-        try:
-            return await caller.ask(request)
-        finally:
-            caller.writer.close()
+        return await ask_once(self.address, request)
+
+
+async def ask_once(address: tuple[str, int], request: bytes) -> Message:
+    """One request on a connection of its own."""
+    caller = await Caller.to(address)
+    try:
+        return await caller.ask(request)
+    finally:
+        caller.writer.close()
 
 
 @dataclass
