--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -82,6 +82,7 @@
     streams: float  # share of answers that come in pieces, without a length
     leaving: float  # share of clients that go away early
     episodes: tuple[Episode, ...]
+    seconds: float = SOAK_SECONDS  # of load
 
 
 def draw(seed: int) -> Plan:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,7 +19,7 @@
 from dykeshift.standins.sender import Mood
 from tests.faults.fault_control import FaultControl, Kind
 from tests.soak.oracle import Oracle
-from tests.soak.plan import CALL_ERRORS, SOAK_SECONDS, Episode, Fault, Plan, draw
+from tests.soak.plan import CALL_ERRORS, Episode, Fault, Plan, draw
 
 SENDER_ENDS = 5.0  # seconds from the order to drain until a sender has ended
 HANDLERS = 3.0  # seconds from a process's start in which it may have no handler of signals yet
@@ -76,7 +76,7 @@
         loop = asyncio.get_running_loop()
         for episode in self.plan.episodes:
             loop.call_later(episode.at, self._begin, episode)
-        until, due = loop.time() + SOAK_SECONDS, loop.time()
+        until, due = loop.time() + self.plan.seconds, loop.time()
         while due < until:
             due += self.rng.expovariate(self.plan.rate)
             await asyncio.sleep(max(0.0, due - loop.time()))
