--- a/tests/cli/test_console.py
+++ b/tests/cli/test_console.py
@@ -19,7 +19,7 @@
     async def play() -> None:
         stub = await Stub(says(answer())).start()
         async with node(stub, console="127.0.0.1:0") as balancer:
-            at = "%s:%d" % balancer.services[-1].server.sockets[0].getsockname()
+            at = "%s:%d" % balancer.services[-1].server.address
 
             async def said(*arguments: str) -> tuple[int, str, str]:
                 code = await asyncio.to_thread(main, ["console", *arguments, "--at", at])
