--- a/tests/faults/test_early_signals.py
+++ b/tests/faults/test_early_signals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -11,7 +12,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from tests.faults.daemon import READY, ROOT, free_address
+from tests.faults.daemon import READY, ROOT, daemon, free_address
 from tests.node.messages import answer, instance, listing, request
 from tests.node.stubs import Registry, Stub, ask_once, configuration, run, says, until
 
@@ -61,3 +62,19 @@
             process.kill()
 
     run(main())
+
+
+def test_new_configurations_while_the_process_ends_do_not_spoil_its_end(tmp_path: Path) -> None:
+    """As the event loop closes, handlers of signals go before the process does."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with daemon(tmp_path, stub) as balancer:
+            assert (await balancer.ask(request(rid="r1"))).body == b"done"
+            balancer.process.terminate()
+            while balancer.process.poll() is None:
+                balancer.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0)
+            assert balancer.process.returncode == 0
+
+    run(main())
