--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -15,7 +15,7 @@
 import os
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -184,6 +184,17 @@
     gc.freeze()  # what lives as long as the program is not walked again by each collection
 
 
+async def owned(serving: Coroutine[Any, Any, None]) -> None:
+    """What only the program that owns its process may do once it has served.
+
+    As the event loop closes, SIGHUP has its default again, which would end the process before its exit.
+    """
+    try:
+        await serving
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+
+
 def inherited() -> socket.socket | None:
     """The listener that the platform holds and this process was given, if it was."""
     text = os.environ.get("NODE_INHERITED_FD")
@@ -213,7 +224,7 @@
         if chosen.peering():
             load = partial(load, peering=True)
             given = load()
-        uvloop.run(serve(given, load, clock, started=settle, beside=chosen, inherited=inherited()))
+        uvloop.run(owned(serve(given, load, clock, started=settle, beside=chosen, inherited=inherited())))
     except config.ConfigError as exc:
         print(f"balancer: {exc}", file=sys.stderr)
         return 2
