--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -59,12 +59,10 @@
         # One offset for the whole run: starts are compared with one another.
         self.offset = clock.monotonic_ns() - clock.time_ns()
         self.starts: dict[int, tuple[int, int]] = {}  # of those listed: as told, and on this clock
-        self.left: dict[
-            int, tuple[int, int]
-        ] = {}  # the same of those that are listed no more, MOST_LEFT of them
-        self.heard_at = (
-            0  # when discovery gave the latest sound answer of this life, on the monotonic clock; 0: none
-        )
+        # The same of those that are listed no more, MOST_LEFT of them.
+        self.left: dict[int, tuple[int, int]] = {}
+        # When discovery gave the latest sound answer of this life, on the monotonic clock; 0: none yet.
+        self.heard_at = 0
 
     def heard(self) -> None:
         """Discovery has spoken: a start that it tells of later, and has not until now, is not much older."""
