End: one place knows by when the process must have answered, and all that waits asks it

Cause: a request's time was counted from its own arrival, also after SIGTERM, and the end waited for up to twice the longest deadline, while the platform kills as early as min(longest deadline, 3 s) + 0.7 s after SIGTERM. A request taken 0.75 s or later after it was due after the kill, any with deadlines over 3 s.

Change: engine/termination.py keeps that time less a named reserve (a signal heard late, a standstill, last writes, the exit). The driver gives each request the earlier of its own time and it, also those that are open; the module hears of it as an event, refuses what it could not finish and begins nothing for nothing. As the time comes, requests that are not whole are refused, long answers cut. A connection that has never asked is waited for until SILENT. Two invariants count answers that come too late and requests that are open at the end; SIGTERM and the end are in the log. SIGTERM during a start ends it before it listens. serve() parted: node/shutdown.py.

Tests changed: the drain's model has the new inputs, as strict. 'A request in pieces that is whole as time is over is answered' had its last byte come after the longest deadline and be served beyond the kill; in its place all three of whole before, whole after and never whole must get a whole answer and none be sent on. Ruled out: cutting connections that never asked right after SIGTERM, which costs what could have been served.

--- a/dykeshift/engine/drain.py
+++ b/dykeshift/engine/drain.py
@@ -2,9 +2,9 @@
 
 Serving: clients are taken. Draining: `/ready` says no; answers close their connections; what is idle is
 closed; new connections are still served, as some come until everybody has noticed. Ending: the same, and
-after LINGER nobody is accepted; when all is answered it is over. Once the longest deadline is over, too, what
-is not whole yet is not waited for any more, and once it is over again nothing is. Standby and back may follow
-each other at will; nothing takes an ending back.
+after LINGER nobody is accepted; it is over when all is answered, and in any case when the process has to end,
+which `engine/termination.py` knows and the caller of `look` tells. Standby and back may follow each other at
+will; nothing takes an ending back.
 """
 
 from __future__ import annotations
@@ -13,17 +13,35 @@
 from enum import Enum, auto
 
 KEPT = 0.4  # seconds of a drain in which idle connections may bring one more request, answered with a close
-SILENT = 1.0  # seconds of a drain after which connections that never asked go too; new ones come for 0.3
+SILENT = 1.0  # seconds of a drain after which connections that never asked go too; new ones come for 0.4
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
 
 
 class State(Enum):
+    """How far a process is with letting go of its clients."""
+
     SERVING = auto()
     DRAINING = auto()
     ENDING = auto()
     OVER = auto()
 
 
+class Hurry(Enum):
+    """How much of its time an ending process has left."""
+
+    NONE = auto()
+    REFUSE = auto()  # nothing that comes now can be answered any more but with a refusal
+    EXIT = auto()  # the process ends now
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """What a look at the clients found that is not done."""
+
+    busy: bool = False  # something that has begun to come is not answered
+    silent: bool = False  # a connection that has never asked is there
+
+
 @dataclass(frozen=True, slots=True)
 class Orders:
     """What is to be done now."""
@@ -31,6 +49,7 @@
     close_kept: bool = False  # idle connections that have been answered
     close_silent: bool = False  # also those on which nothing was ever asked
     stop_accepting: bool = False
+    refuse_unfinished: bool = False  # requests that have begun to come and are not whole
 
 
 class Drain:
@@ -42,7 +61,6 @@
         self.state = State.SERVING
         self.yielding = False  # a later process of this balancer serves too: clients are to move to it
         self.since = 0.0
-        self.longest = 0.0
         self.closed = False  # nobody is accepted any more
 
     @property
@@ -57,9 +75,11 @@
 
     @property
     def ending(self) -> bool:
+        """Whether the process has been told to end."""
         return self.state in (State.ENDING, State.OVER)
 
     def standby(self, now: float) -> None:
+        """Begin to drain, unless it does already."""
         if self.state is State.SERVING:
             self.state, self.since = State.DRAINING, now
 
@@ -70,30 +90,28 @@
         self.state = State.SERVING
         return True
 
-    def terminate(self, now: float, longest: float) -> None:
-        """`longest`: seconds that a request may take once it has come whole."""
+    def terminate(self, now: float) -> None:
+        """The process is told to end; nothing takes that back."""
         if not self.ending:
-            self.state, self.since, self.longest = State.ENDING, now, longest
+            self.state, self.since = State.ENDING, now
 
-    def look(self, now: float, busy: bool, taken: bool = False) -> Orders:
+    def look(self, now: float, found: Open, hurry: Hurry = Hurry.NONE) -> Orders:
         """Called every so often while it does not serve.
 
-        `busy`: something that has begun to come is not answered. `taken`: the same of what has come whole, or
-        may have; its client is owed an answer, and gets it within the longest deadline of its last byte.
-
         Once it is over nothing may come between: whoever ends the process does so in the same instant.
         """
         if self.taking:
             return Orders()
         age = now - self.since
         # Over at a look after the one that closed the listener: what came in between is seen first.
-        if self.closed and age >= LINGER and not self._waits(age - LINGER, busy, taken):
+        done = self.closed and age >= LINGER and not found.busy and not (found.silent and age < SILENT)
+        if self.ending and (done or hurry is Hurry.EXIT):
             self.state = State.OVER
-        self.closed = self.ending and (self.shared or age >= LINGER)
-        return Orders(close_kept=age >= KEPT, close_silent=age >= SILENT, stop_accepting=self.closed)
-
-    def _waits(self, late: float, busy: bool, taken: bool) -> bool:
-        """Whether there is anything to wait for, so long after the last client may have come."""
-        if late < self.longest:
-            return busy
-        return taken and late < 2 * self.longest
+        hurried = hurry is not Hurry.NONE
+        self.closed = self.ending and (self.shared or age >= LINGER or hurried)
+        return Orders(
+            close_kept=age >= KEPT or hurried,
+            close_silent=age >= SILENT or hurried,
+            stop_accepting=self.closed,
+            refuse_unfinished=hurried,
+        )
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -35,6 +35,7 @@
 from dykeshift.engine.invariants import Invariant, Stage
 from dykeshift.engine.ledger import Tier
 from dykeshift.engine.tenants import Listed, Tenants
+from dykeshift.engine.termination import Termination
 from dykeshift.engine.terms import FAILED, LATE, Asked, Final, How
 from dykeshift.engine.upstream import Attempt, End, Pool
 from dykeshift.rules import Balancer
@@ -98,6 +99,8 @@
         self.listed_ever: dict[int, None] = {}  # ids, the latest told last; no more than EVER
         self.informed = False  # discovery has spoken in this life
         self.waits: Callable[[], bool] = lambda: False  # a feature wants no clients yet
+        self.termination = Termination(self.ledger.occurrences)
+        self.termination.settings_in_force(clock.monotonic_ns(), balancer.settings.classes)
 
     # ---- events ----
 
@@ -111,8 +114,28 @@
         self._tell(self.balancer.on_settings, new, narrower if narrow else None, held)
         placed = self.balancer.settings
         self.tiers = [self.ledger.tier(c.name) for c in placed.classes]
+        if self.termination.settings_in_force(self.clock.monotonic_ns(), new.classes):
+            self._shorten_deadlines()
         return placed
 
+    def terminate(self) -> None:
+        """The process is told to end: all that is open, and all that comes, is answered in its time."""
+        if self.termination.begin(self.clock.monotonic_ns()):
+            self._shorten_deadlines()
+
+    def _shorten_deadlines(self) -> None:
+        """Requests that are open keep only what the process's end leaves of their time."""
+        answer_by = self.termination.answer_by
+        for job in self.jobs.values():
+            if job.closed or job.deadline <= answer_by:
+                continue
+            job.deadline = answer_by
+            self._guard(job)
+            for attempt in job.attempts:
+                if attempt is not None:
+                    attempt.until = min(attempt.until, answer_by)
+        self._tell(self.balancer.on_termination, answer_by)
+
     def take_word(self, word: Word) -> None:
         """What the fleet has agreed on beside the settings, from now on."""
         self._tell(self.balancer.on_word, word)
@@ -132,7 +155,9 @@
 
         `gone` is asked before each attempt: whether its client has left and nobody has come to read that yet.
         """
-        deadline = arrived + (UPLOAD if incoming.early else incoming.patience - RETURN)
+        deadline = self.termination.limit(
+            arrived + (UPLOAD if incoming.early else incoming.patience - RETURN)
+        )
         tier = self.tiers[incoming.klass]
         tier.taken += 1
         job = self.jobs[incoming.id] = Job(incoming, tier, deadline, reply, gone=gone)
@@ -148,6 +173,9 @@
         self._tell(self.balancer.on_request, request, job=job)
 
     def _guard(self, job: Job) -> None:
+        """Watch over its deadline, in place of an earlier one."""
+        if job.guard is not None:
+            job.guard.cancel()
         left = job.deadline - self.clock.monotonic_ns()
         # Rounded up: a timer that fires early would let the module begin once more in the last instant.
         job.guard = self.loop.call_later(max(0, left) / 1e9 + 0.001, self._expire, job)
@@ -156,10 +184,8 @@
         """The last byte of a request that went out early has come: its time, and its attempt's, begins."""
         job = self.jobs.get(request_id)
         if job is not None and job.stage.may_be_answered:
-            job.deadline = arrived + max(0, job.incoming.patience - RETURN)
+            job.deadline = self.termination.limit(arrived + max(0, job.incoming.patience - RETURN))
             job.sent = [max(sent, arrived) for sent in job.sent]
-            if job.guard is not None:
-                job.guard.cancel()
             self._guard(job)
 
     def client_gone(self, request_id: str) -> None:
@@ -245,6 +271,8 @@
         Also for one that is answered: where attempts may not be called off, a copy that never gets an
         answer would stay for good, with its connection.
         """
+        if job.deadline == self.termination.answer_by and job.stage.may_be_answered:
+            self._log_cut_short(job)
         for attempt in job.attempts:
             if attempt is not None and attempt is not job.streaming:
                 attempt.give_up(Outcome.TIMEOUT)
@@ -254,6 +282,18 @@
         else:
             self._answer(job, LATE)
 
+    def _log_cut_short(self, job: Job) -> None:
+        """A request whose client would have waited on, but the process has to end."""
+        log.info(
+            "request %s: its time is over as the process has to end, %d attempts out",
+            job.incoming.id,
+            job.out,
+            extra={
+                "event": "request.cut-short",
+                "fields": {"request": job.incoming.id, "attempts": len(job.attempts), "out": job.out},
+            },
+        )
+
     def _began(self, job: Job, number: int, end: End) -> None:
         """A long answer has begun: it is the request's, whatever else comes."""
         attempt = job.attempts[number]
@@ -418,9 +458,17 @@
             return
         job.stage = Stage.OVER
         job.tier.end(final.how)
+        if self.termination.begun:
+            self.termination.answered(self.clock.monotonic_ns(), job.incoming.id)
         self._keep_back(job)
         job.reply(final)
 
+    def close(self) -> None:
+        """The process ends: what is still open is counted, and nobody answers it any more."""
+        for job in self.jobs.values():
+            if job.stage.may_be_answered:
+                self.termination.left_open(job.incoming.id)
+
     def _keep_back(self, job: Job) -> None:
         for attempt in job.attempts:
             if attempt is not None and not attempt.on_the_wire() and attempt is not job.streaming:
--- a/dykeshift/engine/invariants.py
+++ b/dykeshift/engine/invariants.py
@@ -2,7 +2,7 @@
 
 `Stage` is the one place that says whether an answer may be given to a request, `KeptBack` why an attempt did
 not go out, `CloseReason` why a client's connection was closed by this side. A broken invariant is counted and
-logged; what would break it does not happen.
+logged; what would break it does not happen, but for those that time breaks (`Occurrences.broken`).
 """
 
 from __future__ import annotations
@@ -33,6 +33,8 @@
     ONE_ANSWER = "a request gets one final answer"
     WHOLE_ANSWER = "nothing is written into an answer that has begun"
     NO_SEND_AFTER_END = "nothing is sent for a request that is over"
+    ANSWER_BEFORE_END = "a request is answered before the process may be killed"
+    NONE_OPEN_AT_END = "no request is open as the process ends"
 
 
 class KeptBack(Enum):
@@ -55,6 +57,7 @@
     ENDING = "ending"
     ANSWER_CUT = "answer-cut"  # the rest of a long answer will not come
     REJECTED = "rejected"
+    UNFINISHED = "unfinished"  # its request had not come whole as the process had to end
 
 
 class Occurrences:
@@ -67,9 +70,16 @@
 
     def violated(self, invariant: Invariant, request_id: str) -> None:
         """Count and log what would have broken an invariant; the caller does not do it."""
+        self._note(invariant, request_id, "kept from happening: %s (request %s)")
+
+    def broken(self, invariant: Invariant, request_id: str) -> None:
+        """Count and log that an invariant is broken, which nobody could keep from happening."""
+        self._note(invariant, request_id, "not kept: %s (request %s)")
+
+    def _note(self, invariant: Invariant, request_id: str, text: str) -> None:
         self.violations[invariant] += 1
         log.error(
-            "kept from happening: %s (request %s)",
+            text,
             invariant.value,
             request_id,
             extra={
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -150,14 +150,22 @@
     def busy(self) -> bool:
         return any(not client.between() or client.has_input() for client in self.clients)
 
-    def taken(self) -> bool:
-        """Whether a request that has come whole, or may have with what is unread, is not answered."""
-        return any(client.taken() or client.has_input() for client in self.clients)
+    def silent(self) -> bool:
+        """Whether there is a connection on which nothing was ever asked."""
+        return any(not client.answers and client.between() for client in self.clients)
 
     def close_all(self) -> None:
         """The process ends: from here on nothing is read, and so nothing sent on that nobody would answer."""
         for client in list(self.clients):
-            client.close_by_us(CloseReason.ENDING)
+            if client.rest is not None:
+                client.cut()
+            else:
+                client.close_by_us(CloseReason.ENDING)
+
+    def refuse_unfinished(self) -> None:
+        """Refuse requests that have begun to come and will not be whole in time."""
+        for client in list(self.clients):
+            client.refuse_unfinished()
 
     def close_idle(self, orders: Orders) -> None:
         """Close connections on which no request has arrived, be it unread."""
@@ -221,10 +229,6 @@
         """Idle: no byte of a request has come that is not answered, and no answer waits to be read."""
         return not self.busy and not self.began and not self.closing and not self.unread_answer()
 
-    def taken(self) -> bool:
-        """Its request has come whole and is not answered, or its answer waits to be read."""
-        return self.busy and self.upload is None or self.unread_answer()
-
     def unread_answer(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
@@ -516,7 +520,15 @@
             else:
                 self.transport.close()
 
-    def _reject(self, status: int, text: str) -> None:
+    def refuse_unfinished(self) -> None:
+        """Answer a request that has begun to come, is not whole and has gone nowhere, and close.
+
+        Closed unanswered, its last byte might have arrived in that moment, and the request would be lost.
+        """
+        if self.began and not self.busy and not self.closing:
+            self._reject(503, "refused: try again", CloseReason.UNFINISHED)
+
+    def _reject(self, status: int, text: str, reason: CloseReason = CloseReason.REJECTED) -> None:
         """Answer what is no single sound request, and close.
 
         Protects against serving one request of several that came together, or one with unreadable
@@ -530,6 +542,6 @@
         if self.rest is not None:
             self.cut()
             return
-        self.front.driver.ledger.occurrences.closed[CloseReason.REJECTED] += 1
+        self.front.driver.ledger.occurrences.closed[reason] += 1
         self.busy = True
         self.answer(Reply(status, f"{text}\n".encode()))
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -150,7 +150,8 @@
             self._submit(identity, header, asked, arrived)
         else:
             then = partial(self._stored, identity, header, asked, arrived)
-            left = arrived + asked.patience * STORE_SHARE - self.clock.monotonic_ns()
+            until = self.driver.termination.limit(arrived + int(asked.patience * STORE_SHARE))
+            left = until - self.clock.monotonic_ns()
             self.journal.sent(identity, self.memory.open[identity.name].made, then, max(0.0, left / 1e9))
 
     def _stored(
@@ -182,7 +183,8 @@
         if self.journal is None:
             self._done(identity, header, answer)
         elif final.how is How.SERVED:
-            within = max(0.0, min(ANSWER_WITHIN, (due - self.clock.monotonic_ns()) / 1e9))
+            left = self.driver.termination.limit(due) - self.clock.monotonic_ns()
+            within = max(0.0, min(ANSWER_WITHIN, left / 1e9))
             self.journal.answered(
                 identity,
                 self.memory.open[identity.name].made,
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -23,13 +23,14 @@
 
 from dykeshift.clock import SYSTEM, Clock
 from dykeshift.engine import config
-from dykeshift.engine.drain import Drain, State
+from dykeshift.engine.drain import Drain
 from dykeshift.engine.driver import Driver
-from dykeshift.engine.listener import Listen, Listening, listen
+from dykeshift.engine.listener import Listen, listen
 from dykeshift.node import features
-from dykeshift.node.assembly import assemble
+from dykeshift.node.assembly import Assembly, assemble
 from dykeshift.node.features import NONE, Features, Service
 from dykeshift.node.reload import Reload
+from dykeshift.node.shutdown import Shutdown
 from dykeshift.engine.server import Front
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
 
 BACKLOG = 1024  # connections that may wait to be accepted
 FIRST_LIST = 3.0  # seconds that a process beside another waits for discovery before it serves: half its time
-TICK = 0.02  # seconds between two looks at a drain
+TICK = 0.02  # seconds between two looks at what it waits for
 
 
 async def serve(
@@ -58,43 +59,27 @@
     """
     loop = asyncio.get_running_loop()
     parts = assemble(loop, clock, given, load, beside)
-    driver, discovery, reader, reload = parts.driver, parts.discovery, parts.reader, parts.reload
+    driver = parts.driver
     drain = Drain(shared=inherited is not None)
+    shutdown = Shutdown(loop, clock, drain, driver)
     limit = given.connections - beside.connections(given)
-    front = Front(loop, clock, driver, reader, limit, drain, given.kept)
-    leaving = asyncio.Event()  # set while the drain wants looking after
-
-    def standby() -> None:
-        drain.standby(loop.time())
-        leaving.set()
-
-    def stop() -> None:
-        longest = max((c.deadline for c in driver.balancer.settings.classes), default=0) / 1e9
-        drain.terminate(loop.time(), longest)
-        leaving.set()
-
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    front = Front(loop, clock, driver, parts.reader, limit, drain, given.kept)
+    loop.add_signal_handler(signal.SIGTERM, shutdown.terminate)
+    loop.add_signal_handler(signal.SIGINT, shutdown.terminate)
+    loop.add_signal_handler(signal.SIGHUP, parts.reload)
     together = meet(loop, clock, driver, front) if inherited is not None else None
-    driver.start()
-    discovery.take_known(given.known)
-    if not given.settings.ask_discovery:
-        discovery.watch()
+    learn(parts, given)
     if inherited is not None:
-        await first_list(driver, together)
+        await first_list(driver, together, shutdown)
     offers = features.Offers()
-    services = await beside.start(loop, clock, given, driver, inherited is not None, offers, reload, listen)
+    services = await beside.start(
+        loop, clock, given, driver, inherited is not None, offers, parts.reload, listen
+    )
     if given.console is not None:
-        from dykeshift.console.shell import Console
-        from dykeshift.node.desk import Desk
-
-        console = Console(loop, Desk(clock, driver, drain, standby, together, offers), given.callers)
-        try:
-            await console.listen(given.console, listen)
-        except OSError as exc:
-            raise config.ConfigError(f"cannot listen for operators: {exc}") from None
-        services.append(console)
+        services.append(await open_console(loop, clock, given, driver, shutdown, together, offers, listen))
+    if shutdown.begun:  # told to end as it started: nobody has come to it yet
+        shutdown.close(front, services)
+        return
     if together is not None:
         together.serve()
     try:
@@ -103,24 +88,44 @@
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     try:
         if started is not None:
-            started(front, server, reload, services)
-        while drain.state is not State.OVER:
-            await leaving.wait()
-            await wind_down(front, server, services)
-            leaving.clear()
-        log_end(driver)
+            started(front, server, parts.reload, services)
+        await shutdown.run(front, server, services)
     finally:
         server.abandon()
         if together is not None:
             together.leave()
 
 
-def log_end(driver: Driver) -> None:
-    """What was kept from happening and what was closed, by reason, in one line as the process ends."""
-    fields = driver.ledger.occurrences.figures()
-    log.info(
-        "ended: %s", fields or "nothing was kept back or closed", extra={"event": "ended", "fields": fields}
-    )
+def learn(parts: Assembly, given: config.Config) -> None:
+    """Begin to hear of the upstreams."""
+    parts.driver.start()
+    parts.discovery.take_known(given.known)
+    if not given.settings.ask_discovery:
+        parts.discovery.watch()
+
+
+async def open_console(
+    loop: asyncio.AbstractEventLoop,
+    clock: Clock,
+    given: config.Config,
+    driver: Driver,
+    shutdown: Shutdown,
+    together: Together | None,
+    offers: features.Offers,
+    listen: Listen,
+) -> Service:
+    """Answer operators' calls. Raises ConfigError where its address cannot be used."""
+    from dykeshift.console.shell import Console
+    from dykeshift.node.desk import Desk
+
+    assert given.console is not None
+    desk = Desk(clock, driver, shutdown.drain, shutdown.standby, together, offers)
+    console = Console(loop, desk, given.callers)
+    try:
+        await console.listen(given.console, listen)
+    except OSError as exc:
+        raise config.ConfigError(f"cannot listen for operators: {exc}") from None
+    return console
 
 
 def meet(loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, front: Front) -> Together | None:
@@ -137,7 +142,7 @@
     return together
 
 
-async def first_list(driver: Driver, together: Together | None) -> None:
+async def first_list(driver: Driver, together: Together | None, shutdown: Shutdown) -> None:
     """Wait for discovery: the list from before the start may be as old as the process that serves already.
 
     And for the bans, where they cannot be read at once.
@@ -147,33 +152,7 @@
     def informed() -> bool:
         return driver.informed and (together is None or together.restored)
 
-    while not informed() and driver.loop.time() < until:
-        await asyncio.sleep(TICK)
-
-
-async def wind_down(front: Front, server: Listening, services: list[Service]) -> None:
-    """Let go of the clients, until it is over or taken back.
-
-    None is turned away while some may still come, all that were taken are answered.
-    """
-    loop, drain = asyncio.get_running_loop(), front.drain
-    told = False
-    while not drain.taking:
-        if drain.ending and not told:
-            told = True
-            for service in services:
-                service.drain()
-        pending = server.pending()
-        busy = pending or front.busy() or any(service.busy() for service in services)
-        orders = drain.look(loop.time(), busy, pending or (busy and front.taken()))
-        if orders.stop_accepting:
-            server.close()
-        front.close_idle(orders)
-        if drain.state is State.OVER:
-            front.close_all()
-            for service in services:
-                service.close()
-            return
+    while not informed() and not shutdown.begun and driver.loop.time() < until:
         await asyncio.sleep(TICK)
 
 
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -236,6 +236,7 @@
         self.longest_aim = max((c.aim for c in settings.classes), default=0)
         self.started = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.terminating = False  # the process is told to end: deadlines are its own, and not the clients'
         self.acts: list[Action] = []
 
     def _done(self) -> list[Action]:
@@ -305,6 +306,20 @@
             self._sort_out(now)
         return self._done()
 
+    def on_termination(self, now: int, answer_by: int) -> list[Action]:
+        """The process is told to end: no request is answered later than `answer_by`.
+
+        Requests that come from now on have that in their deadline. May be told again, with an earlier time.
+        """
+        self.terminating = True
+        for item in list(self.open.values()):
+            if item.closed or item.request.deadline <= answer_by:
+                continue
+            item.request = replace(item.request, deadline=answer_by)
+            if not item.live and not item.streaming:
+                self._hold(now, item)  # the look that was planned may come too late
+        return self._done()
+
     # ---- the list of servers ----
 
     def on_start(self, now: int) -> list[Action]:
@@ -538,7 +553,7 @@
         end = item.request.deadline
         if not item.klass.late_share:
             end = min(end, item.arrived + item.klass.aim)
-        if now >= end or (item.live and not self.settings.copies_allowed):
+        if now >= end or (item.live and not self.settings.copies_allowed) or not self._finishes(now, item):
             return False
         anchor = item.anchor()
         if anchor is None:
@@ -554,6 +569,13 @@
             and now < anchor.sent + item.klass.window
         )
 
+    def _finishes(self, now: int, item: Open) -> bool:
+        """Whether an attempt that begins now is likely to be answered before the process ends.
+
+        What is begun for nothing may run, and its client could not be told to try elsewhere.
+        """
+        return not self.terminating or now + self._expected(item) < item.request.deadline
+
     # ---- idle ----
 
     def _idle(self, now: int, server: Server) -> bool:
@@ -593,6 +615,9 @@
 
     def _place(self, now: int, item: Open) -> None:
         """RIQ for a request that has nothing out."""
+        if not self._finishes(now, item):
+            self._give_up(now, item)
+            return
         if not self.out:  # its share of the crowd is over, however few came since to show it
             self.crowd *= 1 - 1 / self.settings.balancers
         dear = self.crowd > item.record.value and not item.attempts
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -13,7 +13,7 @@
 
 from dykeshift.clock import SystemClock
 from dykeshift.engine import drain, server
-from dykeshift.engine.drain import Orders, State
+from dykeshift.engine.drain import Hurry, Open, Orders, State
 from tests.node.messages import answer, request
 from tests.node.stubs import Node, Stub, node, run, says, service, settings, silent, until
 from tests.node.test_gone import connected
@@ -107,8 +107,8 @@
     made = balancer.front.drain
     look = made.look
 
-    def looked(now: float, busy: bool, taken: bool = False) -> Orders:
-        orders = look(now, busy, taken)
+    def looked(now: float, found: Open, hurry: Hurry = Hurry.NONE) -> Orders:
+        orders = look(now, found, hurry)
         if made.state is State.OVER:
             act()
         return orders
@@ -116,18 +116,20 @@
     made.look = looked  # type: ignore[method-assign]
 
 
-def as_time_is_over(balancer: Node, act: Act) -> None:
-    """Act right before the first look after the longest deadline."""
-    front, made, loop = balancer.front, balancer.front.drain, asyncio.get_running_loop()
-    busy, acted = front.busy, list[bool]()
+def as_time_is_over(balancer: Node, before: Act, after: Act) -> None:
+    """Act right before and right after the look that turns away what has not come whole."""
+    front = balancer.front
+    refuse, acted = front.refuse_unfinished, list[bool]()
 
-    def is_busy() -> bool:
-        if not acted and made.closed and loop.time() - made.since >= drain.LINGER + made.longest:
+    def refused() -> None:
+        if not acted:
+            before()
+        refuse()
+        if not acted:
             acted.append(True)
-            act()
-        return busy()
+            after()
 
-    front.busy = is_busy  # type: ignore[method-assign]
+    front.refuse_unfinished = refused  # type: ignore[method-assign]
 
 
 @pytest.mark.parametrize("asked", [True, False])
@@ -152,28 +154,25 @@
     run(main())
 
 
-def test_a_request_in_pieces_that_is_whole_as_time_is_over_is_answered(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """It had been taken, and the process ended on it: at the longest deadline, whatever was unanswered."""
+def test_requests_in_pieces_get_whole_answers_as_time_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whether the last byte arrives before or after they are turned away, or never; none is sent on."""
     monkeypatch.setattr(drain, "LINGER", 0.0)
 
     async def main() -> None:
         stub = await Stub(silent).start()
         given = settings(services=[service("send", "side_effect", deadlineNs=200_000_000)])
         async with node(stub, settings=given) as balancer:
-            client, words = await connected(balancer), request(rid="r1", deadline=200)
-            half = await connected(balancer)
-            client.sendall(words[:-3])
-            half.sendall(words[:40])
-            await until(lambda: sum(bool(one.began) for one in balancer.front.clients) == 2)
-            as_time_is_over(balancer, lambda: client.sendall(words[-3:]))
+            before, after, half = [await connected(balancer) for _ in range(3)]
+            words = request(rid="before", deadline=200)
+            for client in (before, after, half):
+                client.sendall(words[:-3])
+            await until(lambda: sum(bool(one.began) for one in balancer.front.clients) == 3)
+            as_time_is_over(balancer, lambda: before.sendall(words[-3:]), lambda: after.sendall(words[-3:]))
             signal.raise_signal(signal.SIGTERM)
-            await until(lambda: bool(stub.seen))
-            stub.writers[0].write(answer(b"at last"))
-            assert (await received(client)).endswith(b"at last")
-            assert await received(half) == b""  # what is never whole is not waited for
+            for client in (before, after, half):
+                assert (await received(client)).startswith(b"HTTP/1.1 503 ")
             await until(lambda: balancer.front.drain.state is State.OVER)
+            assert not stub.seen
 
     run(main())
 
--- a/tests/node/test_drain.py
+++ b/tests/node/test_drain.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from dykeshift.engine import drain as module
-from dykeshift.engine.drain import Drain, State
+from dykeshift.engine.drain import Drain, Hurry, Open, State
 from tests.node.messages import answer, read_message, request
 from tests.node.stubs import Stub, node, run, says, silent, until
 
 READY = b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"
 EVENTS = st.lists(
-    st.tuples(st.sampled_from(["standby", "active", "terminate", "look", "busy", "taken"]), st.floats(0, 2)),
+    st.tuples(
+        st.sampled_from(["standby", "active", "terminate", "look", "busy", "silent", "refuse", "exit"]),
+        st.floats(0, 2),
+    ),
     max_size=40,
 )
+HURRY = {"refuse": Hurry.REFUSE, "exit": Hurry.EXIT}
 
 
 @given(EVENTS, st.booleans())
@@ -34,17 +39,22 @@
             assert drain.active() == (ending is None)
             draining = None
         elif event == "terminate":
-            drain.terminate(now, 1.5)
+            drain.terminate(now)
             ending = now if ending is None else ending
         else:
-            orders = drain.look(now, event != "look", event == "taken")
+            hurried = event in HURRY
+            found = Open(busy=event in ("busy", "refuse", "exit"), silent=event == "silent")
+            orders = drain.look(now, found, HURRY.get(event, Hurry.NONE))
             since = ending if ending is not None else draining
             age = -1.0 if since is None else now - since
-            most = {"look": 0.0, "busy": 1.5, "taken": 3.0}[event]
-            over = over or closed and age >= module.LINGER + most
-            closed = ending is not None and (shared or age >= module.LINGER)
-            assert orders.close_kept == (age >= module.KEPT) and orders.close_silent == (age >= module.SILENT)
-            assert orders.stop_accepting == closed
+            needs = {"look": module.LINGER, "silent": max(module.LINGER, module.SILENT)}
+            over = over or closed and age >= needs.get(event, math.inf)
+            over = over or event == "exit" and ending is not None
+            closed = ending is not None and (shared or age >= module.LINGER or hurried)
+            late = hurried and age >= 0
+            assert orders.close_kept == (age >= module.KEPT or late)
+            assert orders.close_silent == (age >= module.SILENT or late)
+            assert orders.refuse_unfinished == late and orders.stop_accepting == closed
         assert drain.taking == (draining is None and ending is None)
         assert (drain.state is State.OVER) == over and drain.ending == (ending is not None)
 
--- a/tests/node/test_late_connections.py
+++ b/tests/node/test_late_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from dykeshift.engine import drain
-from dykeshift.engine.drain import Orders, State
+from dykeshift.engine.drain import Hurry, Open, Orders, State
 from tests.node.messages import answer, request
 from tests.node.stubs import Stub, node, run, says, until
 from tests.node.test_crossings import received
@@ -24,8 +24,8 @@
             made = balancer.front.drain
             look, clients = made.look, list[socket.socket]()
 
-            def looked(now: float, busy: bool, taken: bool = False) -> Orders:
-                orders = look(now, busy, taken)
+            def looked(now: float, found: Open, hurry: Hurry = Hurry.NONE) -> Orders:
+                orders = look(now, found, hurry)
                 if orders.stop_accepting and not clients:
                     clients.append(socket.create_connection(balancer.address))
                     clients[0].sendall(request(rid="queued"))
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -25,7 +25,7 @@
     ServerState,
     SetTimer,
 )
-from dykeshift.node import __main__ as program
+from dykeshift.node import shutdown
 from dykeshift.engine.invariants import Stage
 from dykeshift.engine import (
     bodies,
@@ -296,7 +296,7 @@
     async def wind_down(*_: Any) -> None:
         return None
 
-    return [(program, "wind_down", wind_down)]
+    return [(shutdown.Shutdown, "_wind_down", wind_down)]
 
 
 def _watch_no_more() -> list[Patch]:
--- a/tests/sim/ops_mutants.py
+++ b/tests/sim/ops_mutants.py
@@ -79,8 +79,10 @@
 
 
 def _drain_keeps_idle() -> list[Patch]:
-    def look(self: drain.Drain, now: float, busy: bool, taken: bool = False) -> drain.Orders:
-        orders = original(self, now, busy, taken)
+    def look(
+        self: drain.Drain, now: float, found: drain.Open, hurry: drain.Hurry = drain.Hurry.NONE
+    ) -> drain.Orders:
+        orders = original(self, now, found, hurry)
         return orders if self.ending else replace(orders, close_kept=False)
 
     original = drain.Drain.look
