--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -67,15 +67,24 @@
 @click.option("--view", is_flag=True, help="Days whose balancers keep a view, seeds A+view to B+view.")
 @click.option("--cold", is_flag=True, help="Days of many balancers and cold senders, A+cold to B+cold.")
 @click.option("--watches", is_flag=True, help="Days on which watches break as senders drain, A+watches on.")
+@click.option("--ends", is_flag=True, help="Days on which balancers are told to end, A+ends to B+ends.")
 @click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
 @JSON
 def run(
-    seeds: str, mllp: bool, operators: bool, view: bool, cold: bool, watches: bool, jobs: int, as_json: bool
+    seeds: str,
+    mllp: bool,
+    operators: bool,
+    view: bool,
+    cold: bool,
+    watches: bool,
+    ends: bool,
+    jobs: int,
+    as_json: bool,
 ) -> int:
     """Play many seeds; 1 where a rule was broken."""
     from dykeshift.sim.runner import Played, play_all
 
-    from dykeshift.sim.scenario import COLD_AT_SIZE, WATCHES, WITH_MLLP, WITH_OPERATORS, WITH_VIEW
+    from dykeshift.sim.scenario import COLD_AT_SIZE, ENDS, WATCHES, WITH_MLLP, WITH_OPERATORS, WITH_VIEW
 
     kinds = (
         (WITH_MLLP, mllp),
@@ -83,11 +92,12 @@
         (WITH_VIEW, view),
         (COLD_AT_SIZE, cold),
         (WATCHES, watches),
+        (ENDS, ends),
     )
     wanted = [kind for kind, asked in kinds if asked]
     if len(wanted) > 1:
         raise Usage(
-            "lifttrail sim: --mllp, --operators, --view, --cold and --watches are kinds of days: "
+            "lifttrail sim: --mllp, --operators, --view, --cold, --watches and --ends are kinds of days: "
             "one at a time"
         )
     kind = "".join(wanted)
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -463,6 +463,15 @@
         self._keep_back(job)
         job.reply(final)
 
+    def answer_all(self) -> None:
+        """The process ends: what is still open is answered now, also where a timer for it is late.
+
+        Answers may go out up to two rounds of the loop later.
+        """
+        for job in list(self.jobs.values()):
+            if job.stage.may_be_answered:
+                self._expire(job)
+
     def close(self) -> None:
         """The process ends: what is still open is counted, and nobody answers it any more."""
         for job in self.jobs.values():
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -154,14 +154,26 @@
         """Whether there is a connection on which nothing was ever asked."""
         return any(not client.answers and client.between() for client in self.clients)
 
+    def stop_reading(self) -> None:
+        """The process ends: nothing more is read, and so nothing is sent on that nobody would answer."""
+        for client in list(self.clients):
+            client.stop_reading()
+
     def close_all(self) -> None:
-        """The process ends: from here on nothing is read, and so nothing sent on that nobody would answer."""
+        """The process ends: all connections but those on which a long answer is on its way."""
         for client in list(self.clients):
-            if client.rest is not None:
-                client.cut()
-            else:
+            if client.rest is None:
                 client.close_by_us(CloseReason.ENDING)
 
+    def streaming(self) -> bool:
+        """Whether a long answer is on its way."""
+        return any(client.rest is not None for client in self.clients)
+
+    def cut_all(self) -> None:
+        """The process ends now; whose answer is not whole is to see it."""
+        for client in list(self.clients):
+            client.cut()
+
     def refuse_unfinished(self) -> None:
         """Refuse requests that have begun to come and will not be whole in time."""
         for client in list(self.clients):
@@ -269,6 +281,12 @@
         elif late and not self.has_input():
             self.close_by_us(CloseReason.IDLE)
 
+    def stop_reading(self) -> None:
+        """What comes from now on stays in the kernel; where an answer is on its way only a close is read."""
+        self.closing = True
+        if self.rest is None and self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
     def close_by_us(self, reason: CloseReason) -> None:
         """Reset or end the connection, whatever is on it; counted by its reason."""
         self.front.driver.ledger.occurrences.closed[reason] += 1
--- a/dykeshift/engine/termination.py
+++ b/dykeshift/engine/termination.py
@@ -50,9 +50,14 @@
 
     @property
     def exit_by(self) -> int:
-        """When the process ends, whatever is still open."""
+        """When the process ends, whatever is still open but long answers on their way."""
         return self.answer_by + LAST_WRITES if self.begun else NEVER
 
+    @property
+    def kill_at(self) -> int:
+        """The earliest SIGKILL, if the signal was heard at once; a long answer on its way may use all of it."""
+        return self.answer_by + RESERVE if self.begun else NEVER
+
     def settings_in_force(self, now: int, classes: Iterable[RequestClass]) -> bool:
         """Other classes from now on; says whether `answer_by` has moved."""
         if self._longest:
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -78,7 +78,7 @@
     if given.console is not None:
         services.append(await open_console(loop, clock, given, driver, shutdown, together, offers, listen))
     if shutdown.begun:  # told to end as it started: nobody has come to it yet
-        shutdown.close(front, services)
+        await shutdown.close(front, services)
         return
     if together is not None:
         together.serve()
--- a/dykeshift/node/shutdown.py
+++ b/dykeshift/node/shutdown.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 TICK = 0.02  # seconds between two looks at a drain
+LAST_ROUNDS = 4  # of the loop: attempts end, answers are given, and they are written
 
 
 class Shutdown:
@@ -59,9 +60,16 @@
             extra={"event": "shutdown.begun", "fields": fields},
         )
 
-    def close(self, front: Front, services: Sequence[Service]) -> None:
-        """Nothing is read, taken or answered any more."""
+    async def close(self, front: Front, services: Sequence[Service]) -> None:
+        """Answer what is open, whatever timer is late, and let go of everything."""
+        front.stop_reading()
+        self.driver.answer_all()
+        for _ in range(LAST_ROUNDS):
+            await asyncio.sleep(0)
         front.close_all()
+        while front.streaming() and self.clock.monotonic_ns() < self.driver.termination.kill_at:
+            await asyncio.sleep(TICK)
+        front.cut_all()
         self.driver.close()
         for service in services:
             service.close()
@@ -92,7 +100,7 @@
                 front.refuse_unfinished()
             front.close_idle(orders)
             if self.drain.state is State.OVER:
-                self.close(front, services)
+                await self.close(front, services)
                 return
             await asyncio.sleep(TICK)
 
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -14,10 +14,11 @@
 from random import Random
 from typing import Any
 
+from dykeshift.engine.invariants import Invariant
 from dykeshift.sim import referee as rules
 from dykeshift.sim.faults import Faults
 from dykeshift.mllp.memory import identify
-from dykeshift.sim.installation import DEADLINES, MLLP_PORT, Node, Post
+from dykeshift.sim.installation import DEADLINES, MLLP_PORT, STANDSTILL, Node, Post
 from dykeshift.sim.kernel import EPOCH, MS, SECOND, Flavour, Host, Line, LivelockError, Process, World
 from dykeshift.sim.loop import Program
 from dykeshift.sim.net import Cut, Endpoint, Network, Weather
@@ -200,6 +201,7 @@
                 ask.retries,
                 ask.cost * 1000 if ask.hinted else 0,
                 leaves=ask.leaves,
+                pause=ask.pause,
             )
             self.world.at(EPOCH + int(ask.at * SECOND), self._begin, errand)
 
@@ -464,7 +466,7 @@
             node.start(known)
         self.faults.schedule()
         self.world.at(EPOCH + int((HEAL + RECOVERY) * SECOND) - 1, self._look_behind)
-        end = HEAL + RECOVERY + PROBES + LONGEST + 0.5
+        end = HEAL + RECOVERY + PROBES + max(LONGEST, self.scenario.options.longest) + 0.5
         self.world.run(EPOCH + int(end * SECOND), stop)
         if stop_at_first and self.referee.breaches:
             return
@@ -572,9 +574,21 @@
             self.day.referee.breach(
                 rules.FAULT, self.day.world.now, f"{text}: {type(error).__name__}: {error}"
             )
+        elif self._too_late(record) and self._stood_still():
+            pass  # nobody could have answered sooner
         elif record.levelno >= logging.ERROR and "configuration" not in text:
             self.day.referee.breach(rules.FAULT, self.day.world.now, text)
 
+    @staticmethod
+    def _too_late(record: logging.LogRecord) -> bool:
+        fields = getattr(record, "fields", {})
+        return fields.get("invariant") == Invariant.ANSWER_BEFORE_END.name.lower()
+
+    def _stood_still(self) -> bool:
+        """Whether a balancer has just stood still for longer than it may."""
+        now = self.day.world.now
+        return any(node.stood_still(now - SECOND, now) > STANDSTILL * SECOND for node in self.day.nodes)
+
 
 def play(scenario: Scenario, tracing: Line | None = None, stop_at_first: bool = False) -> Result:
     """Play a scenario. `tracing` is told each line of the time line."""
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -36,11 +36,12 @@
     options = scenario.options
     aims = {"status-check": 250, "reminder-set": 400, "sms-send": 400}
     kinds = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+    deadlines = {name: int(usual * MS * options.longest / USUAL_LONGEST) for name, usual in DEADLINES.items()}
     services = [
         {
             "name": name,
-            "goalTimeNs": aims[name] * MS,
-            "deadlineNs": DEADLINES[name] * MS,
+            "goalTimeNs": min(aims[name] * MS, int(AIM_SHARE * deadlines[name])),
+            "deadlineNs": deadlines[name],
             "worth": 3.0,
             "lateShare": 0.2,
             "idempotency": kinds[KINDS[name]],
@@ -84,6 +85,9 @@
     {"period_s": 0.2, "lease_s": 10.0, "datagrams_s": 60.0, "bytes_s": 12_500.0}, fleet_view.Options
 )
 DEADLINES = {"status-check": 1000, "reminder-set": 800, "sms-send": 1500}  # milliseconds
+USUAL_LONGEST = 1.5  # seconds: the longest of them
+STANDSTILL = 0.15  # seconds that a balancer may stand still during its end and still has to keep all rules
+AIM_SHARE = 0.8  # of a class's deadline: its aim is no later
 MLLP_PORT, CONSOLE_PORT = 2575, 9090
 CLOCK_ERROR = 0.5  # seconds that clinics' clocks may be off, as balancers are told
 
@@ -296,6 +300,10 @@
         found = (s.view for s in self.services if isinstance(s, fleet_view.Service))
         return next(found, None)
 
+    def stood_still(self, since: int, until: int) -> int:
+        """For how long its processes stood still in that time; all in nanoseconds."""
+        return sum(max(0, min(end, until) - max(begin, since)) for begin, end in self.stalls)
+
     def kill(self, excused: bool = True) -> None:
         """Kill its process; `excused`: the requests that it cuts off are no breach."""
         if self.process is not None and self.process.alive:
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from dykeshift.sim import referee as rules
+from dykeshift.sim.kernel import MS
 from dykeshift.sim.installation import Node
 from dykeshift.sim.net import Endpoint
 from dykeshift.sim.scene import Scene
@@ -47,6 +48,9 @@
             mistaken = node.living.get(at, sender.name) != sender.name
             blind = node.confirmed and mistaken
             day.referee.begun(self.began, node.name, sender.name, self.rid)
+            if "x-deadline-ms" in request.headers:
+                told = int(request.headers["x-deadline-ms"]) * MS
+                day.referee.deadline_told(self.began, self.rid, told)
             if not blind:
                 day.referee.first_byte(self.began, node.name, sender.name, self.rid, mistaken)
             day.referee.written(
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -35,20 +35,23 @@
     driver,
     http_carrier,
     link,
+    requests,
     server,
     tenants,
+    termination,
     terms,
     upstream,
 )
 from dykeshift.node import reload
 from dykeshift.sim import referee
 from dykeshift.sim.day import play
-from dykeshift.sim.scenario import COLD_AT_SIZE, WATCHES, Scenario, draw
+from dykeshift.sim.scenario import COLD_AT_SIZE, ENDS, WATCHES, Scenario, draw
 from tests.sim.defect import Mutant, Patch
 from tests.sim.mllp_mutants import MLLP_MUTANTS
 from tests.sim.ops_mutants import OPERATORS_MUTANTS
 
 UNPROVED = (referee.UNSAFE_AGAIN, referee.REFUSED_RUN)
+END_RULES = (referee.LOST, referee.FAULT)
 
 
 # ---- the defects ----
@@ -236,6 +239,34 @@
     return [(driver.Driver, "_expire", lambda self, job: None)]
 
 
+def _no_end() -> list[Patch]:
+    """Each request keeps its own time, and the process waits for all of them."""
+    return [
+        (termination.Termination, "limit", lambda self, deadline: deadline),
+        (termination.Termination, "refuses", lambda self, now: False),
+        (termination.Termination, "exit_due", lambda self, now: False),
+        (driver.Driver, "_shorten_deadlines", lambda self: None),
+    ]
+
+
+def _no_reserve() -> list[Patch]:
+    return [(termination, "RESERVE", 0), (termination, "LAST_WRITES", 0)]
+
+
+def _count_whole() -> list[Patch]:
+    return [(termination, "LONGEST_COUNTED", 60_000 * termination.MILLISECOND)]
+
+
+def _tell_too_much() -> list[Patch]:
+    """The deadline told is the client's whole patience, whatever has passed of it."""
+
+    def message(self: requests.Incoming, left: int) -> Any:
+        return original(self, self.patience)
+
+    original = requests.Incoming.message
+    return [(requests.Incoming, "message", message)]
+
+
 def _leak_connection() -> list[Patch]:
     """A connection that is lost while it is idle stays counted."""
 
@@ -446,6 +477,10 @@
     Mutant("never expires", "driver", (referee.LOST,), _no_guard),
     Mutant("counts a request's time from its reading", "arrivals", (referee.LOST,), _arrived_when_read),
     Mutant("ends at once on SIGTERM", "program", (referee.LOST, referee.FAULT), _end_at_once),
+    Mutant("counts an end from each request's arrival", "termination", (referee.LOST,), _no_end, ENDS),
+    Mutant("ends at the kill, with nothing in reserve", "termination", END_RULES, _no_reserve, ENDS),
+    Mutant("counts deadlines over three seconds whole", "termination", END_RULES, _count_whole, ENDS),
+    Mutant("tells each upstream the class's deadline", "requests", (referee.DEADLINE,), _tell_too_much),
     Mutant("leaks idle connections of drained senders", "upstream", (referee.LEAK,), _leak_connection),
     Mutant("leaks the jobs of retries", "driver", (referee.LEAK,), _leak_job),
     Mutant("does not hear that a client has gone", "rules", (referee.LEAK, referee.FAULT), _leak_in_module),
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -49,6 +49,12 @@
     assert not failed, "\n".join(failed)
 
 
+def test_days_on_which_balancers_are_told_to_end_break_no_rule() -> None:
+    seeds = [f"{seed}+ends" for seed in range(120)]
+    failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
+    assert not failed, "\n".join(failed)
+
+
 def test_a_quiet_day_is_served_whole() -> None:
     asks = tuple(Ask(0.5 + n / 20, n % 3, 1.0, 20) for n in range(100))
     result = play(Scenario("quiet", Options(), asks))
@@ -171,6 +177,10 @@
     "never expires": "0",
     "counts a request's time from its reading": "8",
     "ends at once on SIGTERM": "14",
+    "counts an end from each request's arrival": "0+ends",
+    "ends at the kill, with nothing in reserve": "0+ends",
+    "counts deadlines over three seconds whole": "0+ends",
+    "tells each upstream the class's deadline": "0",
     "leaks idle connections of drained senders": "10",
     "leaks the jobs of retries": "0",
     "does not hear that a client has gone": "49",
