--- a/dykeshift/engine/termination.py
+++ b/dykeshift/engine/termination.py
@@ -55,7 +55,7 @@
 
     @property
     def kill_at(self) -> int:
-        """The earliest SIGKILL, if the signal was heard at once; a long answer on its way may use all of it."""
+        """The earliest SIGKILL, if the signal was heard at once; a long answer may use all of it."""
         return self.answer_by + RESERVE if self.begun else NEVER
 
     def settings_in_force(self, now: int, classes: Iterable[RequestClass]) -> bool:
