--- a/tests/faults/daemon.py
+++ b/tests/faults/daemon.py
@@ -5,12 +5,13 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -40,6 +41,18 @@
     faults: FaultControl
     folder: Path
     registry: Registry
+    environment: dict[str, str]
+
+    def beside(self, listener: socket.socket) -> Daemon:
+        """A second process of the same balancer, on the listener that both have; the caller ends it."""
+        return replace(self, process=started(self.folder, self.environment, listener))
+
+    def caught(self, number: signal.Signals) -> bool:
+        """Whether its process has a handler for a signal."""
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("SigCgt"):
+                return bool(int(line.split()[1], 16) & 1 << (number - 1))
+        return False
 
     async def open(self) -> Caller:
         """A client's new connection."""
@@ -69,6 +82,7 @@
     *upstreams: Stub,
     before: Callable[[FaultControl], None] = lambda faults: None,
     inherited: socket.socket | None = None,
+    environment: dict[str, str] | None = None,
     **changes: Any,
 ) -> AsyncIterator[Daemon]:
     """Started with a list of these upstreams, and ready; killed at the end if it still runs.
@@ -80,29 +94,19 @@
     shared.mkdir(exist_ok=True)
     faults = FaultControl(folder / "faults", shared)
     before(faults)
-    environment = {"TMPDIR": str(shared)}
-    if inherited is not None:
-        environment["NODE_INHERITED_FD"] = str(inherited.fileno())
+    whole = {
+        "NODE_CONFIG": str(folder / "config.json"),
+        "TMPDIR": str(shared),
+        **faults.environment(),
+        **(environment or {}),
+    }
     registry = await Registry().start()
     known = listing(1, True, *(instance(f"s{n}", one.address) for n, one in enumerate(upstreams)))
     address = inherited.getsockname() if inherited is not None else free_address()
     given = {**configuration(registry.address, known), "listen": f"{address[0]}:{address[1]}", **changes}
     (folder / "config.json").write_text(json.dumps(given))
-    with (folder / "log").open("wb") as log:
-        process = subprocess.Popen(
-            COMMAND,
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "NODE_CONFIG": str(folder / "config.json"),
-                **faults.environment(),
-                **environment,
-            },
-            pass_fds=[] if inherited is None else [inherited.fileno()],
-            stdout=log,
-            stderr=log,
-        )
-    made = Daemon(process, address, faults, folder, registry)
+    process = started(folder, whole, inherited)
+    made = Daemon(process, address, faults, folder, registry, whole)
     try:
         await _ready(made)
         yield made
@@ -112,6 +116,23 @@
         process.wait()
 
 
+def started(
+    folder: Path, environment: dict[str, str], inherited: socket.socket | None
+) -> subprocess.Popen[bytes]:
+    """A process of the daemon, which writes to the log in `folder`."""
+    passed = [] if inherited is None else [inherited.fileno()]
+    own = {"NODE_INHERITED_FD": str(passed[0])} if passed else {}
+    with (folder / "log").open("ab") as log:
+        return subprocess.Popen(
+            COMMAND,
+            cwd=ROOT,
+            env={**os.environ, **environment, **own},
+            pass_fds=passed,
+            stdout=log,
+            stderr=log,
+        )
+
+
 async def _ready(made: Daemon) -> None:
     while made.process.poll() is None:
         with suppress(OSError, asyncio.IncompleteReadError):
--- a/tests/faults/test_process_end.py
+++ b/tests/faults/test_process_end.py
@@ -3,16 +3,34 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
+import socket
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.faults.daemon import daemon
-from tests.faults.ending import exchange, status
-from tests.node.messages import request
-from tests.node.stubs import Stub, run, service, settings, silent
+from dykeshift.engine import termination
+from tests.faults.daemon import daemon, free_address
+from tests.faults.ending import Ending, exchange, status
+from tests.node.messages import Message, answer, read_frame, request
+from tests.node.stubs import Caller, Stub, run, says, service, settings, silent, until
 
+HELD_UP = 0.15  # seconds for which a balancer may be held up
+MLLP = """
+[mllp]
+listen = ["127.0.0.1:{port}"]
+upstreams = "http"
+journal = "{journal}"
+
+[[mllp.map]]
+trigger = "ORM"
+class = "send"
+target = "/hl7/send"
+deadline_ms = 4000
+"""
 LATE_ASKS = (0.05, 0.3, 0.6, 0.75, 0.85, 0.95, 1.05)  # seconds after SIGTERM
 
 
@@ -59,3 +77,206 @@
             assert not killed
 
     run(main())
+
+
+def hl7_message(control: str) -> bytes:
+    """An order that was made later than any process here was started, so that it is no resend."""
+    made = time.strftime("%Y%m%d%H%M%S+0000", time.gmtime(time.time() + 5))
+    return f"MSH|^~\\&|CLINIC|DORNOD|LT|CH|{made}||ORM^O01|{control}|P|2.5.1\rPID|1||42\r".encode()
+
+
+async def asked(ending: Ending, client: Caller, offset: float, data: bytes) -> bytes:
+    """All that comes on a connection on which is asked so long after SIGTERM."""
+    await ending.reach(offset)
+    return await exchange(client, data)
+
+
+@pytest.mark.parametrize("longest", [0.2, 1.557])
+def test_a_process_that_hears_late_and_stands_still_again_answers_before_the_kill(
+    longest: float, tmp_path: Path
+) -> None:
+    """It is held up for 0.15 s as SIGTERM comes, and once more just before its last answers."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with daemon(tmp_path, stub, settings=deadlines(longest)) as balancer:
+            ending = balancer.ending(longest)
+            clients = [await balancer.open() for _ in range(6)]
+            ending.signal(signal.SIGSTOP)
+            ending.terminate()
+            answering = asyncio.gather(
+                *(
+                    asked(ending, one, 0.05 * n, request("send", rid=f"r{n}", deadline=int(longest * 1000)))
+                    for n, one in enumerate(clients)
+                )
+            )
+            await ending.reach(HELD_UP)
+            ending.signal(signal.SIGCONT)
+            await ending.reach(ending.kill_at - termination.RESERVE / 1e9 + HELD_UP - 0.02)
+            ending.signal(signal.SIGSTOP)
+            await asyncio.sleep(HELD_UP)
+            ending.signal(signal.SIGCONT)
+            assert not await ending.kill()
+            assert all(status(one) for one in await answering)
+            assert await balancer.ended() == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize("change", [0.25, 4.0])
+@pytest.mark.parametrize("before", [True, False])
+def test_new_deadlines_around_the_end_do_not_move_it_past_the_kill(
+    change: float, before: bool, tmp_path: Path
+) -> None:
+    """The platform may go by either configuration; signals come in series."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with daemon(tmp_path, stub, settings=deadlines(0.8)) as balancer:
+            ending = balancer.ending(min(0.8, 0.8 * change))
+            clients = [await balancer.open() for _ in range(3)]
+            path = tmp_path / "config.json"
+            given = json.loads(path.read_text())
+            path.write_text(json.dumps({**given, "settings": deadlines(0.8 * change)}))
+            if before:
+                ending.signal(signal.SIGHUP)
+                await until(lambda: "discovery is the same" in balancer.log())
+            ending.terminate()
+            for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+                ending.signal(number)
+            asks = [
+                asked(ending, one, offset, request("check", rid=f"r{offset}", deadline=800))
+                for one, offset in zip(clients, (0.02, 0.2, 0.35), strict=True)
+            ]
+            answering = asyncio.gather(*asks)
+            assert not await ending.kill()
+            assert all(status(one) for one in await answering)
+
+    run(main())
+
+
+def test_what_was_forwarded_fails_and_what_was_not_is_refused(tmp_path: Path) -> None:
+    """An unsafe request that may have run is never called harmless; its upstream is told what is left."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with daemon(tmp_path, stub, settings=deadlines(0.7)) as balancer:
+            ending = balancer.ending(0.7)
+            sent, late = await balancer.open(), await balancer.open()
+            ending.terminate()
+            answering = asyncio.gather(
+                asked(ending, sent, 0.45, request("send", rid="forwarded", deadline=700)),
+                asked(ending, late, 0.98, request("send", rid="too-late", deadline=700)),
+            )
+            assert not await ending.kill()
+            first, second = await answering
+            assert status(first) in ("500", "504") and status(second) in ("503", "")
+            told = {one.headers["x-request-id"]: int(one.headers["x-deadline-ms"]) for one in stub.seen}
+            left = 1000 * (ending.kill_at - termination.RESERVE / 1e9 - 0.45)
+            assert "too-late" not in told and told["forwarded"] <= left + 150
+
+    run(main())
+
+
+def test_a_body_half_sent_and_pipelined_requests_get_whole_answers(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with daemon(tmp_path, stub, settings=deadlines(0.4)) as balancer:
+            ending = balancer.ending(0.4)
+            half, large, piped = [await balancer.open() for _ in range(3)]
+            body = b"x" * 200_000
+            ending.terminate()
+            answering = asyncio.gather(
+                asked(ending, half, 0.1, request(rid="half", deadline=400)[:-2]),
+                asked(ending, large, 0.1, request(rid="large", deadline=400, body=body)[:-50_000]),
+                asked(
+                    ending, piped, 0.1, request(rid="one", deadline=400) + request(rid="two", deadline=400)
+                ),
+            )
+            assert not await ending.kill()
+            assert [status(one) for one in await answering] == ["503", status((await answering)[1]), "400"]
+            assert status((await answering)[1])
+            assert not [one for one in stub.seen if one.headers["x-request-id"] in ("half", "large")]
+
+    run(main())
+
+
+def test_a_long_answer_on_its_way_is_whole_or_seen_to_be_cut(tmp_path: Path) -> None:
+    """It may use the time until the kill, and the process ends by itself."""
+
+    async def slowly(_: Stub, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        pieces = 4 if message.headers["x-request-id"] == "short" else 1000
+        for _piece in range(pieces):
+            writer.write(b"1000\r\n" + b"." * 4096 + b"\r\n")
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+
+    async def main() -> None:
+        stub = await Stub(slowly).start()
+        async with daemon(tmp_path, stub, settings=deadlines(0.5)) as balancer:
+            ending = balancer.ending(0.5)
+            short, endless = await balancer.open(), await balancer.open()
+            ending.terminate()
+            answering = asyncio.gather(
+                asked(ending, short, 0.3, request(rid="short", deadline=500)),
+                asked(ending, endless, 0.3, request(rid="endless", deadline=500)),
+            )
+            await ending.kill()
+            whole, cut = await answering
+            assert whole.endswith(b"0\r\n\r\n") and whole.count(b"." * 4096) == 4
+            assert cut.startswith(b"HTTP/1.1 200") and not cut.endswith(b"0\r\n\r\n")
+
+    run(main())
+
+
+def test_signals_while_the_process_starts_or_ends_twice_leave_nothing_unanswered(tmp_path: Path) -> None:
+    """Told to end as it waits for its first list beside another process, it does not wait for that."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            async with daemon(tmp_path, stub, inherited=listener, settings=deadlines(0.2)) as first:
+                second = first.beside(listener)
+                try:
+                    await until(lambda: second.caught(signal.SIGTERM))
+                    ending = second.ending(0.2)
+                    ending.terminate()
+                    ending.signal(signal.SIGTERM)
+                    assert not await ending.kill()
+                    assert (await first.ask(request(rid="r1"))).body == b"done"
+                    first.process.terminate()
+                    assert await first.ended() == 0
+                finally:
+                    second.process.kill()
+                    second.process.wait()
+
+    run(main())
+
+
+def test_a_frame_taken_before_the_end_is_acknowledged_before_the_kill(tmp_path: Path) -> None:
+    """Over MLLP; its deadline is longer than the end, and its upstream hangs."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        address = free_address()
+        (tmp_path / "journal").mkdir()
+        features = tmp_path / "features.toml"
+        features.write_text(MLLP.format(port=address[1], journal=tmp_path / "journal"))
+        async with daemon(
+            tmp_path,
+            stub,
+            environment={"LIFTTRAIL_FEATURES": str(features)},
+            settings=deadlines(4.0),
+        ) as balancer:
+            ending = balancer.ending(4.0)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"\x0b" + hl7_message("control-1") + b"\x1c\r")
+            await until(lambda: bool(stub.seen))
+            ending.terminate()
+            acknowledged = asyncio.create_task(read_frame(reader))
+            assert not await ending.kill()
+            assert b"MSA|AE|control-1" in (await acknowledged).body
+            assert await balancer.ended() == 0
+
+    run(main())
