Front: answers in HTTP's words are a module of their own

Need: engine/server.py holds the parsing of one connection and the front of all; what an answer is called and its bytes are neither. Change: engine/replies.py; tests and defects follow. No behaviour changes.

--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -6,7 +6,6 @@
 import logging
 import socket
 import struct
-from dataclasses import dataclass
 from typing import Any, cast
 
 import httptools
@@ -19,6 +18,7 @@
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.invariants import CloseReason, Invariant
 from dykeshift.engine.http1 import MAX_BODY, MAX_LONG, Gatherer, Unacceptable, status_of
+from dykeshift.engine.replies import Reply, render, word
 from dykeshift.engine.requests import BadRequest, Reader
 from dykeshift.engine.terms import FAILED, Final, How
 
@@ -32,57 +32,6 @@
 ONCE = 2.0  # the same where one request was all that came, and for all in a crowd
 CROWD = 0.5  # of the limit on connections: so many that have been answered are one
 LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
-_REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    422: b"Unprocessable Content",
-    501: b"Not Implemented",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer to a client. `content_type` is the upstream's, where it has one."""
-
-    status: int
-    body: Bytes
-    content_type: bytes = b"text/plain"
-    retry_after: int = 0  # nanoseconds; 0: not said
-
-
-_UNSERVED = {
-    How.FAILED: Reply(500, b"failed: it may have had its effect\n"),
-    How.LATE: Reply(504, b"failed: no answer in time\n"),
-}
-
-
-def word(final: Final) -> Reply:
-    """A final answer in HTTP's words."""
-    if final.how is How.SERVED:
-        return Reply(200, final.answer.body, final.answer.content_type)
-    if final.how is How.REFUSED:
-        return Reply(503, b"refused: try again\n", retry_after=final.retry_after)
-    return _UNSERVED[final.how]
-
-
-def render(reply: Reply, keep: bool) -> bytes:
-    lines = [
-        b"HTTP/1.1 %d %s" % (reply.status, _REASONS[reply.status]),
-        b"Content-Type: " + reply.content_type,
-        b"Content-Length: %d" % len(reply.body),
-    ]
-    if reply.retry_after:
-        lines.append(b"Retry-After: %.3f" % (reply.retry_after / 1e9))
-    if not keep:
-        lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + reply.body
 
 
 class Front:
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -35,6 +35,7 @@
     driver,
     http_carrier,
     link,
+    replies,
     requests,
     server,
     tenants,
@@ -58,9 +59,9 @@
 
 
 def _answer_twice() -> list[Patch]:
-    def answer(self: server.Client, reply: server.Reply) -> None:
+    def answer(self: server.Client, reply: replies.Reply) -> None:
         if self.transport is not None and self.busy and reply.status == 200:
-            self.transport.write(server.render(reply, True))
+            self.transport.write(replies.render(reply, True))
         original(self, reply)
 
     original = server.Client.answer
--- a/tests/soak/defects.py
+++ b/tests/soak/defects.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from dykeshift import rules as module
-from dykeshift.engine import driver, listener, requests, server, termination, terms, upstream
+from dykeshift.engine import driver, listener, replies, requests, server, termination, terms, upstream
 from dykeshift.engine.invariants import Stage
 from dykeshift.interface import Idempotency, ListKind, Refuse, RequestClass
 from dykeshift.node import __main__ as program
@@ -73,10 +73,10 @@
 def _two_answers() -> list[Patch]:
     """A copy's whole answer is written into a long one that has begun."""
 
-    def answer(self: server.Client, reply: server.Reply) -> None:
+    def answer(self: server.Client, reply: replies.Reply) -> None:
         if self.transport is not None and self.busy:
             keep = self._keeps()
-            self.transport.write(server.render(reply, keep))
+            self.transport.write(replies.render(reply, keep))
             self._answered(keep)
 
     return [
