--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -185,7 +185,7 @@
     "leaks the jobs of retries": "0",
     "does not hear that a client has gone": "49",
     "counts answered connections wrong": "0",
-    "keeps copies that are never answered": "230",
+    "keeps copies that are never answered": "133",
     "reuses connections that brought too much": "119",
     "serves the answer before": "0",
     "sends what waited for a connect after the answer": "728",
