--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -73,10 +73,10 @@
 
 
 async def read_head(reader: asyncio.StreamReader) -> Head | None:
-    """The head of the next message; None at the end of the connection."""
+    """The head of the next message; None where none comes, or none that can be read."""
     try:
         return Head(await reader.readuntil(b"\r\n\r\n"))
-    except (asyncio.IncompleteReadError, ConnectionError):
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
         return None
 
 
@@ -506,7 +506,7 @@
 
     try:
         held = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as exc:
+    except Exception as exc:  # also an error of the case itself: 1 is said of a broken rule alone
         record.say(f"result: could not run: {type(exc).__name__}: {exc}")
         return COULD_NOT_RUN
     record.say("result: the rule held" if held else "result: the rule was broken")
