--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -500,6 +500,7 @@
     trouble = os.environ.get("TROUBLE") != "0"
     record = Record(folder / "record.txt")
     record(f"case: {folder.name}, {'with' if trouble else 'without'} the disruption")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # the balancers are ended all the same
 
     async def run() -> bool:
         balancers: list[Balancer] = []
