Settings: a file that lacks a key is turned down, at SIGHUP any documented key

Cause: parse_settings read eleven keys with a default, and that of `group` allows repeats everywhere. Evidence: the file counts as taken, and parse_settings gives Scope.ALL for it; with reconfig_failed at 0 a file that is turned down in part is excluded, and the entries with the cells are not touched by a reload. The log said nothing of a file that is taken; it does now, with each class's effect and scope (configuration.taken).

Fix: every key that is read is wanted, at each place that reads settings. At SIGHUP a file is also turned down if it lacks a key that the format documents and the file in force has. Flags have to be true, false, 1 or 0: any text counted as true. The same mistake elsewhere: defaults behind the same parser in configuration/translate.py, the default scope of a class's resource, servers that discovery lists without a cell or zone (they shared one). The example, demo, rig and simulation state the keys now.

--- a/dykeshift/cli/init.py
+++ b/dykeshift/cli/init.py
@@ -28,6 +28,7 @@
             "windowNs": 4000 * MS,
             "worth": 1.0,
             "lateShare": 0.2,
+            "stream": False,
         }
 
     return {
@@ -52,6 +53,8 @@
             "balancers": 1,
             "discovery": "ask",
             "stepNs": 2 * MS,
+            "valueBy": "request",
+            "goal": {"worstClass": 0.0},
             "failureDomains": ["zone-1", "zone-2"],
             "kinds": ["standard"],
             "report": {"fields": ["cpu_share"], "how": "piggyback"},
--- a/dykeshift/configuration/resources.py
+++ b/dykeshift/configuration/resources.py
@@ -47,7 +47,7 @@
     deadline_ns: int
     worth: float
     idempotency: Literal["pure", "token", "side_effect"] = "side_effect"
-    scope: Literal["all", "zone", "cell"] = "all"
+    scope: Literal["all", "zone", "cell"] = "cell"
     window_ns: int = 0  # how long repeats of a keyed request are dropped
     late_share: float = 0.0  # part of the worth earned by an answer between aim and deadline
     stream: bool = False
--- a/dykeshift/configuration/translate.py
+++ b/dykeshift/configuration/translate.py
@@ -27,7 +27,8 @@
 from dykeshift.versions.book import StoreState
 
 SettingsDict = dict[str, Any]
-OWN_SETTINGS_PLACEHOLDER: SettingsDict = {"discovery": ""}  # the local keys that the settings parser requires
+# The local keys that the settings parser requires.
+OWN_SETTINGS_PLACEHOLDER: SettingsDict = {"discovery": "", "az": 0, "stepNs": 0}
 
 
 def class_settings(name: str, terms: ClassTerms) -> SettingsDict:
@@ -90,17 +91,16 @@
         overload_multiple=float(rules["tipMultiple"]),
         overload_window_ns=int(rules["fallNs"]),
         answer_slack_ns=int(rules["answerSlackNs"]),
-        worth_by_work=words.get("valueBy") == "work",
-        worst_class=min(0.99, float(words.get("goal", {}).get("worstClass", 0.0))),
-        retry_advice=bool(limits.get("retryAfter")),
-        retry_advice_limit_ns=int(limits.get("maxRetryAfterNs", 0)),
+        worth_by_work=words["valueBy"] == "work",
+        worst_class=min(0.99, float(words["goal"]["worstClass"])),
+        retry_advice=bool(limits["retryAfter"]),
+        retry_advice_limit_ns=int(limits["maxRetryAfterNs"]),
         ask_every_ns=int(rules.get("askEveryNs", 0)),
         servers=servers,
     )
     puts = [Put(Key(Kind.SERVICE, service), encode_body(terms))]
     for position, entry in enumerate(words["services"]):
-        name = str(entry.get("name", position))
-        puts.append(Put(Key(Kind.CLASS, name), encode_body(_class_terms(entry, position))))
+        puts.append(Put(Key(Kind.CLASS, str(entry["name"])), encode_body(_class_terms(entry, position))))
     return tuple(puts)
 
 
@@ -109,11 +109,11 @@
         aim_ns=int(entry["goalTimeNs"]),
         deadline_ns=int(entry["deadlineNs"]),
         worth=float(entry["worth"]),
-        late_share=float(entry.get("lateShare", 0.0)),
+        late_share=float(entry["lateShare"]),
         idempotency=entry["idempotency"],
-        scope=entry.get("group", "all"),
-        window_ns=int(entry.get("windowNs", 0)),
-        stream=bool(entry.get("stream", False)),
+        scope=entry["group"],
+        window_ns=int(entry["windowNs"]),
+        stream=bool(entry["stream"]),
         position=position,
     )
 
--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from dykeshift.interface import Settings
-from dykeshift.settings import MalformedError, parse_settings, required
+from dykeshift.settings import MalformedError, documented_keys, parse_settings, required
 
 Address = tuple[str, int]
 
@@ -17,6 +17,19 @@
 RESERVED_DESCRIPTORS = 24
 BASE_MEMORY_MB = 16.0  # measured without connections, plus some headroom
 CONNECTION_MEMORY_MB = 0.128  # at most, per connection: a whole body, and a second copy while it is forwarded
+# The keys that a complete file has, where the deployment has them. `known` and `console` come and go.
+DOCUMENTED_KEYS = (
+    "name",
+    "listen",
+    "discovery",
+    "seed",
+    "limits",
+    "peer_listen",
+    "peers",
+    "peers_all",
+    "settings",
+)
+DOCUMENTED_LIMITS = ("cores", "memory_mb", "sockets")
 # Operators' connections: at most so many, and at most one in so many of the file descriptors.
 MAX_OPERATOR_CONNECTIONS, OPERATOR_SHARE = 16, 16
 LONG_REQUESTS_SHARE = 0.25  # of the memory beyond BASE_MEMORY_MB, to buffer long requests
@@ -49,6 +62,7 @@
     buffer_limit: int  # bytes of long requests that may be buffered
     cached_list: Any  # the cached list of upstreams in the format of discovery; None: none yet
     settings: Settings
+    keys: frozenset[str]  # paths of the keys that the format documents and the file has
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     keepalive: float  # seconds after which an upstream closes an idle connection
@@ -108,6 +122,15 @@
     )
 
 
+def _documented_keys(raw: Any) -> frozenset[str]:
+    limits = raw.get("limits")
+    return frozenset(
+        {key for key in DOCUMENTED_KEYS if key in raw}
+        | {f"limits.{key}" for key in DOCUMENTED_LIMITS if isinstance(limits, dict) and key in limits}
+        | {f"settings.{key}" for key in documented_keys(raw["settings"])}
+    )
+
+
 def _parse_peering(raw: Any) -> Peering | None:
     if not raw.get("peer_listen"):
         return None
@@ -144,6 +167,7 @@
         buffer_limit=long_request_budget(raw.get("limits", {})),
         cached_list=raw.get("known"),
         settings=settings,
+        keys=_documented_keys(raw),
         zones=tuple(map(str, given.get("failureDomains", ()))),
         kinds=tuple(map(str, given.get("kinds", ()))),
         keepalive=float(required(limits, "keepaliveNs", "bounds.")) / 1e9,
--- a/dykeshift/engine/discovery.py
+++ b/dykeshift/engine/discovery.py
@@ -51,6 +51,14 @@
     return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=8).digest(), "big")
 
 
+def _separate_place(number: int) -> int:
+    """A zone or cell that no other server is in, for a server whose own is not stated.
+
+    Keys may be valid within one zone or cell only, so servers must not share one by default.
+    """
+    return -1 - number
+
+
 class ListReader:
     """Parses lists in the format of discovery and converts start times to this process's monotonic clock."""
 
@@ -99,8 +107,8 @@
             self._note_delisted(number)
         entry = ServerEntry(
             id=number,
-            zone=self._zone_index(str(row.get("zone"))),
-            cell=int(row.get("cell", 0)),
+            zone=_separate_place(number) if row.get("zone") is None else self._zone_index(str(row["zone"])),
+            cell=_separate_place(number) if row.get("cell") is None else int(row["cell"]),
             kind=self.kinds.get(str(row.get("machineType")), -1),
             state=state,
             weight=weight,
@@ -114,7 +122,7 @@
 
         Two zones that the settings do not name must stay distinct, as keys may be valid within one zone only.
         """
-        return self.zones[name] if name in self.zones else -1 - instance_number(name)
+        return self.zones[name] if name in self.zones else _separate_place(instance_number(name))
 
     def _note_delisted(self, number: int) -> None:
         """Remember the start time of a server that left the list: it may come back without a restart."""
--- a/dykeshift/node/assembly.py
+++ b/dykeshift/node/assembly.py
@@ -57,4 +57,4 @@
         not configuration.settings.ask_discovery,
     )
     reader = requests.Reader(configuration.settings.classes, feature_set.objection())
-    return Assembly(driver, discovery, reader, Reload(load, discovery, driver, reader))
+    return Assembly(driver, discovery, reader, Reload(configuration, load, discovery, driver, reader))
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -14,15 +14,35 @@
 log = logging.getLogger(__name__)
 
 
+def _log_taken(settings: Settings) -> None:
+    """Log what a file that was taken says of repeats: what this balancer will do at senders from now on."""
+    classes = {
+        one.name: f"{one.idempotency.name.lower()}/{one.scope.name.lower()}" for one in settings.classes
+    }
+    log.info(
+        "the new configuration is taken: %s",
+        ", ".join(f"{name} {terms}" for name, terms in classes.items()),
+        extra={"event": "configuration.taken", "fields": {"classes": classes}},
+    )
+
+
 class Reload:
     """Applies new settings and moves to another discovery; connections, requests and learned state stay.
 
-    A file that cannot be used changes nothing. Everything else in a file takes effect at the next start.
+    A file that cannot be used changes nothing, and neither does an incomplete one, which lacks a key that
+    the format documents and the file in force has. All else in a file takes effect at the next start.
     """
 
     def __init__(
-        self, load: Callable[[], config.Config], discovery: DiscoveryClient, driver: Driver, reader: Reader
+        self,
+        in_force: config.Config,
+        load: Callable[[], config.Config],
+        discovery: DiscoveryClient,
+        driver: Driver,
+        reader: Reader,
     ) -> None:
+        """`in_force`: the configuration that the process started with."""
+        self.keys = in_force.keys
         self.load = load
         self.discovery = discovery
         self.driver = driver
@@ -37,11 +57,18 @@
         taken = self.driver.take_settings(settings, narrow)
         self.reader.set_classes(taken.classes, taken.retired, forms)
 
+    def load_complete(self) -> config.Config:
+        """Read the configuration; raises `ConfigError` if it cannot be used or is incomplete."""
+        new = self.load()
+        if missing := self.keys - new.keys:
+            raise config.ConfigError(f"the configuration lacks {', '.join(sorted(missing))}")
+        return new
+
     def __call__(self) -> None:
         """Read the configuration again and apply it; the handler of SIGHUP."""
         ledger = self.driver.ledger
         try:
-            new = self.load()
+            new = self.load_complete()
         except config.ConfigError as exc:
             ledger.reloads_failed += 1
             log.error(
@@ -50,13 +77,15 @@
                 extra={"event": "configuration.kept", "fields": {"reason": str(exc)}},
             )
             return
-        if self.accept is None:
-            ledger.reloads += 1
-            self.apply(new.settings)
-        elif self.accept(new):
+        taken = self.accept is None or self.accept(new)
+        if taken:
             ledger.reloads += 1
+            self.keys = new.keys
+            _log_taken(new.settings)
         else:
             ledger.reloads_failed += 1
+        if self.accept is None:
+            self.apply(new.settings)
         if new.discovery == self.discovery.address:
             log.info(
                 "the address of discovery is unchanged in the new configuration",
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -1,4 +1,8 @@
-"""Parses settings and load reports in the deployment's format, for the simulator adapter and the balancer."""
+"""Parses settings and load reports in the deployment's format, for the simulator adapter and the balancer.
+
+Every key that is read must be there: a default could allow more than the deployment does. `documented_keys`
+also covers the keys that are not read, so that an incomplete file can be told from a complete one.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +24,25 @@
 
 _IDEMPOTENCY = {"pure": Idempotency.SAFE, "token": Idempotency.KEYED, "side_effect": Idempotency.UNSAFE}
 _SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+# The keys that the format always has, by the path of the object that holds them. Not the optional ones:
+# `aimStretch` of a class, `passesDeadline` and `warmKeys` of the domain, and `fleet` of the costs.
+DOCUMENTED_KEYS = {
+    "": (
+        "az balancers bounds clients costs discovery domain domainType failureDomains goal kinds layer me"
+        " obligations overShareWorth parties report services stepNs tiers valueBy weights"
+    ).split(),
+    "bounds.": (
+        "cancelling connectTimeoutNs cpuUsPerRequest cpuUsPerS keepaliveNs maxAttempts maxRetryAfterNs"
+        " mayTell mostHeld multiplex probes retryAfter secondCopies"
+    ).split(),
+    "clients.": ["marksRetry"],
+    "costs.": "connection crossZone discovery handshake lateFail moves origin peer probe waste".split(),
+    "goal.": "whole worstClass worstTenant worstWindow".split(),
+    "obligations.": "answerSlackNs askEveryNs coldFrom coldNs drainGraceNs fallNs tipMultiple".split(),
+    "parties[].": "name quotaPerS share".split(),
+    "report.": "fields how".split(),
+    "services[].": "deadlineNs goalTimeNs group idempotency lateShare name stream windowNs worth".split(),
+}
 REPORT_FIELDS = {
     "busy_reqs": "in_flight",
     "pending": "queued",
@@ -55,6 +78,20 @@
     return int(value)
 
 
+def non_negative(value: Any, what: str) -> float:
+    """A finite number that is zero or more; raises `SettingsError` for others, also true and text."""
+    if type(value) not in (int, float) or not math.isfinite(value) or value < 0:
+        raise SettingsError(f"{what} is {value!r}, and a number from 0 on is wanted")
+    return float(value)
+
+
+def boolean(value: Any, what: str) -> bool:
+    """True or false, also as 1 or 0; raises `SettingsError` for others: any text would count as true."""
+    if type(value) not in (bool, int) or value not in (0, 1):
+        raise SettingsError(f"{what} is {value!r}, expected true or false")
+    return bool(value)
+
+
 def restrict_repeats(one: RequestClass, other: RequestClass) -> RequestClass:
     """The first class, restricted to the repeats that both allow, so that neither's terms are violated."""
     if one.idempotency is not other.idempotency:
@@ -80,53 +117,84 @@
 def parse_settings(raw: Any) -> Settings:
     """Settings from parsed JSON. Unknown keys are ignored; the error for a missing key has its path."""
     limits, rules = required(raw, "bounds", ""), required(raw, "obligations", "")
+    goal = required(raw, "goal", "")
     ask = required(raw, "discovery", "") == "ask"
     every = (
         positive_int(required(rules, "askEveryNs", "obligations."), "obligations.askEveryNs") if ask else 0
     )
     try:
-        worst = min(0.99, float(raw.get("goal", {}).get("worstClass", 0.0)))
-        classes = tuple(
-            RequestClass(
-                name=str(c.get("name", n)),
-                aim=positive_int(required(c, "goalTimeNs", f"services[{n}]."), f"services[{n}].goalTimeNs"),
-                deadline=positive_int(
-                    required(c, "deadlineNs", f"services[{n}]."), f"services[{n}].deadlineNs"
-                ),
-                worth=float(required(c, "worth", f"services[{n}].")),
-                late_share=float(c.get("lateShare", 0.0)),
-                idempotency=enum_value(
-                    _IDEMPOTENCY, required(c, "idempotency", f"services[{n}]."), "idempotency"
-                ),
-                scope=enum_value(_SCOPES, c.get("group", "all"), "group"),
-                window=int(c.get("windowNs", 0)),
-                stream=bool(c.get("stream", False)),
-            )
-            for n, c in enumerate(required(raw, "services", ""))
-        )
+        worst = min(0.99, non_negative(required(goal, "worstClass", "goal."), "goal.worstClass"))
         return Settings(
-            classes=classes,
+            classes=tuple(_parse_class(c, n) for n, c in enumerate(required(raw, "services", ""))),
             balancers=max(1, int(required(raw, "balancers", ""))),
-            zone=int(raw.get("az", 0)),
+            zone=int(required(raw, "az", "")),
             ask_discovery=ask,
             ask_every=every,
             attempt_limit=positive_int(required(limits, "maxAttempts", "bounds."), "bounds.maxAttempts"),
-            copies_allowed=bool(required(limits, "secondCopies", "bounds.")),
-            cancel_allowed=bool(required(limits, "cancelling", "bounds.")),
+            copies_allowed=boolean(required(limits, "secondCopies", "bounds."), "bounds.secondCopies"),
+            cancel_allowed=boolean(required(limits, "cancelling", "bounds."), "bounds.cancelling"),
             cold_share=float(required(rules, "coldFrom", "obligations.")),
             cold_time=int(required(rules, "coldNs", "obligations.")),
             overload_multiple=float(required(rules, "tipMultiple", "obligations.")),
             overload_window=int(required(rules, "fallNs", "obligations.")),
             answer_slack=int(required(rules, "answerSlackNs", "obligations.")),
-            step=int(raw.get("stepNs", 0)),
-            worth_by_work=raw.get("valueBy") == "work",
+            step=int(non_negative(required(raw, "stepNs", ""), "stepNs")),
+            worth_by_work=required(raw, "valueBy", "") == "work",
             fairness=worst / (1 - worst),
-            retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
+            retry_advice_limit=_retry_advice_limit(limits),
         )
     except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise SettingsError(f"settings hold a value of the wrong kind: {exc}") from None
 
 
+def _parse_class(raw: Any, position: int) -> RequestClass:
+    path = f"services[{position}]."
+
+    def value(key: str) -> Any:
+        return required(raw, key, path)
+
+    return RequestClass(
+        aim=positive_int(value("goalTimeNs"), f"{path}goalTimeNs"),
+        deadline=positive_int(value("deadlineNs"), f"{path}deadlineNs"),
+        worth=float(value("worth")),
+        late_share=non_negative(value("lateShare"), f"{path}lateShare"),
+        idempotency=enum_value(_IDEMPOTENCY, value("idempotency"), f"{path}idempotency"),
+        scope=enum_value(_SCOPES, value("group"), f"{path}group"),
+        window=int(non_negative(value("windowNs"), f"{path}windowNs")),
+        stream=boolean(value("stream"), f"{path}stream"),
+        name=str(value("name")),
+    )
+
+
+def _retry_advice_limit(limits: dict[str, Any]) -> int:
+    """The longest time that clients may be advised to stay away, in ns; 0: they are given no advice."""
+    longest = non_negative(required(limits, "maxRetryAfterNs", "bounds."), "bounds.maxRetryAfterNs")
+    return int(longest) if boolean(required(limits, "retryAfter", "bounds."), "bounds.retryAfter") else 0
+
+
+def documented_keys(raw: Any) -> frozenset[str]:
+    """The keys of `DOCUMENTED_KEYS` that parsed settings hold, as paths such as `services[].group`.
+
+    A key of a list's entries counts only if every entry has it.
+    """
+    return frozenset(
+        f"{table}{key}"
+        for table, keys in DOCUMENTED_KEYS.items()
+        for key in keys
+        if all(isinstance(entry, dict) and key in entry for entry in _entries(raw, table))
+    )
+
+
+def _entries(raw: Any, table: str) -> list[Any]:
+    """The objects that a table's path stands for: the settings, one object in them, or a list's entries."""
+    if not table or not isinstance(raw, dict):
+        return [raw]
+    if not table.endswith("[]."):
+        return [raw.get(table[:-1])]
+    entries = raw.get(table[:-3])
+    return entries if isinstance(entries, list) else [None]
+
+
 def load_report(values: dict[str, float]) -> LoadReport | None:
     """A load report of the figures that the decision module knows; others are ignored."""
     known = {REPORT_FIELDS[name]: value for name, value in values.items() if name in REPORT_FIELDS}
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -47,6 +47,7 @@
             "idempotency": kinds[KINDS[name]],
             "group": "cell",
             "windowNs": int(options.window * SECOND),
+            "stream": False,
         }
         for name in CLASSES
     ]
@@ -55,6 +56,8 @@
         "balancers": options.balancers,
         "discovery": "push" if options.push else "ask",
         "stepNs": 2 * MS,
+        "valueBy": "request",
+        "goal": {"worstClass": 0.0},
         "failureDomains": [f"z{n}" for n in range(options.zones)],
         "kinds": ["standard"],
         "report": {"fields": ["busy_reqs", "cpu_share"], "how": "piggyback"},
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -118,6 +118,7 @@
         "group": "cell",
         "windowNs": 4_000_000_000,
         "lateShare": 0.2,
+        "stream": False,
         **changes,
     }
 
@@ -128,6 +129,8 @@
         "balancers": 1,
         "discovery": "ask",
         "stepNs": 2_000_000,
+        "valueBy": "request",
+        "goal": {"worstClass": 0.0},
         "failureDomains": ["a", "b"],
         "kinds": ["m"],
         "report": {"fields": ["cpu_share"], "how": "piggyback"},
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -445,6 +445,20 @@
     assert back.entry.started == first.entry.started  # listed again without a restart
 
 
+# Guards against keyed requests that are repeated at servers whose cell or zone is not known to be the same.
+@pytest.mark.parametrize("key", ["zone", "cell"])
+@pytest.mark.parametrize("value", ["missing", None])
+def test_servers_without_a_stated_zone_or_cell_share_none(key: str, value: Any) -> None:
+    reader = ListReader(WallClock(0), ("a",), ("m",))
+    rows = [{**instance(f"s{n}", ("127.0.0.1", 1 + n)), key: value} for n in range(3)]
+    for row in rows:
+        if value == "missing":
+            del row[key]
+    rows.append(instance("s3", ("127.0.0.1", 4)))
+    places = [getattr(one.entry, key) for one in reader.read(listing(1, True, *rows))[2]]
+    assert len(set(places)) == 4
+
+
 # ---- generations ----
 
 
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import json
+import logging
 from typing import Any
 
 import pytest
@@ -12,7 +14,7 @@
 from dykeshift.engine import config
 from dykeshift.interface import Idempotency, ListKind, Outcome
 from dykeshift.rules import Balancer
-from dykeshift.settings import SettingsError, parse_settings
+from dykeshift.settings import DOCUMENTED_KEYS, MalformedError, SettingsError, documented_keys, parse_settings
 from tests.harness import MS, World, entry
 from tests.node.messages import answer, read_message, request
 from tests.node.stubs import (
@@ -48,6 +50,65 @@
     assert key in str(caught.value) and "\n" not in str(caught.value)
 
 
+def complete_settings() -> dict[str, Any]:
+    """Settings with every documented key."""
+    given = settings(parties=[{"name": "p", "quotaPerS": 5.0, "share": 0.5}])
+    for table, keys in DOCUMENTED_KEYS.items():
+        if not table.endswith("[]."):
+            entry = given.setdefault(table[:-1], {}) if table else given
+            entry.update({key: entry.get(key, 1) for key in keys if f"{key}." not in DOCUMENTED_KEYS})
+    return given
+
+
+def without(raw: dict[str, Any], path: str) -> dict[str, Any]:
+    """A copy that lacks the key of this path; of a list, only the last entry lacks it."""
+    copied = copy.deepcopy(raw)
+    *tables, key = path.split(".")
+    entry: Any = copied
+    for table in tables:
+        entry = entry[table.removesuffix("[]")]
+        entry = entry[-1] if table.endswith("[]") else entry
+    del entry[key]
+    return copied
+
+
+def read_keys() -> list[str]:
+    """The paths of all keys without which the settings are turned down."""
+    return [
+        *(f"services[].{key}" for key in CHECK),
+        *(f"bounds.{key}" for key in settings()["bounds"] if key not in ("keepaliveNs", "connectTimeoutNs")),
+        *(f"obligations.{key}" for key in settings()["obligations"] if key != "drainGraceNs"),
+        *("az", "balancers", "bounds", "discovery", "goal", "goal.worstClass", "obligations", "services"),
+        *("stepNs", "valueBy"),
+    ]
+
+
+# Guards against a file without a class's `group`, which let keyed requests be repeated at all servers.
+@pytest.mark.parametrize("path", read_keys())
+def test_settings_without_a_key_that_is_read_are_turned_down(path: str) -> None:
+    assert parse_settings(settings())
+    with pytest.raises(SettingsError, match=f"settings lack .*{path.rpartition('.')[2]}"):
+        parse_settings(without(settings(), path))
+
+
+# Guards against text that counted as true, so that "false" allowed second copies.
+@pytest.mark.parametrize("path", ["bounds.secondCopies", "bounds.cancelling", "bounds.retryAfter", "stream"])
+@pytest.mark.parametrize("value", ["false", "", None, 2, [], 0.0])
+def test_settings_with_something_else_than_true_or_false_are_turned_down(path: str, value: Any) -> None:
+    table, _, key = path.rpartition(".")
+    given = named({**CHECK, key: value}) if not table else named(CHECK, **{key: value})
+    with pytest.raises(MalformedError, match=key):
+        parse_settings(given)
+
+
+def test_the_documented_keys_are_found_where_every_entry_has_them() -> None:
+    every = {f"{table}{key}" for table, keys in DOCUMENTED_KEYS.items() for key in keys}
+    assert documented_keys(complete_settings()) == every
+    for path in every:
+        assert path not in documented_keys(without(complete_settings(), path))
+    assert not documented_keys([]) and "parties[].share" in documented_keys({"parties": []})
+
+
 @pytest.mark.parametrize(
     "text",
     [
@@ -176,3 +237,28 @@
             }
 
     run(main())
+
+
+# Guards against an incomplete file at SIGHUP that is taken because the missing key is never read.
+def test_a_file_that_lacks_a_key_of_the_one_in_force_changes_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    paths = sorted(documented_keys(complete_settings()))
+
+    async def main() -> None:
+        async with node(await Stub(silent).start()) as balancer:
+            driver = balancer.front.driver
+            with caplog.at_level(logging.INFO):
+                reload_with(balancer, complete_settings())
+            taken = [one for one in caplog.records if getattr(one, "event", "") == "configuration.taken"]
+            assert ["set keyed/cell" in one.getMessage() for one in taken] == [True]
+            assert (driver.ledger.reloads, driver.ledger.reloads_failed) == (1, 0)
+            in_force = driver.balancer.settings
+            for failed, path in enumerate(paths, start=1):
+                reload_with(balancer, without(complete_settings(), path))
+                assert (driver.ledger.reloads, driver.ledger.reloads_failed) == (1, failed), path
+                assert driver.balancer.settings == in_force
+            reload_with(balancer, complete_settings())
+            assert driver.ledger.reloads == 2
+
+    run(main())
--- a/tests/sim/ops_mutants.py
+++ b/tests/sim/ops_mutants.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from dykeshift import rules
+from dykeshift import rules, settings
 from dykeshift.engine import drain, ledger, server, upstream
 from dykeshift.engine.discovery import instance_number
 from dykeshift.engine.terms import FinalStatus
@@ -123,6 +123,16 @@
     return [(reload.Reload, "__call__", call)]
 
 
+def _missing_group_means_all() -> list[Patch]:
+    """A class whose `group` is missing is taken as one whose keys are known everywhere."""
+
+    def required(table: Any, key: str, path: str) -> Any:
+        return "all" if key == "group" and key not in table else original(table, key, path)
+
+    original = settings.required
+    return [(settings, "required", required), (reload.Reload, "load_complete", lambda self: self.load())]
+
+
 def _attempts_counted_at_start() -> list[Patch]:
     """An attempt is counted when it starts, not when its last byte is written."""
 
@@ -192,6 +202,13 @@
         _new_terms_for_open_requests,
         WITH_OPERATORS,
     ),
+    Mutant(
+        "takes a class without a group for one that holds everywhere",
+        "settings",
+        (referee.KEYED_ASTRAY,),
+        _missing_group_means_all,
+        WITH_OPERATORS,
+    ),
     Mutant("takes half a file", "reload", (referee.REJECTED,), _partial_reload, WITH_OPERATORS),
     Mutant(
         "counts attempts that are only begun",
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -221,6 +221,7 @@
     "keeps idle connections in a standby": "74+ops",
     "is never active again": "3+ops",
     "looks a class up anew after new settings": "2+ops",
+    "takes a class without a group for one that holds everywhere": "91+ops",
     "takes half a file": "7+ops",
     "counts attempts that are only begun": "0+ops",
     "counts refusals as failures": "0+ops",
--- a/tests/soak/defects.py
+++ b/tests/soak/defects.py
@@ -255,6 +255,12 @@
         REPEAT_RULES,
         _simulation_defect("repeats keyed requests in any rack"),
     ),
+    Defect(
+        "takes a class without a group",
+        SMALL,
+        REPEAT_RULES,
+        _simulation_defect("takes a class without a group for one that holds everywhere"),
+    ),
     Defect("takes a 500 for a proof", SMALL, REPEAT_RULES, _simulation_defect("takes a 500 for a proof")),
     Defect(
         "refuses whatever it gives up",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -38,6 +38,10 @@
 NEW_CONNECTION_PERIOD_S = 0.4  # time after SIGTERM within which new connections are opened
 SIGNAL_INTERVAL_S = 0.04  # between the signals of one termination
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+INCOMPLETE_FILE_S = 0.15  # for which a configuration file lacks a key
+# Of the class of keyed requests; mostly the one without which keys could be repeated at all servers.
+REMOVED_KEYS = ("group", "group", "group", "windowNs", "idempotency", "deadlineNs")
+KEYED_CLASS = "reminder-set"
 DEADLINE_FACTORS = (0.5, 1.0, 2.0)  # applied to all deadlines by a reload right before SIGTERM
 HANGING_SENDER_SHARES = (0.0, 0.0, 0.25, 0.5, 1.0)  # of senders, between SIGTERM and SIGKILL
 INTERNAL_ERROR_TEXTS = (  # in the log of a daemon: a crash or a violated invariant
@@ -89,6 +93,7 @@
         self.discovery_addresses: dict[str, tuple[str, int]] = {}  # by balancer: its address of discovery
         self.discovery_servers: list[asyncio.Server] = []
         self.terminating: dict[str, Ending] = {}  # balancers between SIGTERM and restart
+        self.complete_files: dict[str, str] = {}  # by balancer whose file lacks a key: the complete one
         self.deadline_factors: dict[str, float] = {}  # by balancer: factor in its current configuration
         self.terminations = self.killed_late = 0
 
@@ -198,6 +203,7 @@
         elif episode.fault is Fault.CLOCK_STEPPED:
             control.step_wall_clock(episode.amount)
         elif episode.fault is Fault.RELOADED:
+            self._remove_key(balancer, episode)
             for index in range(episode.signals):
                 self._call_later(index * 0.02, lambda: self._signal(balancer, signal.SIGHUP))
         elif balancer.name in self.terminating:
@@ -213,6 +219,24 @@
         else:
             self.spawn(self._terminate(balancer, control, episode))
 
+    def _remove_key(self, balancer: Balancer, episode: Episode) -> None:
+        """Write a configuration file that lacks a key, which must not be taken, and soon the complete one."""
+        age = asyncio.get_running_loop().time() - self.started_at.get(balancer.name, 0.0)
+        if not balancer.running or age < SIGNAL_HANDLER_SETUP_S or balancer.name in self.complete_files:
+            return  # a process that starts would end with 2
+        path = self.folder / f"{balancer.place}.json"
+        self.complete_files[balancer.name] = path.read_text(encoding="utf-8")
+        config = json.loads(self.complete_files[balancer.name])
+        (keyed,) = (one for one in config["settings"]["services"] if one["name"] == KEYED_CLASS)
+        del keyed[REMOVED_KEYS[int(episode.share * 1000) % len(REMOVED_KEYS)]]
+        path.write_text(json.dumps(config), encoding="utf-8")
+        self._call_later(INCOMPLETE_FILE_S, lambda: self._complete_file(balancer))
+
+    def _complete_file(self, balancer: Balancer) -> None:
+        """Write the complete configuration file again, if it lacks a key."""
+        if (complete := self.complete_files.pop(balancer.name, None)) is not None:
+            (self.folder / f"{balancer.place}.json").write_text(complete, encoding="utf-8")
+
     def _fail_calls(self, balancer: Balancer, control: FaultControl, episode: Episode) -> None:
         control.fail(episode.kind, episode.share, CALL_ERRORS[episode.kind])
         self.observer.reachable_since[balancer.name] = NEVER
@@ -282,6 +306,7 @@
 
     def _change_deadlines(self, balancer: Balancer, rng: Random) -> float:
         """Reload a configuration with other deadlines right before SIGTERM; return their factor."""
+        self._complete_file(balancer)
         factor = rng.choice(DEADLINE_FACTORS)
         if factor != 1.0:
             self.deadline_factors[balancer.name] = factor
@@ -351,6 +376,7 @@
             if balancer.stopping:
                 return
             await asyncio.sleep(RESTART_DELAY_S)
+            self._complete_file(balancer)
             self.deadline_factors.pop(balancer.name, None)
             self.terminating.pop(balancer.name, None)
             await balancer.start()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,9 +13,11 @@
 from tests.soak.run import play
 
 CLEAN_SEEDS = (600, 606, 623)
-# Defects of size WHOLE, with a seed that found each. A run on a busy machine detects less: MORE_SEEDS follow.
+# Defects of size WHOLE, and one that takes an incomplete file, with a seed that found each. A run on a busy
+# machine detects less: MORE_SEEDS follow.
 SEED_BY_DEFECT = {
     "ends without regard to the kill": 500,
+    "takes a class without a group": 500,
     "treats all as safe": 500,
     "ignores drains": 502,
     "ignores that clients leave": 501,
