A transfer has stalled only when no byte has passed for ten seconds

Cause: Client.check_timeouts took for progress a change of (bytes of the request's body, bytes of output that wait). Without a body and with a client that keeps up both are 0 at every look, so the last progress was the connect.

Fix: engine/progress.py counts bytes received and bytes that the system has taken. These only rise, so that no look misses what passed between two, and output behind a client that does not read is no progress. transfer.stalled is logged with the time without a byte, the connection's age and the counts. Uploads, lingering clients and unsent answers go by the same look.

Tests: with the old count put back the new test fails in both framings, the upload's and the property test, too.

--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -68,6 +68,7 @@
 @click.option("--cold", is_flag=True, help="Days of many balancers and cold senders, A+cold to B+cold.")
 @click.option("--watches", is_flag=True, help="Days on which watches break as senders drain, A+watches on.")
 @click.option("--ends", is_flag=True, help="Days on which balancers are told to end, A+ends to B+ends.")
+@click.option("--aged", is_flag=True, help="Days with long answers on old connections, A+aged to B+aged.")
 @click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
 @JSON
 def run(
@@ -78,13 +79,22 @@
     cold: bool,
     watches: bool,
     ends: bool,
+    aged: bool,
     jobs: int,
     as_json: bool,
 ) -> int:
     """Play many seeds; 1 where a rule was broken."""
     from dykeshift.sim.runner import Played, play_all
 
-    from dykeshift.sim.scenario import COLD_AT_SIZE, ENDS, WATCHES, WITH_MLLP, WITH_OPERATORS, WITH_VIEW
+    from dykeshift.sim.scenario import (
+        AGED,
+        COLD_AT_SIZE,
+        ENDS,
+        WATCHES,
+        WITH_MLLP,
+        WITH_OPERATORS,
+        WITH_VIEW,
+    )
 
     kinds = (
         (WITH_MLLP, mllp),
@@ -93,12 +103,13 @@
         (COLD_AT_SIZE, cold),
         (WATCHES, watches),
         (ENDS, ends),
+        (AGED, aged),
     )
     wanted = [kind for kind, asked in kinds if asked]
     if len(wanted) > 1:
         raise Usage(
-            "lifttrail sim: --mllp, --operators, --view, --cold, --watches and --ends are kinds of days: "
-            "one at a time"
+            "lifttrail sim: --mllp, --operators, --view, --cold, --watches, --ends and --aged are kinds "
+            "of days: one at a time"
         )
     kind = "".join(wanted)
     names = [seed + kind for seed in read_seeds(seeds)]
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -24,6 +24,7 @@
     UnacceptableMessageError,
     status_of,
 )
+from dykeshift.engine.progress import TransferProgress
 from dykeshift.engine.replies import Reply, render, reply_to
 from dykeshift.engine.requests import BadRequestError, Reader
 from dykeshift.engine.terms import FAILED, Final, FinalStatus
@@ -34,7 +35,6 @@
 HEAD_TIMEOUT = 2.5  # seconds from connecting to a request's first byte, and from that to the end of its head
 # Seconds until a request is complete, plus the time that its body takes at this rate, in bytes per second.
 REQUEST_TIMEOUT, MIN_BODY_RATE = 2.5, 32 * 1024
-STALL_TIMEOUT = 10.0  # seconds without progress after which a body transfer is aborted, in either direction
 IDLE_TIMEOUT = 30.0  # seconds that an idle keep-alive connection is kept open
 SHORT_IDLE_TIMEOUT = 2.0  # seconds; after only one request, and for all connections when crowded
 CROWDED_SHARE = 0.5  # the frontend is crowded if more than this share of its connections have been answered
@@ -178,7 +178,6 @@
         "chunked",
         "end_marked",
         "progress",
-        "progress_at",
         "reading_paused",
     )
 
@@ -203,8 +202,7 @@
         # Framing of the streamed answer; end_marked: by length or chunks, so that the client sees its end.
         self.chunked = self.end_marked = False
         self.reading_paused = False  # the request's body is not read, as there is no buffer space for it
-        self.progress: tuple[int, int] = (0, 0)  # bytes received of the body and bytes of output not sent
-        self.progress_at = self.connected_at  # when these last changed
+        self.progress = TransferProgress(self.connected_at)
 
     def is_idle(self) -> bool:
         """Whether it is idle between requests: none received even in part, and all answers sent."""
@@ -231,12 +229,10 @@
         extended by single bytes, and a rejected client cannot keep its connection open by sending on.
         """
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        if (self.size, unsent) != self.progress:
-            self.progress, self.progress_at = (self.size, unsent), now
-        stalled = now - self.progress_at > STALL_TIMEOUT
+        stalled = self.progress.look(unsent, now)
         if self.busy:
             if stalled and (self.streamed_answer is not None or self.upload is not None):
-                self.close_by_us(CloseReason.STALLED)  # reported to the driver as a client that disconnected
+                self._abort_stalled(unsent, now)
             return
         if self.closing:
             late = now - self.since > LINGER_TIMEOUT if not unsent else stalled
@@ -261,6 +257,25 @@
         elif late and not self.has_input():
             self.close_by_us(CloseReason.IDLE)
 
+    def _abort_stalled(self, unsent: int, now: float) -> None:
+        """Abort a transfer without progress; the driver takes it for a client that disconnected."""
+        silent = now - self.progress.changed_at
+        fields = {
+            "request": self.request_id,
+            "silent_s": round(silent, 1),
+            "connection_age_s": round(now - self.connected_at, 1),
+            "received": self.progress.received,
+            "written": self.progress.written,
+            "unsent": unsent,
+        }
+        log.warning(
+            "the transfer of request %s is aborted: no byte has passed for %.1f s",
+            self.request_id,
+            silent,
+            extra={"event": "transfer.stalled", "fields": fields},
+        )
+        self.close_by_us(CloseReason.STALLED)
+
     def stop_reading(self) -> None:
         """Leave further input in the kernel; during a streamed answer, read on only to detect a close."""
         self.closing = True
@@ -291,6 +306,7 @@
         """Parse input, and submit, forward or reject the request."""
         if self.closing or self.parser is None:
             return
+        self.progress.received += len(data)
         if not self.busy or self.upload is not None:
             assert self.transport is not None
             self.last_arrival = self.front.arrivals.arrival_time(self.transport)
@@ -357,7 +373,7 @@
             return
         super().on_headers_complete()
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
         """Collect a header."""
@@ -476,7 +492,7 @@
             self.cut()
             return
         keep = self._should_keep_alive()
-        self.transport.write(render(reply, keep))
+        self._write(render(reply, keep))
         self._answer_written(keep)
 
     def _start_streamed_answer(self, answer: Answer) -> None:
@@ -495,21 +511,26 @@
         if not self.keep_alive:
             lines.append(b"Connection: close")
         self.streamed_answer = answer.rest
-        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        self._write(b"\r\n".join(lines) + b"\r\n\r\n")
         answer.rest.stream_to(self)
         if answer.body:
             self.write_piece(bytes(answer.body))
 
+    def _write(self, data: bytes) -> None:
+        """Hand output to the transport, if the connection is open."""
+        if self.transport is not None:
+            self.progress.written += len(data)
+            self.transport.write(data)
+
     def write_piece(self, data: bytes) -> None:
         """Send a piece of a streamed answer."""
-        if self.transport is not None:
-            self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
+        self._write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
 
     def end(self) -> None:
         """Finish a streamed answer."""
         if self.transport is not None and self.busy:
             if self.chunked:
-                self.transport.write(b"0\r\n\r\n")
+                self._write(b"0\r\n\r\n")
             self._answer_written(self.keep_alive)
 
     def cut(self) -> None:
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -44,7 +44,7 @@
 from dykeshift.standins.clinic import Clinic, Letter
 from dykeshift.standins.messages import Message
 from dykeshift.standins.registry import Instance, Registry
-from dykeshift.standins.sender import Rack, Sender
+from dykeshift.standins.sender import Rack, Sender, without_padding
 
 LONGEST_DEADLINE = 1.5  # seconds: the longest deadline of a class
 ASK_EVERY = 10.0  # seconds within which a balancer must have sent a request to discovery
@@ -337,7 +337,8 @@
             self.checker.breach(
                 rules.REJECTED, self._client_now(), f"{node.name} rejects {rid} ({errand.klass})"
             )
-        self.checker.answered(self._client_now(), rid, answer.status, answer.body.decode("latin-1"))
+        body = without_padding(answer.body).decode("latin-1")
+        self.checker.answered(self._client_now(), rid, answer.status, body)
 
     def broken(self, errand: Errand, rid: str, to: tuple[str, int], begun: bool) -> None:
         """See `standins.client.Account`."""
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -17,7 +17,7 @@
 from dykeshift.sim.loop import Program
 from dykeshift.sim.operators import OperatorClient
 from dykeshift.sim.net import Partition, Endpoint
-from dykeshift.sim.scenario import FAULTS_END, Fault, kill_after
+from dykeshift.sim.scenario import FAULTS_END, RECOVERY, Fault, kill_after
 from dykeshift.sim.scene import SimulationContext
 from dykeshift.standins.registry import Registry
 from dykeshift.standins.sender import Mood
@@ -71,10 +71,12 @@
         self.stream_cuts: list[tuple[str, int, Any]] = []
 
     def schedule(self) -> None:
-        """Schedule all faults, and the end of all of them at `FAULTS_END`."""
+        """Schedule all faults, the end of all of them at `FAULTS_END`, and streamed answers to the probes."""
         for number, fault in enumerate(self.simulation.scenario.faults):
             self.world.at(EPOCH + int(fault.at * SECOND), self._begin, number, fault)
         self.world.at(EPOCH + int(FAULTS_END * SECOND), self.heal)
+        if self.simulation.scenario.options.probe_stream_share:
+            self.world.at(EPOCH + int((FAULTS_END + RECOVERY) * SECOND) - MS, self._stream_answers)
 
     def _begin(self, number: int, fault: Fault) -> None:
         self.world.trace(f"fault {number}: {fault.kind} for {fault.length:.3f} s, size {fault.size}")
@@ -113,6 +115,10 @@
         for site in simulation.sites:
             self._repair(site)
 
+    def _stream_answers(self) -> None:
+        for site in self.simulation.sites:
+            site.mood.stream_share = self.simulation.scenario.options.probe_stream_share
+
     def _repair(self, site: SenderSite) -> None:
         self._reset_mood(site)
         if not site.host.up:
--- a/dykeshift/sim/scenario.py
+++ b/dykeshift/sim/scenario.py
@@ -68,6 +68,7 @@
 WITH_VIEW = "+view"  # balancers keep a view of the fleet
 ENDS = "+ends"  # balancers are terminated under traffic, with various longest deadlines
 WATCHES = "+watches"  # all discovery watches break just before senders drain for long
+AGED = "+aged"  # after the faults, answers are streamed on connections that clients have kept for long
 COLD_AT_SIZE = "+cold"  # many balancers, and few senders that restart under load
 
 
@@ -138,6 +139,7 @@
     consoles: bool = False  # balancers have consoles, and operators call them
     view: bool = False  # the balancers keep a view of the fleet
     peer_loss: float = 0.0  # share of the datagrams between balancers that are lost
+    probe_stream_share: float = 0.0  # of the answers after the faults that come in pieces, with no length
     longest: float = 1.5  # seconds: the longest deadline of a class; the others are in proportion
 
 
@@ -196,7 +198,7 @@
 
 def bare(seed: str) -> str:
     """The seed without its suffixes."""
-    for kind in (WITH_OPERATORS, WITH_VIEW, COLD_AT_SIZE, WATCHES, ENDS, WITH_MLLP):
+    for kind in (WITH_OPERATORS, WITH_VIEW, COLD_AT_SIZE, WATCHES, ENDS, AGED, WITH_MLLP):
         seed = seed.removesuffix(kind)
     return seed
 
@@ -205,9 +207,11 @@
     """Draw the scenario of a seed.
 
     A suffix selects a variant of the seed's scenario: `+mllp` with clinics, `+ops` with operators, `+view`
-    with more balancers that keep a view of the fleet, `+ends` with terminations of balancers. `+cold` and
-    `+watches` select scenarios of their own.
+    with more balancers that keep a view of the fleet, `+ends` with terminations of balancers,
+    `+aged` with streamed answers on old connections. `+cold` and `+watches` select scenarios of their own.
     """
+    if seed.endswith(AGED):
+        return _with_aged_connections(seed, draw(seed.removesuffix(AGED)))
     if seed.endswith(ENDS):
         return _with_ends(_rng(seed, "ends"), seed, draw(seed.removesuffix(ENDS)))
     if seed.endswith(WITH_VIEW):
@@ -467,6 +471,14 @@
     return Scenario(seed, options, (*asks, *_probe_asks(options)), tuple(sorted(faults, key=lambda f: f.at)))
 
 
+# ---- clients keep their connections for longer than any time limit of a transfer ----
+
+
+def _with_aged_connections(seed: str, base: Scenario) -> Scenario:
+    """The same scenario, whose probe requests have streamed answers, mostly on connections from its start."""
+    return Scenario(seed, replace(base.options, probe_stream_share=1.0), base.asks, base.faults)
+
+
 # ---- operators ----
 
 
--- a/dykeshift/standins/sender.py
+++ b/dykeshift/standins/sender.py
@@ -85,6 +85,12 @@
     return float(text) if text.isdecimal() else 10.0
 
 
+def without_padding(body: bytes) -> bytes:
+    """The first line of a streamed answer if its padding is complete or absent, else all of it."""
+    line, _, rest = body.partition(b"\n")
+    return line if rest in (b"", b"." * STREAM_PIECE * STREAM_PIECES) else body
+
+
 class Rack:
     """The members of one cell: which keys they have seen of late."""
 
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -13,11 +13,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dykeshift.engine import connection, server
+from dykeshift.engine import connection, progress, server
 from dykeshift.engine.budget import Budget
+from dykeshift.engine.invariants import CloseReason
 from tests.node.messages import Message, answer, read_message, request
 from tests.node.stubs import (
     ClientConnection,
+    Handler,
     Node,
     Stub,
     answers_with,
@@ -135,6 +137,142 @@
     run(main())
 
 
+class ManualSweep:
+    """Checks a balancer's only connection for timeouts at times that a test chooses."""
+
+    def __init__(self, balancer: Node) -> None:
+        balancer.front.sweeper.cancel()
+        self.front = balancer.front
+        [self.client] = balancer.front.clients
+        self.now = self.client.connected_at
+
+    def is_open_after(self, seconds: float) -> bool:
+        """Check so much later than at the last check; whether the connection is still open."""
+        self.now += seconds
+        self.client.check_timeouts(self.now)
+        return self.client in self.front.clients
+
+
+def in_pieces(first: bytes, following: list[bytes], chunked: bool, go_on: asyncio.Semaphore) -> Handler:
+    """A handler that answers with a body in pieces; each but the first waits for `go_on`."""
+
+    async def handle(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+        length = len(first) + sum(map(len, following))
+        writer.write(CHUNKED if chunked else b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+        writer.write(chunks(first, len(first)) if chunked else first)
+        for piece in following:
+            await go_on.acquire()
+            writer.write(chunks(piece, len(piece)) if chunked else piece)
+        writer.write(b"0\r\n\r\n" if chunked else b"")
+
+    return handle
+
+
+async def read_up_to(reader: asyncio.StreamReader, end: bytes) -> None:
+    """Read until `end` has come, over any amount of bytes."""
+    got = b""
+    while end not in got:
+        got += await reader.read(1 << 16)
+
+
+FIRST_PIECE = b"x" * 70_000  # so long that the answer is streamed
+PIECES = [b"%06d" % number for number in range(30)]
+
+
+# Guards against a streamed answer that is cut off as soon as its client's connection is ten seconds old.
+@pytest.mark.parametrize("chunked", [False, True])
+def test_an_answer_that_keeps_coming_is_not_cut_off_however_old_its_connection_is(chunked: bool) -> None:
+    async def main() -> None:
+        go_on = asyncio.Semaphore(0)
+        stub = await Stub(in_pieces(FIRST_PIECE, PIECES, chunked, go_on)).start()
+        async with node(stub) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request("check"))
+            await read_up_to(caller.reader, FIRST_PIECE)
+            sweep = ManualSweep(balancer)
+            assert sweep.is_open_after(6 * progress.STALL_TIMEOUT)
+            for piece in PIECES[:-1]:
+                go_on.release()
+                await read_up_to(caller.reader, piece)
+                assert sweep.is_open_after(0.9 * progress.STALL_TIMEOUT)
+            go_on.release()
+            await read_up_to(caller.reader, PIECES[-1])
+            await wait_until(lambda: not balancer.front.driver.jobs)
+            assert balancer.front.driver.ledger.counts_of("check").success == 1
+
+    run(main())
+
+
+def test_an_answer_that_stops_coming_is_cut_off_after_the_stall_timeout(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        go_on = asyncio.Semaphore(1)
+        stub = await Stub(in_pieces(FIRST_PIECE, PIECES, True, go_on)).start()
+        async with node(stub) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request("check"))
+            await read_up_to(caller.reader, PIECES[0])
+            sweep = ManualSweep(balancer)
+            assert sweep.is_open_after(1.0) and sweep.is_open_after(0.9 * progress.STALL_TIMEOUT)
+            assert not sweep.is_open_after(0.2 * progress.STALL_TIMEOUT)
+            [record] = [one for one in caplog.records if getattr(one, "event", "") == "transfer.stalled"]
+            fields = record.__dict__["fields"]
+            assert fields["request"] == "r1" and fields["silent_s"] > progress.STALL_TIMEOUT
+            assert b"0\r\n\r\n" not in await caller.reader.read()
+            assert balancer.front.driver.ledger.occurrences.closed[CloseReason.STALLED] == 1
+            await wait_until(lambda: not balancer.front.driver.jobs)
+
+    run(main())
+
+
+# Guards against the same of a request whose body is forwarded while it is received.
+def test_an_upload_is_cut_off_when_it_stops_and_not_while_it_keeps_coming() -> None:
+    async def main() -> None:
+        stub = await BodyReader(serve).start()
+        async with node(stub) as balancer:  # type: ignore[arg-type]
+            balancer.front.budget.limit = 100_000
+            caller = await balancer.open()
+            whole = request("send", body=BODY)
+            caller.writer.write(whole[: len(whole) // 2])
+            await wait_until(lambda: stub.heads == 1)
+            sweep = ManualSweep(balancer)
+            assert sweep.is_open_after(6 * progress.STALL_TIMEOUT)
+            for position in range(len(whole) // 2, len(whole) // 2 + 30):
+                received = sweep.client.progress.received
+                caller.writer.write(whole[position : position + 1])
+                await wait_until(lambda: sweep.client.progress.received > received)  # noqa: B023
+                assert sweep.is_open_after(0.9 * progress.STALL_TIMEOUT)
+            assert not sweep.is_open_after(1.1 * progress.STALL_TIMEOUT)
+            assert balancer.front.driver.ledger.occurrences.closed[CloseReason.STALLED] == 1
+            await wait_until(lambda: not balancer.front.driver.jobs)
+
+    run(main())
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 2), st.booleans(), st.floats(0.1, 12.0)), max_size=30
+    )
+)
+def test_a_transfer_is_stalled_when_no_byte_has_passed_for_the_timeout(
+    steps: list[tuple[int, int, bool, float]],
+) -> None:
+    """Output that the kernel does not take is no progress, and neither is more output behind it."""
+    transfer, now, last, unsent = progress.TransferProgress(0.0), 0.0, 0.0, 0
+    for received, written, accepted, seconds in steps:
+        now += seconds
+        transfer.received += received
+        transfer.written += written
+        unsent += written
+        if accepted:
+            unsent, moved = 0, received + unsent
+        else:
+            moved = received
+        last = now if moved else last
+        assert transfer.look(unsent, now) is (now - last > progress.STALL_TIMEOUT)
+
+
 @pytest.mark.parametrize("framing", [b"Content-Length: 2000000", b"Transfer-Encoding: chunked", b"X: none"])
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
 def test_a_truncated_answer_never_looks_complete(framing: bytes, version: bytes) -> None:
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -35,6 +35,7 @@
     driver,
     http_carrier,
     link,
+    progress,
     replies,
     requests,
     server,
@@ -46,7 +47,7 @@
 from dykeshift.node import reload
 from dykeshift.sim import referee
 from dykeshift.sim.day import play
-from dykeshift.sim.scenario import COLD_AT_SIZE, ENDS, WATCHES, Scenario, draw
+from dykeshift.sim.scenario import AGED, COLD_AT_SIZE, ENDS, WATCHES, Scenario, draw
 from tests.sim.defect import Mutant, Patch
 from tests.sim.mllp_mutants import MLLP_MUTANTS
 from tests.sim.ops_mutants import OPERATORS_MUTANTS
@@ -58,6 +59,11 @@
 # ---- the defects ----
 
 
+def _count_waiting_bytes_only() -> list[Patch]:
+    """Progress is a change of what waits to be sent, so that a client that keeps up seems to stall."""
+    return [(progress.TransferProgress, "counts", lambda self, unsent: (0, unsent))]
+
+
 def _answer_twice() -> list[Patch]:
     def answer(self: server.Client, reply: replies.Reply) -> None:
         if self.transport is not None and self.busy and reply.status == 200:
@@ -448,6 +454,13 @@
     ),
     Mutant("forgets the drain check", "rules, pool", (referee.DRAIN,), _ignore_draining),
     Mutant("begins for clients whose close is unread", "driver", (referee.GONE,), _ignore_unread_close),
+    Mutant(
+        "takes no waiting output for no progress",
+        "progress",
+        (referee.LOST, referee.NOT_SERVED_AGAIN),
+        _count_waiting_bytes_only,
+        AGED,
+    ),
     Mutant("cuts answers that have begun", "server", (referee.LOST,), _abort_started_answers),
     Mutant(
         "keeps what waits for clients that have gone",
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -55,6 +55,12 @@
     assert not failed, "\n".join(failed)
 
 
+def test_long_answers_on_old_connections_break_no_rule() -> None:
+    seeds = [f"{seed}+aged" for seed in range(40)]
+    failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
+    assert not failed, "\n".join(failed)
+
+
 def test_all_requests_are_served_without_faults() -> None:
     asks = tuple(Ask(0.5 + n / 20, n % 3, 1.0, 20) for n in range(100))
     result = play(Scenario("quiet", Options(), asks))
@@ -162,6 +168,7 @@
     "says nothing where the module fails a request": "0",
     "forgets the drain check": "2",
     "begins for clients whose close is unread": "24",
+    "takes no waiting output for no progress": "0+aged",
     "cuts answers that have begun": "707",
     "keeps what waits for clients that have gone": "1627",
     "asks discovery anew after long pauses": "16+watches",
--- a/tests/soak/defects.py
+++ b/tests/soak/defects.py
@@ -247,6 +247,12 @@
         ANSWER_RULES,
         _rarely(_simulation_defect("serves the answer before")),
     ),
+    Defect(
+        "takes no waiting output for no progress",
+        WHOLE,
+        (referee.LOST,),
+        _simulation_defect("takes no waiting output for no progress"),
+    ),
     Defect("treats all as safe", WHOLE, REPEAT_RULES, _treat_unsafe_as_safe),
     Defect("takes a reset for a proof", SMALL, REPEAT_RULES, _simulation_defect("takes a reset for a proof")),
     Defect(
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -18,7 +18,7 @@
 from dykeshift.standins.client import Address, Errand
 from dykeshift.standins.messages import Message
 from dykeshift.standins.registry import Call, Instance, Registry
-from dykeshift.standins.sender import STREAM_PIECE, STREAM_PIECES, Link, Sender
+from dykeshift.standins.sender import Link, Sender, without_padding
 
 S = 1_000 * MS
 SCHEDULING_SLACK = 200 * MS  # delay with which this process may see or do something on a busy machine
@@ -275,10 +275,4 @@
                 self._check_share(klass, asked, self.served_by_class[klass], MIN_CLASS_SERVED_SHARE)
 
 
-def without_padding(body: bytes) -> bytes:
-    """Return the first line of a streamed answer if its padding is complete or absent, else all of it."""
-    line, _, rest = body.partition(b"\n")
-    return line if rest in (b"", b"." * STREAM_PIECE * STREAM_PIECES) else body
-
-
 RULES = (*rules.RULES, SERVICE, PROCESS, UNREAD)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -29,6 +29,7 @@
 MAX_PAUSE_S = 0.15  # the longest single pause of a balancer
 LAST_FAULT_SHARE = 0.75  # of the run; no fault starts later, so that all are over when the load ends
 SOAK_SECONDS = 6.0
+AGED_SOAK_SECONDS = 14.0  # of some runs: connections grow older than any time limit of a transfer
 MAX_BALANCERS, MIN_BALANCERS = 12, 10
 TERMINATIONS = 4  # SIGTERMs in each run, in addition to those drawn like any other fault
 DEFAULT_SOCKET_LIMIT, LOW_SOCKET_LIMIT = 1024, 160  # the configured descriptor limit of a daemon
@@ -126,6 +127,7 @@
         episodes=episodes,
         longest_deadline=random.choice(LONGEST_DEADLINES),
         idle_connections=random.choice((0, 0, 0, 200)),
+        load_seconds=random.choice((SOAK_SECONDS, SOAK_SECONDS, AGED_SOAK_SECONDS)),
     )
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 
 from tests.soak.defects import DEFECTS, DEFECTS_BY_NAME, Size
 from tests.soak.hunt import find_broken_rule
-from tests.soak.plan import Fault, draw_plan
+from tests.soak.plan import AGED_SOAK_SECONDS, SOAK_SECONDS, Fault, draw_plan
 from tests.soak.run import play
 
 CLEAN_SEEDS = (600, 606, 623)
@@ -17,6 +17,7 @@
 # machine detects less: MORE_SEEDS follow.
 SEED_BY_DEFECT = {
     "ends without regard to the kill": 500,
+    "takes no waiting output for no progress": 500,
     "takes a class without a group": 500,
     "treats all as safe": 500,
     "ignores drains": 502,
@@ -37,10 +38,11 @@
     assert draw_plan(5) == draw_plan(5) != draw_plan(6)
 
 
-def test_each_run_terminates_processes_and_some_have_idle_connections_or_long_deadlines() -> None:
+def test_each_run_terminates_processes_and_some_have_idle_or_old_connections_or_long_deadlines() -> None:
     plans = [draw_plan(seed) for seed in range(40)]
     assert all(sum(episode.fault is Fault.TERMINATED for episode in plan.episodes) >= 4 for plan in plans)
     assert any(plan.idle_connections for plan in plans) and not all(plan.idle_connections for plan in plans)
+    assert {SOAK_SECONDS, AGED_SOAK_SECONDS} == {plan.load_seconds for plan in plans}
     assert {0.2, 4.0} <= {plan.longest_deadline for plan in plans}
 
 
