--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -337,6 +337,16 @@
         }
         self.features = features
         self.process: subprocess.Popen[bytes] | None = None
+        self.started: list[subprocess.Popen[bytes]] = []  # all processes, also those that were replaced
+        self.listener: socket.socket | None = None  # of the clients, where the platform holds it
+
+    def hold_listener(self) -> None:
+        """The platform holds the clients' listening socket; every process inherits it as descriptor 3."""
+        release(self.port)
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((HOST, self.port))
+        self.listener.listen(1024)
 
     def write(self) -> None:
         """Write the configuration, as a whole."""
@@ -361,13 +371,26 @@
             path = self.folder / "features.toml"
             path.write_text(self.features)
             env["LIFTTRAIL_FEATURES"] = str(path)
-        release(self.port)
         log = (self.folder / "log.txt").open("ab")
+        inherit: dict[str, Any] = {}
+        if self.listener is None:
+            release(self.port)
+        else:
+            held = self.listener.fileno()
+            env["NODE_INHERITED_FD"] = "3"
+            inherit = {"preexec_fn": lambda: os.dup2(held, 3), "pass_fds": (3,)}
         # Its own session: with the shell it can be ended as one group.
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            env=env,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
             start_new_session=True,
-        )  # fmt: skip
+            **inherit,
+        )
+        self.started.append(self.process)
         self.record("balancer.start", name=self.name, pid=self.process.pid, port=self.port)
 
     def signal(self, number: signal.Signals) -> None:
@@ -398,11 +421,12 @@
         return path.read_text(errors="replace") if path.exists() else ""
 
     def end(self) -> None:
-        """End it, whatever its state, and wait for that."""
-        if self.process is not None and self.process.poll() is None:
-            with contextlib.suppress(ProcessLookupError):
-                os.killpg(self.process.pid, signal.SIGKILL)
-            self.process.wait()
+        """End its processes, whatever their state, and wait for that."""
+        for process in self.started:
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.killpg(process.pid, signal.SIGKILL)
+                process.wait()
 
 
 async def ask(port: int, data: bytes, within: float) -> tuple[int, dict[str, str], bytes]:
