--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -16,6 +16,7 @@
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -429,6 +430,50 @@
                 process.wait()
 
 
+class Relays:
+    """Carries datagrams between balancers, each of which sees the others under addresses of its own."""
+
+    def __init__(self, record: Record, places: int) -> None:
+        self.record, self.places = record, places
+        self.listen = [free_port() for _ in range(places)]  # where each balancer hears datagrams
+        self.seen: dict[tuple[int, int], asyncio.DatagramTransport] = {}  # at this address a sees b
+        self.deaf: set[int] = set()  # nothing arrives at these
+
+    async def start(self) -> None:
+        """Open an address for each ordered pair."""
+        loop = asyncio.get_running_loop()
+        for a in range(self.places):
+            for b in range(self.places):
+                if a != b:
+                    transport, _ = await loop.create_datagram_endpoint(
+                        partial(_Relay, self, a, b), local_addr=(HOST, 0)
+                    )
+                    self.seen[a, b] = transport
+
+    def peers(self, number: int) -> list[str]:
+        """The addresses of all balancers as this one sees them."""
+        return [
+            f"{HOST}:{self.listen[n] if n == number else self.seen[number, n].get_extra_info('sockname')[1]}"
+            for n in range(self.places)
+        ]
+
+    def carry(self, sender: int, receiver: int, data: bytes) -> None:
+        """Pass a datagram on, from the address under which its receiver knows its sender."""
+        if receiver not in self.deaf:
+            self.seen[receiver, sender].sendto(data, (HOST, self.listen[receiver]))
+
+
+class _Relay(asyncio.DatagramProtocol):
+    """The address at which balancer `a` sees balancer `b`."""
+
+    def __init__(self, relays: Relays, a: int, b: int) -> None:
+        self.relays, self.a, self.b = relays, a, b
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """A datagram of `a` for `b`."""
+        self.relays.carry(self.a, self.b, data)
+
+
 async def ask(port: int, data: bytes, within: float) -> tuple[int, dict[str, str], bytes]:
     """Send one request on a new connection and return status, headers and body of the answer."""
     async with asyncio.timeout(within):
