--- a/review/6/case.py
+++ b/review/6/case.py
@@ -78,7 +78,7 @@
     while True:
         try:
             size = int(await reader.readuntil(b"\r\n"), 16)
-        except ValueError:
+        except (ValueError, asyncio.LimitOverrunError):
             raise asyncio.IncompleteReadError(bytes(body), None) from None
         part = await reader.readexactly(size + 2)
         if not size:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -31,15 +31,15 @@
 )
 
 UPSTREAMS = 6  # one of them hangs: 17 in 100
-BALANCERS, CLIENTS = 3, 5  # clients of each balancer
+BALANCERS, CLIENTS = 3, 6  # clients of each balancer
 BODIES = 4_200_000, 5_600_000  # bytes: the shortest and the longest; the pages name up to 32 MB
 DEADLINE_S = 1.5  # of sms-send
 SLACK_S = (
     0.5 + 0.05
 )  # an answer up to half a second late is not lost; the time limits on sockets are 50 ms longer
 # One upstream after another hangs, one at a time.
-HANG_AT_S, HANG_S, PAUSE_BETWEEN_S = 3.0, 10.0, 1.5
-UNTIL_S = 60.0
+HANG_AT_S, HANG_S, PAUSE_BETWEEN_S = 3.0, 9.0, 1.0
+UNTIL_S = 80.0
 PIECE, PAUSE_S = 64 * 1024, 0.02  # about 3 MB/s
 LIMITS = {"cores": 1.0, "memory_mb": 48, "sockets": 512}
 
@@ -110,7 +110,7 @@
 async def late(receiving: asyncio.Future[bytes], arrived: float, sent: float) -> str:
     """Listen on, to note what the client would have heard."""
     try:
-        async with asyncio.timeout(15.0):
+        async with asyncio.timeout(9.0):
             piece = await receiving
             later = piece.split(b"\r\n")[0].decode("latin-1") if piece else "closed"
     except TimeoutError:
@@ -152,7 +152,7 @@
     async def hang() -> None:
         if TROUBLE:
             await asyncio.sleep(HANG_AT_S)
-            for server in servers:
+            for server in servers + servers:
                 if time.monotonic() - began + HANG_S > UNTIL_S:
                     break
                 record("upstream.hangs", upstream=server.name)
--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -156,7 +156,7 @@
         """The first line and the headers, or None at the end of the stream."""
         try:
             raw = await self.reader.readuntil(b"\r\n\r\n")
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
             return None
         first, *rest = raw.decode("latin-1").split("\r\n")
         headers = {}
@@ -523,7 +523,7 @@
         with asyncio.Runner() as runner:
             runner.get_loop().set_exception_handler(lambda *_: None)  # connections that are open at the end
             result = runner.run(bounded())
-    except (CannotRunError, TimeoutError, OSError) as exc:
+    except Exception as exc:  # a fault of the script must not pass for a broken rule
         record.say(f"the case could not run: {type(exc).__name__}: {exc}")
     finally:
         for one in balancers:
