Review: long answers with a second copy behind them reach clients spoilt

Cause: the second message resets the buffer that still holds the end of the first one. A client's record says whether its answer had begun.

--- a/review/lib3/parts.py
+++ b/review/lib3/parts.py
@@ -545,7 +545,8 @@
     body: bytes = b""
     written: float = 0.0  # when its last byte was written
     ended: float = 0.0
-    how: str = "open"  # done, cut, closed, late
+    begun: bool = False  # the head of its answer has come
+    how: str = "open"  # done, late, or closed
 
 
 _ids = itertools.count(1)
@@ -615,6 +616,7 @@
                 self.record.say(f"client has written the last byte of {tried.rid}")
             async with asyncio.timeout(deadline + patience):
                 answer = await read_head(self.reader)
+                tried.begun = True
                 await read_body(self.reader, answer, lambda _: None)
             tried.status, tried.body, tried.how = answer.status, answer.body, "done"
             if answer.headers.get("connection", "").lower() == "close":
@@ -622,7 +624,7 @@
         except TimeoutError:
             tried.how = "late"
             self.close()
-        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError) as exc:
             tried.how = f"closed ({type(exc).__name__})"
             self.close()
         tried.ended = self.record.now()
