--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Runs the case; TROUBLE=0 runs it without the disruption. Exit code: 1 broken, 0 held, 2 could not run.
-cd "$(dirname "$0")/../.." || exit 2
-exec .venv/bin/python review/7/case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+here=$(cd "$(dirname "$0")" && pwd) && cd "$here/../.." || exit 2
+PYTHONPATH="$PWD" exec .venv/bin/python "$here/case.py"
--- a/review/lib3/__init__.py
+++ b/review/lib3/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the cases 11 to 15, on the standard library alone."""
+"""Stand-ins of case 7, on the standard library alone."""
--- a/review/lib3/parts.py
+++ b/review/lib3/parts.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import copy
+import fcntl
 import itertools
 import json
 import os
@@ -16,9 +17,11 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 import tomllib
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
@@ -535,15 +538,16 @@
 # ---- clients ----
 
 
-@dataclass
+@dataclass(eq=False)
 class Try:
     """A request of a client and what came of it."""
 
     rid: str
     to: str
+    long: bool = False  # it has a body of more than 64 KiB
     status: int = 0  # 0: none yet
     body: bytes = b""
-    written: float = 0.0  # when its last byte was written
+    written: float = 0.0  # when the balancer's machine had its last byte; 0: not seen
     ended: float = 0.0
     begun: bool = False  # the head of its answer has come
     how: str = "open"  # done, late, or closed
@@ -557,6 +561,9 @@
     return f"{next(_ids):06x}{os.urandom(5).hex()}"
 
 
+PIECE = 64 << 10  # bytes of a body that a client writes at once where it keeps a pace
+
+
 class Client:
     """One connection of a client, kept between requests and opened anew when it has ended."""
 
@@ -579,6 +586,17 @@
             self.writer.close()
         self.reader = self.writer = None
 
+    async def _note_taken(self, tried: Try, writer: asyncio.StreamWriter) -> None:
+        """Note when the balancer's machine has the last byte: none is unsent or unacknowledged any more."""
+        sock = writer.get_extra_info("socket")
+        with contextlib.suppress(OSError, ValueError):
+            while writer.transport.get_write_buffer_size() or struct.unpack(
+                "i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+            ) != (0,):
+                await asyncio.sleep(0.002)
+            tried.written = self.record.now()
+            self.record.say(f"the balancer's machine has the last byte of {tried.rid}")
+
     async def ask(
         self,
         name: str,
@@ -587,9 +605,13 @@
         body: bytes = b"",
         path: str = "/api",
         patience: float = 0.0,
+        pace: float = 0.0,
     ) -> Try:
-        """Send a request and wait for its answer, `deadline` seconds and `patience` more."""
-        tried = Try(new_id(), self.balancer.name)
+        """Send a request and wait for its answer, `deadline` seconds and `patience` more.
+
+        `pace`: bytes a second of the body, which is then written in pieces of 64 KiB; 0: all at once.
+        """
+        tried = Try(new_id(), self.balancer.name, len(body) > 65536)
         method = "GET" if kind == "pure" else "POST"
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -604,16 +626,17 @@
             lines.append(f"Content-Length: {len(body)}")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
         self.record.say(f"client sends {tried.rid} {name} to {self.balancer.name}, {len(body)} bytes of body")
+        watch: asyncio.Task[None] | None = None
         try:
             await self.connect()
             assert self.reader is not None and self.writer is not None
-            self.writer.write(data)
-            await self.writer.drain()
-            while self.writer.transport.get_write_buffer_size():
-                await asyncio.sleep(0.002)
-            tried.written = self.record.now()
-            if body:
-                self.record.say(f"client has written the last byte of {tried.rid}")
+            step = PIECE if pace else len(data)
+            for at in range(0, len(data), step):
+                self.writer.write(data[at : at + step])
+                await self.writer.drain()
+                if pace:
+                    await asyncio.sleep(step / pace)
+            watch = asyncio.create_task(self._note_taken(tried, self.writer))
             async with asyncio.timeout(deadline + patience):
                 answer = await read_head(self.reader)
                 tried.begun = True
@@ -627,6 +650,8 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError) as exc:
             tried.how = f"closed ({type(exc).__name__})"
             self.close()
+        if watch is not None:
+            watch.cancel()
         tried.ended = self.record.now()
         text = tried.body[:60].decode("latin-1").strip()
         self.record.say(f"client hears of {tried.rid}: {tried.how} {tried.status} {text}")
@@ -658,6 +683,7 @@
             return await case(record, folder, balancers)
 
     code = NOT_RUN
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # the balancers are ended then, too
     with workplace() as folder:
         try:
             code = asyncio.run(bounded())
