--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,15 +9,13 @@
 
 # Seconds until discovery knows it: the site says 0.7 to 4.8 for one that is gone, 0.64 to 2.3 for a new one.
 LISTED_AFTER = 2.2
-ROUNDS = 8
-AFTER = 4.0  # seconds until the next one is replaced
-SOCKETS = 0.05  # seconds that the protocol adds to each limit on sockets
+ROUNDS = 3
 COLD = 0.12  # of its capacity that a server starts with
 WORK = 0.037  # seconds of work of a request, in the mean
 
 
 async def case(record: parts.Record, folder: pathlib.Path, balancers: list[parts.Balancer]) -> int:
-    """Twelve servers in two racks and four balancers; one after another, eight are replaced."""
+    """Twelve servers in two racks and four balancers; one after another, three servers are replaced."""
     rng = random.Random(3)
     effects: dict[str, list[tuple[float, int, str]]] = {}  # key: when it took effect, rack, server
     seen: dict[tuple[int, str], float] = {}
@@ -36,7 +34,6 @@
     servers = [parts.Server(f"s-{n}", record, cell=n // 6, reply=reply) for n in range(12)]
     discovery = await parts.install(record, folder, balancers, servers, parts.settings(4))
     tries: list[parts.Try] = []
-    heard: list[tuple[float, int]] = []  # when a replacement was listed, and its generation
     finished = False
 
     async def client(balancer: parts.Balancer) -> None:
@@ -46,48 +43,34 @@
             await asyncio.sleep(0.05)
         mine.close()
 
-    clients = [asyncio.create_task(client(one)) for one in balancers for _ in range(8)]
+    clients = [asyncio.create_task(client(one)) for one in balancers for _ in range(4)]
     await asyncio.sleep(5.0)
     for number in range(ROUNDS):
         if not parts.trouble():
-            await asyncio.sleep(LISTED_AFTER + AFTER + 0.2)
+            await asyncio.sleep(LISTED_AFTER + 6.2)
             continue
-        old = servers[number // 2 + 6 * (number % 2)]
+        old = servers[number]
         record.say(f"{old.name} dies")
         await old.stop()
         await asyncio.sleep(0.2)
-        new = parts.Server(f"t-{number}", record, cell=1 - old.cell, reply=reply, port=old.port)
+        new = parts.Server(f"t-{number}", record, cell=1, reply=reply, port=old.port)
         new.started_ms = int(time.time() * 1000)
         await new.start()
         record.say(f"{new.name} of another rack runs at its address")
         await asyncio.sleep(LISTED_AFTER)
         old.lifecycle = "left"
         discovery.put(old, new)
-        heard.append((record.now(), discovery.generation))
-        await asyncio.sleep(AFTER)
+        await asyncio.sleep(6.0)
     await asyncio.sleep(2.0)
     finished = True
     await asyncio.gather(*clients)
-    # From when on all balancers had been told of each replacement: discovery had written it to as many.
-    told = []
-    for at, generation in heard:
-        later = [when for when, _, what in discovery.told if when >= at - 0.1 and what >= generation]
-        told.append(sorted(later)[len(balancers) - 1] + SOCKETS)
     twice = {key: when for key, when in effects.items() if len(when) > 1}
-    broken = {}
-    for key, when in twice.items():
-        (first, _, name), (second, *_) = when[:2]
-        if name.startswith("t-") and first < told[int(name[2:])] < second:
-            broken[key] = when
-    for key, when in broken.items():
-        text = ", ".join(f"{name} of rack {cell} at {at:.3f}" for at, cell, name in when)
-        record.result(f"key {key} took effect at {text}; told at {told[int(when[0][2][2:])]:.3f}")
+    for key, when in list(twice.items())[:20]:
+        text = ", ".join(f"{name} of rack {cell} at {at:.2f}" for at, cell, name in when)
+        record.result(f"key {key} took effect at {text}")
     served = sum(one.status == 200 for one in tries)
-    record.result(
-        f"{len(tries)} requests, {served} served, {len(twice)} keys took effect twice, "
-        f"{len(broken)} of them by a copy after all balancers had been told"
-    )
-    return parts.BROKEN if broken else parts.HELD
+    record.result(f"{len(tries)} requests, {served} served, {len(twice)} keys took effect twice")
+    return parts.BROKEN if twice else parts.HELD
 
 
 parts.run_case(__file__, case)
