Console: a call's method is kept when it is complete, not read behind it

A second call in the same bytes as the first ("GET /status" and behind it "PUT /status") was answered by the first call's target and the second one's method: the parser keeps the method of the message it reads now, and the console asked for it after it had been fed everything.

The method is kept in on_message_complete. The new case of test_each_request_gets_one_answer_and_the_connection_closes failed before the change (1 failed) and passes after it; tests/console: 30 passed.

--- a/dykeshift/console/shell.py
+++ b/dykeshift/console/shell.py
@@ -56,14 +56,24 @@
 class Caller(MessageCollector, asyncio.Protocol):
     """The connection of one caller: it reads one request, answers it and closes, within `HOLD` seconds."""
 
-    __slots__ = ("console", "transport", "parser", "target", "answered", "dispatched", "complete", "timer")
+    __slots__ = (
+        "console",
+        "transport",
+        "parser",
+        "method",
+        "target",
+        "answered",
+        "dispatched",
+        "complete",
+        "timer",
+    )
 
     def __init__(self, console: Console) -> None:
         super().__init__(calls.MAX_BODY)
         self.console = console
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self.target = b""
+        self.method = self.target = b""
         self.answered = self.dispatched = self.complete = False
         self.timer = console.loop.call_later(CALL_TIMEOUT_S, self.abort)
 
@@ -93,8 +103,7 @@
             if not self.complete:  # anything after a complete call is ignored
                 self._answer(calls.refusal(status_of(exc), "unacceptable or malformed HTTP"))
         if self.complete and not self.answered:
-            method = self.parser.get_method()
-            self._respond(method)
+            self._respond()
 
     def eof_received(self) -> bool:
         """Keep the connection open, so that a half-closed caller still gets its answer."""
@@ -127,13 +136,18 @@
             super().on_body(data)
 
     def on_message_complete(self) -> None:
-        """Mark the request as complete; `data_received` answers it."""
-        self.complete = True
+        """Mark the request as complete; `data_received` answers it.
 
-    def _respond(self, method: bytes) -> None:
+        The method is kept now, as the parser forgets it when more bytes follow.
+        """
+        if not self.complete and self.parser is not None:
+            self.method = self.parser.get_method()
+            self.complete = True
+
+    def _respond(self) -> None:
         """Answer at once, or later if a feature needs time; CALL_TIMEOUT_S bounds that as well."""
         self.dispatched = True
-        calls.respond(self.console.backend, method, self.target, bytes(self.body), self._answer)
+        calls.respond(self.console.backend, self.method, self.target, bytes(self.body), self._answer)
 
     def _answer(self, answer: Answer) -> None:
         if self.transport is None or self.answered:
--- a/tests/console/test_shell.py
+++ b/tests/console/test_shell.py
@@ -56,6 +56,11 @@
             200,
         ),
         ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\nnoise",), 200),
+        # Guards against a call that is answered by the method of a second call behind it.
+        (
+            (b"GET /status HTTP/1.1\r\nHost: b\r\n\r\nPUT /status HTTP/1.1\r\nContent-Length: 1\r\n\r\nx",),
+            200,
+        ),
         ((b"NONSENSE\r\n\r\n",), 400),
         ((b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",), 400),
         ((b"PUT /standby HTTP/1.1\r\nHost: b\r\nContent-Length: 20000\r\n\r\n",), 413),
