MLLP: messages have the terms that are in force under the name of their class

Cause: node/mllp.py built its routes once, from the settings of the start, with positions of classes, and reserved these for life; the position keeps the retired terms. Evidence: new messages still carried a key, and the position of their route was among the retired; the file was taken (configuration.taken), HTTP followed it, the messages began after the change.

--- a/dykeshift/cli/sim.py
+++ b/dykeshift/cli/sim.py
@@ -69,6 +69,8 @@
 @click.option("--watches", is_flag=True, help="Days on which watches break as senders drain, A+watches on.")
 @click.option("--ends", is_flag=True, help="Days on which balancers are told to end, A+ends to B+ends.")
 @click.option("--aged", is_flag=True, help="Days with long answers on old connections, A+aged to B+aged.")
+@click.option("--replaced", is_flag=True, help="Days with replacements at addresses, A+replaced on.")
+@click.option("--stricter", is_flag=True, help="Days on which a class becomes unsafe, A+stricter on.")
 @click.option("--jobs", type=int, default=os.cpu_count() or 1, metavar="N", help="Processes.")
 @JSON
 def run(
@@ -80,6 +82,8 @@
     watches: bool,
     ends: bool,
     aged: bool,
+    replaced: bool,
+    stricter: bool,
     jobs: int,
     as_json: bool,
 ) -> int:
@@ -90,6 +94,8 @@
         AGED,
         COLD_AT_SIZE,
         ENDS,
+        REPLACED,
+        STRICTER,
         WATCHES,
         WITH_MLLP,
         WITH_OPERATORS,
@@ -104,12 +110,14 @@
         (WATCHES, watches),
         (ENDS, ends),
         (AGED, aged),
+        (REPLACED, replaced),
+        (STRICTER, stricter),
     )
     wanted = [kind for kind, asked in kinds if asked]
     if len(wanted) > 1:
         raise Usage(
-            "lifttrail sim: --mllp, --operators, --view, --cold, --watches, --ends and --aged are kinds "
-            "of days: one at a time"
+            "lifttrail sim: --mllp, --operators, --view, --cold, --watches, --ends, --aged, --replaced and "
+            "--stricter are kinds of days: one at a time"
         )
     kind = "".join(wanted)
     names = [seed + kind for seed in read_seeds(seeds)]
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -13,6 +13,7 @@
 import asyncio
 import itertools
 import logging
+from collections import Counter
 from datetime import datetime, UTC
 from functools import partial
 from typing import Any
@@ -21,6 +22,7 @@
 from dykeshift.engine.arrivals import Arrivals
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.terms import Final, FinalStatus
+from dykeshift.interface import Settings
 from dykeshift.mllp import acks, message
 from dykeshift.mllp.acks import Code, Problem
 from dykeshift.mllp.carrier import MllpAnswer
@@ -66,6 +68,7 @@
     ) -> None:
         self.loop, self.clock, self.driver, self.mapping = loop, clock, driver, mapping
         self.memory, self.journal = memory, journal
+        self.storing: Counter[int] = Counter()  # messages that the journal writes, by position of their class
         self.limit, self.max_frame, self.most = limit, max_frame, most
         self.lines: dict[Line, None] = {}
         self.ids = (f"{name}-{clock.time_ns():x}-{n:x}" for n in itertools.count())
@@ -87,6 +90,15 @@
         self.lines[line] = None
         return True
 
+    def take_settings(self, settings: Settings) -> None:
+        """Messages that come from now on have the terms of these settings; `classes` is by position."""
+        self.mapping.follow(settings.classes, settings.retired)
+        self._reserve_positions()
+
+    def _reserve_positions(self) -> None:
+        """Reserve the positions that messages will be submitted with."""
+        self.driver.reserved_positions = self.mapping.positions().union(self.storing)
+
     def drain(self) -> None:
         """No new frames; connections end when all that was taken is answered."""
         self.draining = True
@@ -152,21 +164,31 @@
             then = partial(self._stored, identity, header, asked, arrived)
             until = self.driver.termination.limit(arrived + int(asked.client_timeout * STORE_SHARE))
             left = until - self.clock.monotonic_ns()
+            self.storing[asked.klass] += 1
             self.journal.sent(identity, self.memory.open[identity.name].made, then, max(0.0, left / 1e9))
 
     def _stored(
         self, identity: Identity, header: message.Header, asked: Asked, arrived: int, lasts: bool
     ) -> None:
         if not lasts:
+            self._end_storing(asked.klass)
             self._give_back(identity, header, _NO_JOURNAL)
             return
         self._submit(identity, header, asked, arrived)
+        self._end_storing(asked.klass)
         entry = self.memory.open.get(identity.name)
         if entry is not None:
             entry.stored = True
             for line, slot in list(entry.waiting):
                 self._accept(line, slot, header)
 
+    def _end_storing(self, position: int) -> None:
+        """A message of the class at this position does not wait for the journal any more."""
+        self.storing[position] -= 1
+        if not self.storing[position]:
+            del self.storing[position]
+            self._reserve_positions()
+
     def _submit(self, identity: Identity, header: message.Header, asked: Asked, arrived: int) -> None:
         self.driver.submit(
             asked, arrived, partial(self._final, identity, header, arrived + asked.client_timeout)
--- a/dykeshift/mllp/mapping.py
+++ b/dykeshift/mllp/mapping.py
@@ -8,7 +8,8 @@
 
 import hashlib
 import re
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta, timezone, UTC
 
 from dykeshift.interface import Idempotency, RequestClass, Scope
@@ -67,7 +68,10 @@
 
 
 class Mapping:
-    """`to_mllp`: the upstreams are MLLP servers."""
+    """The rules by trigger. A rule names its class by position; its terms are those in force under its name.
+
+    `to_mllp`: the upstreams are MLLP servers.
+    """
 
     def __init__(self, classes: tuple[RequestClass, ...], rules: list[Rule], to_mllp: bool = False) -> None:
         self.classes, self.to_mllp = classes, to_mllp
@@ -79,16 +83,8 @@
     def _check(self, rule: Rule) -> None:
         if not 0 <= rule.klass < len(self.classes):
             raise MappingError(f"{rule.trigger}: there is no class {rule.klass}")
-        klass = self.classes[rule.klass]
-        if klass.idempotency is Idempotency.SAFE and not self.to_mllp:
-            raise MappingError(
-                f"{rule.trigger}: class {klass.name} is safe to repeat, and a message cannot "
-                "be the body of a GET"
-            )
-        if (klass.idempotency, klass.scope) == (Idempotency.KEYED, Scope.ALL):
-            # Refused though it may have run, as every server drops a repeat: but only within the
-            # window, and a clinic sends again when it likes.
-            raise MappingError(f"{rule.trigger}: class {klass.name} may be refused after it ran")
+        if objection := self._class_objection(self.classes[rule.klass]):
+            raise MappingError(f"{rule.trigger}: {objection}")
         if rule.key and self.to_mllp:
             raise MappingError(
                 f"{rule.trigger}: MLLP servers know a message by its control id, not by " f"{rule.key}"
@@ -96,6 +92,40 @@
         if rule.trigger in self.rules:
             raise MappingError(f"{rule.trigger} is mapped twice")
 
+    def _class_objection(self, klass: RequestClass) -> str:
+        """Why messages cannot be of this class; empty if they can."""
+        if klass.idempotency is Idempotency.SAFE and not self.to_mllp:
+            return f"class {klass.name} is safe to repeat, and a message cannot be the body of a GET"
+        if (klass.idempotency, klass.scope) == (Idempotency.KEYED, Scope.ALL):
+            # Refused though it may have run, as every server drops a repeat: but only within the
+            # window, and a clinic sends again when it likes.
+            return f"class {klass.name} may be refused after it ran"
+        return ""
+
+    def check_classes(self, classes: Collection[RequestClass]) -> None:
+        """Raises MappingError if a rule's class is among these with terms that messages cannot have."""
+        by_name = {klass.name: klass for klass in classes}
+        for rule in self.rules.values():
+            klass = by_name.get(self.classes[rule.klass].name)
+            if klass is not None and (objection := self._class_objection(klass)):
+                raise MappingError(f"{rule.trigger}: {objection}")
+
+    def follow(self, classes: tuple[RequestClass, ...], retired: Collection[int]) -> None:
+        """Use the classes in force from now on, by name; `retired`: the positions that are not in force.
+
+        A class that is no longer in force, or has terms that messages cannot have, keeps its position.
+        """
+        in_force = {klass.name: n for n, klass in enumerate(classes) if n not in retired}
+        for trigger, rule in self.rules.items():
+            number = in_force.get(self.classes[rule.klass].name)
+            if number is not None and not self._class_objection(classes[number]):
+                self.rules[trigger] = replace(rule, klass=number)
+        self.classes = classes
+
+    def positions(self) -> set[int]:
+        """The positions of the rules' classes."""
+        return {rule.klass for rule in self.rules.values()}
+
     def choose(self, header: Header) -> Rule:
         """The rule of a message; MessageError with the code of table 0357 where there is none."""
         code = header.component(9, 1).decode("latin-1")
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Literal
 
 import msgspec
@@ -17,7 +18,7 @@
 from dykeshift.mllp.carrier import MllpCarrier
 from dykeshift.mllp.front import MllpFront, Waiter
 from dykeshift.mllp.journal import KIND, STEM, Journal
-from dykeshift.mllp.mapping import Mapping, Rule
+from dykeshift.mllp.mapping import Mapping, MappingError, Rule
 from dykeshift.mllp.memory import Bounds, Memory
 from dykeshift.store.log import LogError
 from dykeshift.store.records import LogFormatError
@@ -164,7 +165,6 @@
     memory = Memory[Waiter](host.clock.time_ns(), bounds(options.memory), complete=bool(options.journal))
     journal = _journal(options.journal, host, memory) if options.journal else None
     routes = mapping(options, host.configuration.settings)
-    host.driver.reserved_positions.update(rule.klass for rule in routes.rules.values())
     front = MllpFront(
         host.loop,
         host.clock,
@@ -177,6 +177,10 @@
         options.max_frame_kb << 10,
         connections(options, host.configuration),
     )
+    front.take_settings(host.driver.balancer.settings)
+    if host.reload is not None:
+        host.reload.checks.append(partial(_check_reload, routes))
+        host.reload.followers.append(front.take_settings)
     servers = list[Listening]()
     for text in options.listen:
         try:
@@ -186,6 +190,14 @@
     return MllpService(front, servers)
 
 
+def _check_reload(routes: Mapping, settings: Settings) -> None:
+    """Raises ConfigError if a class of the routes would have terms that messages cannot have."""
+    try:
+        routes.check_classes(settings.classes)
+    except MappingError as exc:
+        raise ConfigError(f"[mllp]: {exc}") from None
+
+
 def _journal(path: str, host: Host, memory: Memory[Waiter]) -> Journal:
     try:
         files = host.disk.open(path)
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -47,6 +47,8 @@
         self.discovery = discovery
         self.driver = driver
         self.reader = reader
+        self.checks: list[Callable[[Settings], None]] = []  # of features; raise ConfigError
+        self.followers: list[Callable[[Settings], None]] = []  # front ends told of settings that are in force
         # Set where the fleet agrees on its settings: whether the settings of a reloaded file may be used.
         self.accept: Callable[[config.Config], bool] | None = None
 
@@ -56,12 +58,16 @@
         """Use these settings from now on, in the balancer and in the request reader."""
         taken = self.driver.take_settings(settings, narrow)
         self.reader.set_classes(taken.classes, taken.retired, forms)
+        for follow in self.followers:
+            follow(taken)
 
     def load_complete(self) -> config.Config:
         """Read the configuration; raises `ConfigError` if it cannot be used or is incomplete."""
         new = self.load()
         if missing := self.keys - new.keys:
             raise config.ConfigError(f"the configuration lacks {', '.join(sorted(missing))}")
+        for check in self.checks:
+            check(new.settings)
         return new
 
     def __call__(self) -> None:
--- a/dykeshift/sim/day.py
+++ b/dykeshift/sim/day.py
@@ -36,7 +36,8 @@
 from dykeshift.sim.operators import OperatorClient
 from dykeshift.sim.reach import DiscoveryReachability
 from dykeshift.sim.referee import Breach, Referee, Terms
-from dykeshift.sim.scenario import CLASSES, FAULTS_END, KINDS, PROBE_PERIOD, RECOVERY, Ask, Scenario
+from dykeshift.sim.scenario import CLASSES, FAULTS_END, IN_USE_AFTER, KEYED_CLASS, KINDS, PROBE_PERIOD
+from dykeshift.sim.scenario import RECOVERY, Ask, Scenario
 from dykeshift.sim.views import Views
 from dykeshift.sim.wire import ConnectionObserver
 from dykeshift.standins import hl7
@@ -287,9 +288,22 @@
         )
         now = self._client_now()
         self.checker.framed(
-            now, name, number, KINDS[letter.note.klass], node.name, now + int(letter.patience * SECOND), ahead
+            now,
+            name,
+            number,
+            self._kind(letter.note.klass),
+            node.name,
+            now + int(letter.patience * SECOND),
+            ahead,
         )
 
+    def _kind(self, klass: str) -> str:
+        """What a message of this class that is sent now is; right after a change of settings, what it was."""
+        stricter_at = self.scenario.options.stricter_at
+        since = EPOCH + int((stricter_at + IN_USE_AFTER) * SECOND)
+        stricter = bool(stricter_at) and klass == CLASSES[KEYED_CLASS] and self.world.now > since
+        return "unsafe" if stricter else KINDS[klass]
+
     def acknowledged(self, letter: Letter, number: int, to: tuple[str, int], code: str, last: bool) -> None:
         """See `standins.clinic.Account`."""
         name = letter.note.control_id
--- a/dykeshift/sim/faults.py
+++ b/dykeshift/sim/faults.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 from dykeshift.sim.kernel import EPOCH, MS, SECOND
-from dykeshift.sim.installation import TOLERATED_STALL, Node, SenderSite
+from dykeshift.sim.installation import TOLERATED_STALL, Node, SenderSite, make_stricter
 from dykeshift.sim.loop import Program
 from dykeshift.sim.operators import OperatorClient
 from dykeshift.sim.net import Partition, Endpoint
@@ -77,6 +77,16 @@
         self.world.at(EPOCH + int(FAULTS_END * SECOND), self.heal)
         if self.simulation.scenario.options.probe_stream_share:
             self.world.at(EPOCH + int((FAULTS_END + RECOVERY) * SECOND) - MS, self._stream_answers)
+        if stricter_at := self.simulation.scenario.options.stricter_at:
+            self.world.at(EPOCH + int(stricter_at * SECOND), self._make_stricter)
+
+    def _make_stricter(self) -> None:
+        """Let all balancers read a file in which the keyed class is unsafe."""
+        for node in self.simulation.nodes:
+            if node.process is not None and node.process.alive:
+                given = {**node.settings, "services": [dict(one) for one in node.settings["services"]]}
+                make_stricter(given)
+                self._apply_settings(node, node.process, given)
 
     def _begin(self, number: int, fault: Fault) -> None:
         self.world.trace(f"fault {number}: {fault.kind} for {fault.length:.3f} s, size {fault.size}")
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -18,9 +18,9 @@
 from dykeshift.node.mllp import Options
 from dykeshift.settings import MalformedError
 from dykeshift.sim import referee as rules
-from dykeshift.sim.kernel import MS, SECOND, Host, Process, VirtualClock
+from dykeshift.sim.kernel import EPOCH, MS, SECOND, Host, Process, VirtualClock
 from dykeshift.sim.loop import Program, virtual_listen
-from dykeshift.sim.scenario import CLASSES, KINDS, PROGRAM_DESCRIPTORS, Scenario
+from dykeshift.sim.scenario import CLASSES, KEYED_CLASS, KINDS, PROGRAM_DESCRIPTORS, Scenario
 from dykeshift.sim.scene import SimulationContext
 from dykeshift.standins import hl7
 from dykeshift.standins.disk import Disk
@@ -95,6 +95,11 @@
 CLOCK_ERROR = 0.5  # seconds; the configured bound on the error of clinics' clocks
 
 
+def make_stricter(given: dict[str, Any]) -> None:
+    """Make the keyed class of these settings unsafe."""
+    given["services"][KEYED_CLASS]["idempotency"] = "side_effect"
+
+
 def mllp_options(scenario: Scenario, address: str) -> Options:
     """The section `[mllp]`, as a deployment's configuration file has it."""
     options = scenario.options
@@ -221,6 +226,8 @@
         files.room, files.read_only, files.sync_fails = None, False, False
         given = settings(simulation.scenario)
         given["az"] = self.number % options.zones
+        if options.stricter_at and simulation.world.now >= EPOCH + int(options.stricter_at * SECOND):
+            make_stricter(given)
         self.settings = given
         self.raw = {
             "name": self.name,
--- a/tests/sim/mllp_mutants.py
+++ b/tests/sim/mllp_mutants.py
@@ -10,7 +10,7 @@
 from dykeshift.mllp import acks, carrier, front, journal, memory, session
 from dykeshift.mllp.framing import frame
 from dykeshift.sim import referee
-from dykeshift.sim.scenario import WITH_MLLP
+from dykeshift.sim.scenario import STRICTER, WITH_MLLP
 from tests.sim.defect import Mutant, Patch
 
 REPEATED = (referee.EFFECT_TWICE, referee.UNSAFE_AGAIN, referee.SENT_AFTER, referee.KEYED_ASTRAY)
@@ -27,6 +27,11 @@
     return [(journal.Journal, "sent", sent)]
 
 
+def _keep_first_classes() -> list[Patch]:
+    """Messages keep the terms that their class had at the start."""
+    return [(front.MllpFront, "take_settings", lambda self, settings: self._reserve_positions())]
+
+
 def _ignore_lost_memory() -> list[Patch]:
     def init(self: memory.Memory[Any], now: int, bounds: Any, complete: bool = False) -> None:
         original(self, now, bounds, True)
@@ -186,3 +191,6 @@
         ("counts a message's time from its reading", "mllp/front", (referee.LOST,), _arrival_time_when_read),
     )
 ]
+MLLP_MUTANTS.append(
+    Mutant("keeps the classes of the start", "mllp/front", REPEATED, _keep_first_classes, STRICTER)
+)
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -55,6 +55,12 @@
     assert not failed, "\n".join(failed)
 
 
+def test_messages_of_a_class_that_becomes_unsafe_break_no_rule() -> None:
+    seeds = [f"{seed}+stricter" for seed in range(60)]
+    failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
+    assert not failed, "\n".join(failed)
+
+
 def test_replacements_at_addresses_break_no_rule() -> None:
     seeds = [f"{seed}+replaced" for seed in range(80)]
     failed = [f"{p.seed}: {p.first}" for p in play_all(seeds, os.cpu_count() or 1) if p.rules]
@@ -214,6 +220,7 @@
     "raises in one of fifty timers": "1",
     "ignores the cold budget": "0+cold",
     "forgets what it answered": "2+mllp",
+    "keeps the classes of the start": "6+stricter",
     "sends what the journal does not have": "9+mllp",
     "takes a start without a journal for a first one": "53+mllp",
     "rejects what failed": "0+mllp",
