--- a/dykeshift/engine/continuity.py
+++ b/dykeshift/engine/continuity.py
@@ -5,10 +5,11 @@
 that the process there may have ended: it has closed a connection, or one was refused.
 
 A connection is *proven* if it leads to the listed process: it was opened before any such sign, or while
-another proven connection was still open, as two processes cannot listen at one address, and for some time
-after it was opened no sign came late. All others are
-proven once discovery has answered so late after the last sign that it would have told of a replacement. A
-newly listed process starts without doubt if the signs tell of the end of its predecessor. They may tell of
+another proven connection was still open, as two processes cannot listen at one address. It is not proven any
+more if a sign comes soon after it was opened, as that may be late. All connections are proven once discovery
+has answered so late after the last sign that it would have told of a replacement.
+
+A newly listed process starts without doubt if the signs tell of the end of its predecessor. They may tell of
 its own end if it began before the last one, by its start time (which wall clocks can make too late), or if
 that one came after an unproven connection, which may have led to it already. All this belongs to the address:
 the connections are those to whichever process was there.
