Rig: addresses for processes stay reserved until the installation ends

Cause, as far as it can be told from outside: Installation.port() bound port 0 and closed the socket, so until the daemon listened, any server of the tests beside it could be given its port. The daemon then ends with 2, the other server answers /ready with 200 and is taken for it, and the console refuses. Played on a scratch copy with a server put at the balancer's address between port() and the start: the same line, after the same 3 s. At the console's address the line is another one. A slow machine is excluded as the cause: of 120 starts beside five loops of the test the console showed the whole list within 5 ms (bound: 3 s); these loops, 120 plays of the three tests of that name, none failed, so the collision was not met again by chance.

Now the socket stays bound, with SO_REUSEADDR and without listening: bind to port 0 never gets the port, and a server that names it may listen. The four tests that reserved TCP ports the same way use it, too. DaemonError says whether the daemon's process runs and what its console last answered, which the logs of that run could not tell.

--- a/dykeshift/rig/installation.py
+++ b/dykeshift/rig/installation.py
@@ -12,7 +12,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -21,6 +20,7 @@
 from random import Random
 from typing import Any
 
+from dykeshift.rig.addresses import ReservedAddresses
 from dykeshift.rig.tally import Tally
 from dykeshift.standins.client import Crowd, Errand, Front
 from dykeshift.standins.registry import Instance, Registry
@@ -87,7 +87,6 @@
 
     def __init__(self, name: str, number: int, home: Installation) -> None:
         self.name, self.number, self.home = name, number, home
-        # Set aside for the installation's time, so that a restart finds them free; SO_REUSEADDR suffices.
         self.address, self.console = home.port(), home.port()
         self.process: asyncio.subprocess.Process | None = None
         self.place = name  # what its files are called by
@@ -179,7 +178,7 @@
         self.asking: asyncio.Task[None] | None = None
         self.made = 0
         self.count = 0
-        self.told: set[int] = set()  # ports that processes were told
+        self.reserved = ReservedAddresses(self.host)
 
     async def start_balancers(self) -> None:
         """Start the balancers one by one, then wait until all answer. Raises TimeoutError after START
@@ -215,14 +214,8 @@
             self.asking = asyncio.get_running_loop().create_task(self._ask())
 
     def port(self) -> tuple[str, int]:
-        """An address that nobody has, and that no other process of this installation is told."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((self.host, 0))
-                address: tuple[str, int] = probe.getsockname()
-            if address[1] not in self.told:
-                self.told.add(address[1])
-                return address
+        """An address that no other process is given until the installation stops."""
+        return self.reserved.reserve()
 
     @staticmethod
     async def _until(condition: Callable[[], bool], seconds: float) -> None:
@@ -401,4 +394,5 @@
             if sender.server is not None:
                 sender.server.close()
         self.registry.stop_serving()
+        self.reserved.release()
         self._folder.cleanup()
--- a/dykeshift/scale/daemon.py
+++ b/dykeshift/scale/daemon.py
@@ -212,6 +212,7 @@
         self.timing, self.seed, self.rate, self.said = timing or Timing(), seed, rate, said
         self.home = ScaleInstallation(PopulationShape(upstreams), seed, self.timing.grace_s)
         self.figures = DaemonFigures(upstreams)
+        self._last_answer = "none"  # of the console to `_until`, in words
 
     async def run(self) -> DaemonFigures:
         """All phases; DaemonError where the daemon does not come up or does not follow.
@@ -345,15 +346,27 @@
     async def _until(self, condition: Callable[[dict[str, Any]], bool]) -> bool:
         deadline = time.monotonic() + self.timing.longest_wait_s
         while time.monotonic() < deadline:
-            with contextlib.suppress(OSError, ValueError):  # the console comes up after the clients' side
-                if condition(await self._metrics()):
+            try:
+                metrics = await self._metrics()
+            except (OSError, ValueError) as error:
+                self._last_answer = f"{type(error).__name__}: {error}"
+            else:
+                if condition(metrics):
                     return True
+                self._last_answer = f"{metrics['hosts_listed']} upstreams, reload {metrics['reconfig_ok']}"
             await asyncio.sleep(LOOK_S)
         return False
 
+    def _state(self) -> str:
+        """What a daemon that does not follow was last seen to do."""
+        process = self.home.balancers[0].process
+        assert process is not None
+        ended = "it runs" if process.returncode is None else f"it has ended with {process.returncode}"
+        return f"{ended}; last answer of its console: {self._last_answer}"
+
     async def _follows(self) -> None:
         if not await self._until(lambda metrics: metrics["hosts_listed"] == self.figures.upstreams):
-            raise DaemonError("the daemon does not show the whole list")
+            raise DaemonError(f"the daemon does not show the whole list: {self._state()}")
 
     async def _settled(self, when: str) -> None:
         """Hold the daemon's count of upstreams to discovery's list."""
@@ -379,7 +392,7 @@
                 balancer.process.send_signal(signal.SIGHUP)
                 wanted = number + 1
                 if not await self._until(lambda metrics, n=wanted: metrics["reconfig_ok"] == n):  # type: ignore[misc]
-                    raise DaemonError("the daemon does not take a changed configuration")
+                    raise DaemonError(f"the daemon does not take a changed configuration: {self._state()}")
         self.figures.configuration_changes = changes
 
     async def _lose_zone(self) -> None:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -15,6 +15,7 @@
 
 from dykeshift.cli import COMMANDS, main
 from dykeshift.cli.init import example
+from dykeshift.rig.addresses import ReservedAddresses
 from dykeshift.sim.scenario import Ask, Options, Scenario
 from tests.sim.mutants import BY_NAME
 
@@ -161,9 +162,8 @@
 
 
 def test_the_balancer_starts_with_the_example(tmp_path: Path) -> None:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = probe.getsockname()
+    addresses = ReservedAddresses()
+    address = addresses.reserve()
     config = {**example(), "listen": f"127.0.0.1:{address[1]}", "discovery": "127.0.0.1:1"}
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
@@ -182,6 +182,7 @@
     finally:
         process.terminate()
         assert process.wait(30) == 0
+        addresses.release()
 
 
 # ---- the demo: real processes on loopback ----
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from dykeshift.handover.folder import BANS
+from dykeshift.rig.addresses import ReservedAddresses
 from tests.node.messages import Message, answer, instance, listing, read_message, request
 from tests.node.stubs import (
     ClientConnection,
@@ -49,12 +50,11 @@
     def __init__(self, folder: Path, listener: socket.socket, registry: DiscoveryStub, known: Any) -> None:
         self.folder, self.listener, self.registry, self.known = folder, listener, registry, known
         self.processes: list[asyncio.subprocess.Process] = []
+        self.addresses = ReservedAddresses()
 
     async def start(self, **env: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
         """Start a process and wait until its console answers 200; also returns the console's address."""
-        with socket.socket() as one:
-            one.bind(("127.0.0.1", 0))
-            console: tuple[str, int] = one.getsockname()
+        console = self.addresses.reserve()
         path = self.folder / f"config{len(self.processes)}.json"
         given = {
             **configuration(self.registry.address, self.known),
@@ -114,6 +114,7 @@
                 if process.returncode is None:
                     process.kill()
                     await process.wait()
+            platform.addresses.release()
 
 
 def test_every_request_is_answered_during_two_upgrades(tmp_path: Path) -> None:
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -14,6 +14,7 @@
 
 from dykeshift.cli.init import example
 from dykeshift.node.logs import formatter
+from dykeshift.rig.addresses import ReservedAddresses
 
 
 def record(error: bool = False) -> logging.LogRecord:
@@ -46,9 +47,8 @@
 
 
 def test_the_daemon_logs_in_the_configured_format(tmp_path: Path) -> None:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = probe.getsockname()
+    addresses = ReservedAddresses()
+    address = addresses.reserve()
     path, features = tmp_path / "config.json", tmp_path / "lifttrail.toml"
     config = {**example(), "listen": f"127.0.0.1:{address[1]}", "discovery": "127.0.0.1:1"}
     path.write_text(json.dumps(config))
@@ -76,3 +76,4 @@
         process.terminate()
         assert process.wait(30) == 0
         process.stderr.close()
+        addresses.release()
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -17,6 +17,7 @@
 import pytest
 
 from dykeshift.engine import config
+from dykeshift.rig.addresses import ReservedAddresses
 from tests.node.messages import answer, instance, listing, read_message, request
 from tests.node.stubs import (
     ClientConnection,
@@ -111,18 +112,13 @@
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return int(one.getsockname()[1])
-
-
 @asynccontextmanager
 async def program(
     stub: Stub, folder: Path, stderr: int | None = None
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     registry = await DiscoveryStub().start()
-    port, path = free_port(), folder / "config.json"
+    addresses = ReservedAddresses()
+    (_, port), path = addresses.reserve(), folder / "config.json"
     known = listing(1, True, instance("s0", stub.address))
     path.write_text(json.dumps({**configuration(registry.address, known), "listen": f"127.0.0.1:{port}"}))
     process = await asyncio.create_subprocess_exec(
@@ -140,6 +136,7 @@
         if process.returncode is None:
             process.kill()
             await process.wait()
+        addresses.release()
 
 
 async def call(port: int) -> ClientConnection:
