Rig: addresses are reserved at the host where the processes listen

The processes listened at the rig's host and were asked at 127.0.0.1.

The host is given with each reservation.

--- a/dykeshift/rig/addresses.py
+++ b/dykeshift/rig/addresses.py
@@ -13,18 +13,17 @@
 
 
 class ReservedAddresses:
-    """TCP addresses at one host; a context manager that releases them at its end."""
+    """TCP addresses; a context manager that releases them at its end."""
 
-    def __init__(self, host: str = "127.0.0.1") -> None:
-        self.host = host
+    def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
-    def reserve(self) -> tuple[str, int]:
+    def reserve(self, host: str = "127.0.0.1") -> tuple[str, int]:
         """A free address (host, port), reserved until `release`. Raises OSError where there is none."""
         reserved = socket.socket()
         self._sockets.append(reserved)
         reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind((self.host, 0))
+        reserved.bind((host, 0))
         address: tuple[str, int] = reserved.getsockname()
         return address
 
--- a/dykeshift/rig/day.py
+++ b/dykeshift/rig/day.py
@@ -51,6 +51,10 @@
 )
 
 
+class SilentProcessError(Exception):
+    """A process runs and does not answer its console."""
+
+
 @dataclass(slots=True)
 class Verdict:
     """What came of a day: the breaches, and the record that they were found in."""
@@ -372,12 +376,19 @@
         return int(life.last.get("periods", 0)) if life is not None else 0
 
     async def _up(self) -> None:
-        """Every process that should run answers its console."""
+        """Wait until every process that should run answers its console.
+
+        Raises SilentProcessError after UP seconds: what is awaited later goes by what the processes say.
+        """
         until = time.monotonic() + UP
         for balancer in self.rig.balancers:
-            while balancer.running and balancer.number not in self.stopped and time.monotonic() < until:
+            while balancer.running and balancer.number not in self.stopped:
                 if await fleet(balancer.console) is not None:
                     break
+                if time.monotonic() >= until:
+                    raise SilentProcessError(
+                        f"{balancer.name} runs and does not answer its console at %s:%d" % balancer.console
+                    )
                 await asyncio.sleep(LOOK)
 
     def _at_rest(self) -> bool:
--- a/dykeshift/rig/installation.py
+++ b/dykeshift/rig/installation.py
@@ -178,7 +178,7 @@
         self.asking: asyncio.Task[None] | None = None
         self.made = 0
         self.count = 0
-        self.reserved = ReservedAddresses(self.host)
+        self.reserved = ReservedAddresses()
 
     async def start_balancers(self) -> None:
         """Start the balancers one by one, then wait until all answer. Raises TimeoutError after START
@@ -215,7 +215,7 @@
 
     def port(self) -> tuple[str, int]:
         """An address that no other process is given until the installation stops."""
-        return self.reserved.reserve()
+        return self.reserved.reserve(self.host)
 
     @staticmethod
     async def _until(condition: Callable[[], bool], seconds: float) -> None:
