Engine: an attempt under way is told when its process turns out to be another

Cause: doubt about a connection was asked for only as an attempt was written. What showed later reached the connection (ProcessContinuity took its proof back), not the attempt on it. Now the events of continuity.py return the connections that are doubted from then on, and the pool reports the attempts under way there. When a process leaves the list, connections opened in the 12 s before it are doubted; by an older one discovery would have told.

The simulation excused every first attempt at a reused address for good; now only until its balancer could tell, by a sign or a list, before the repeat.

--- a/dykeshift/engine/continuity.py
+++ b/dykeshift/engine/continuity.py
@@ -13,6 +13,9 @@
 its own end if it began before the last one, by its start time (which wall clocks can make too late), or if
 that one came after an unproven connection, which may have led to it already. All this belongs to the address:
 the connections are those to whichever process was there.
+
+What may show only later that a connection leads to another process, a late sign or the end of the listing,
+returns the *doubted* connections: what is under way on these was sent as if to the listed process.
 """
 
 from __future__ import annotations
@@ -73,32 +76,44 @@
             self._reassure()
         self._successor_opened = self._successor_ended = False
 
-    def unlisted(self) -> None:
-        """The process is not listed there any more: what is still open may lead to another one."""
+    def unlisted(self, now: int) -> list[ConnectionT]:
+        """The process is not listed there any more: what is still open may lead to another one.
+
+        Returns the doubted connections. Had an older one led to another process, discovery would have told
+        of that process before.
+        """
+        doubted = self._doubt_opened_after(now - CONFIRMATION_DELAY_NS)
         self._successor_opened = self._successor_opened or bool(self._is_proven)
         self._is_proven = dict.fromkeys(self._is_proven, False)
+        return doubted
+
+    def opened(
+        self, connection: ConnectionT, now: int, is_open: Callable[[ConnectionT], bool]
+    ) -> list[ConnectionT]:
+        """A connection has been opened; returns those that are doubted now.
 
-    def opened(self, connection: ConnectionT, now: int, is_open: Callable[[ConnectionT], bool]) -> None:
-        """A connection has been opened; `is_open`: whether its peer, too, has it open, by the system."""
+        `is_open`: whether the peer of a connection, too, has it open, by the system.
+        """
         proven = [known for known, is_proven in self._is_proven.items() if is_proven]
+        doubted = list[ConnectionT]()
         if any(is_open(known) for known in proven):
             self._reassure()
         elif proven:
-            self._interrupt(now)
+            doubted = self._interrupt(now)
         self._is_proven[connection] = self._interrupted_at is None
         self._opened_at[connection] = now
         self._successor_opened = self._successor_opened or self.interrupted
+        return doubted
 
-    def lost(self, connection: ConnectionT, now: int, by_peer: bool) -> None:
-        """A connection is closed; `by_peer`: not by this side."""
+    def lost(self, connection: ConnectionT, now: int, by_peer: bool) -> list[ConnectionT]:
+        """A connection is closed; returns those that are doubted now. `by_peer`: not by this side."""
         self._is_proven.pop(connection, None)
         self._opened_at.pop(connection, None)
-        if by_peer:
-            self._interrupt(now)
+        return self._interrupt(now) if by_peer else []
 
-    def refused(self, now: int) -> None:
-        """Nothing listened at the address."""
-        self._interrupt(now)
+    def refused(self, now: int) -> list[ConnectionT]:
+        """Nothing listened at the address; returns the connections that are doubted now."""
+        return self._interrupt(now)
 
     def listed_again(self, now: int) -> None:
         """Discovery has answered, and all changes that it told of were passed to `listed`."""
@@ -106,12 +121,18 @@
             self._reassure()
             self._is_proven = dict.fromkeys(self._is_proven, True)
 
-    def _interrupt(self, now: int) -> None:
+    def _interrupt(self, now: int) -> list[ConnectionT]:
         self._interrupted_at = now
-        for connection, opened_at in self._opened_at.items():
-            if now - opened_at < SIGN_DELAY_NS:
-                self._is_proven[connection] = False
         self._successor_ended = self._successor_ended or self._successor_opened
+        return self._doubt_opened_after(now - SIGN_DELAY_NS)
+
+    def _doubt_opened_after(self, time: int) -> list[ConnectionT]:
+        """Take the proof from the connections opened after this time; returns those that had it."""
+        doubted = [known for known, is_proven in self._is_proven.items() if is_proven]
+        doubted = [connection for connection in doubted if self._opened_at[connection] > time]
+        for connection in doubted:
+            self._is_proven[connection] = False
+        return doubted
 
     def _reassure(self) -> None:
         self._interrupted_at = None
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -116,7 +116,8 @@
         self.begin_by = begin_by  # the end of its key's window; 0: none
         self.stamp = stamp  # of the rules that it was decided under
         self.client_waits = client_waits  # whether the client still waits for the answer
-        # Called before it is written to a process that may be another one than the listed one.
+        # Called if the process that it is written to may be another one than the listed one: before it is
+        # written, or as soon as that shows.
         self.on_uncertain = on_uncertain
         self.scope_bound = scope_bound  # it may only be written to the listed process
         self.on_end = on_end  # called with its end, and before that with the start of a streamed answer
@@ -334,7 +335,7 @@
         if known is not None:
             known.open_to_new = False
             self._close_idle(known)
-            known.continuity.unlisted()
+            self._report_uncertain(known.continuity.unlisted(self.clock.monotonic_ns()))
 
     def list_received(self) -> None:
         """Discovery has answered, and all changes that it told of have been made."""
@@ -366,8 +367,8 @@
 
         `stamp`: of the rules that it was decided under, where there is a gate. `client_waits` is called just
         before the first byte is written and returns whether the client still waits. `on_uncertain` is called
-        before it is written on a connection that may lead to another process than the listed one; with
-        `scope_bound` it is not written there.
+        before it is written on a connection that may lead to another process than the listed one, or as soon
+        as that shows while it is under way; with `scope_bound` it is not written there.
         """
         upstream = self.upstreams.get(number) or Upstream(("", 0), 0, listed_ready=False)
         attempt = Attempt(
@@ -436,7 +437,8 @@
             release()
             if connection in upstream.idle:
                 upstream.idle.remove(connection)
-            upstream.continuity.lost(connection, self.clock.monotonic_ns(), connection.closed_by_peer)
+            now = self.clock.monotonic_ns()
+            self._report_uncertain(upstream.continuity.lost(connection, now, connection.closed_by_peer))
             self._note_interruption(upstream)
 
         try:
@@ -452,11 +454,12 @@
                 )
             release()
             if isinstance(exc, ConnectionRefusedError | ConnectionResetError):
-                upstream.continuity.refused(self.clock.monotonic_ns())
+                self._report_uncertain(upstream.continuity.refused(self.clock.monotonic_ns()))
                 self._note_interruption(upstream)
             attempt.finish(AttemptResult(Outcome.CONNECT_FAILED))
             return
-        upstream.continuity.opened(connection, self.clock.monotonic_ns(), Link.is_open)
+        now = self.clock.monotonic_ns()
+        self._report_uncertain(upstream.continuity.opened(connection, now, Link.is_open))
         self._note_interruption(upstream)
         if not connection.alive():  # already broken: a request written to it might still have run
             connection.close()
@@ -464,6 +467,13 @@
         elif not attempt.write(connection):
             on_idle(connection)
 
+    @staticmethod
+    def _report_uncertain(doubted: list[Link]) -> None:
+        """Report the attempts under way on connections that may lead to another process after all."""
+        for connection in doubted:
+            if isinstance(connection.exchange, Attempt):
+                connection.exchange.on_uncertain()
+
     def _note_interruption(self, upstream: Upstream) -> None:
         """Keep `interrupted` up to date after an event of a connection to this upstream."""
         if not upstream.continuity.interrupted:
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -902,7 +902,7 @@
     def on_attempt_uncertain(self, now: int, request_id: str, attempt: int) -> list[Action]:
         """Another process may have taken over the server's address: the attempt's scope is not certain.
 
-        Comes before anything of the attempt reaches that process.
+        Comes before anything of the attempt reaches that process where that can be told by then.
         """
         item = self.open.get(request_id)
         if item is not None and attempt < len(item.attempts) and self._depends_on_scope(item):
--- a/dykeshift/sim/installation.py
+++ b/dykeshift/sim/installation.py
@@ -210,6 +210,7 @@
         self.instance_at: dict[str, str] = {}  # by address: the instance id, by the lists that it was sent
         self.last_discovery_request = 0  # when it last sent a request to discovery
         self.told_by_discovery: bool = False  # it has received a list since its start
+        self.told_at = 0  # when it received the latest one
         self.exits: list[tuple[int, bool]] = []  # when, and whether that excuses lost requests
         self.stalls: list[tuple[int, int]] = []  # start and end of each
         self.settings_changes: list[tuple[int, int]] = []  # periods in which it had other settings
--- a/dykeshift/sim/referee.py
+++ b/dykeshift/sim/referee.py
@@ -108,8 +108,14 @@
     cell: int
     connection: int
     address_reused: bool = False  # by what this balancer had been told, another process had this address
+    # Whether by now this balancer can tell that it was another process.
+    change_visible: Callable[[], bool] = lambda: False
     disproved: bool = False
 
+    def scope_unknown_to(self, balancer: str) -> bool:
+        """Whether this balancer, which repeats it now, cannot know which rack has seen the key."""
+        return self.address_reused and not (self.balancer == balancer and self.change_visible())
+
 
 @dataclass(slots=True)
 class Frame:
@@ -423,11 +429,13 @@
         connection: int,
         cost: float,
         address_reused: bool = False,
+        change_visible: Callable[[], bool] = lambda: False,
     ) -> None:
         """The balancer has written the last byte of an attempt.
 
         `address_reused`: by what it was told since its start, another sender has this address, and it had no
-        sign that this one had ended, so it could not know which rack has seen the key.
+        sign that this one had ended, so it could not know which rack has seen the key. `change_visible`:
+        whether such a sign, or a list that tells it, has come by the time of the call.
         """
         entry = self.entries.get(rid)
         if entry is None:
@@ -444,7 +452,7 @@
         if (
             possibly_run is not None
             and entry.kind == "keyed"
-            and not (address_reused or possibly_run.address_reused)
+            and not (address_reused or possibly_run.scope_unknown_to(balancer))
         ):
             if cell != possibly_run.cell:
                 self.breach(
@@ -452,7 +460,9 @@
                 )
             elif now > possibly_run.at + self.terms.window + 50 * MS + self.unseen(balancer):
                 self.breach(KEYED_ASTRAY, now, f"{rid} is sent again after its window")
-        entry.attempt_log.append(AttemptRecord(now, balancer, sender, cell, connection, address_reused))
+        entry.attempt_log.append(
+            AttemptRecord(now, balancer, sender, cell, connection, address_reused, change_visible)
+        )
         self.counts[balancer]["attempts"] += 1
         attempts = len(entry.attempt_log) - entry.attempts_before
         if attempts > self.terms.attempts:
--- a/dykeshift/sim/wire.py
+++ b/dykeshift/sim/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from typing import Any
 
 from dykeshift.sim import referee as rules
@@ -25,15 +26,16 @@
         self.number = endpoint.address[1]
         self.request_started_at = 0
         self.rid = ""
-        # Whether the balancer could tell that its peer may be another process than the one listed before it.
+        # Whether the balancer could tell, as this connection was opened, that its peer may be another process
+        # than the one listed before it.
         self.change_visible: bool | None = None
 
     def _now(self) -> int:
         process = self.endpoint.process
         return self.simulation.world.now + (process.loop.round_elapsed if process is not None else 0)
 
-    def _could_see_change(self, listed: str) -> bool:
-        """Whether a sign that the listed process had ended came before this connection was opened.
+    def _could_see_change(self, listed: str, by: int) -> bool:
+        """Whether a sign that the listed process had ended came until then.
 
         The sign: the last connections to that process were closed by it, and none was open any more.
         """
@@ -46,7 +48,20 @@
         last_opened = max((one.opened_at for one in known), default=0)
         ends = [one.ended_by_peer_at for one in known if one.ended_by_peer_at is not None]
         any_open = any(one.ended_by_peer_at is None and not one.closed for one in known)
-        return not any_open and any(last_opened <= at <= self.endpoint.opened_at for at in ends)
+        return not any_open and any(last_opened <= at <= by for at in ends)
+
+    def _sees_change(self, node: Node, listed: str) -> bool:
+        """Whether the balancer can tell by now that another process than the listed one has the address.
+
+        Only what came before this round of its event loop counts.
+        """
+        before = self.simulation.world.now - 1
+        told = node.instance_at.get(self._peer_address()) == self.endpoint.peer_name()
+        return told and node.told_at <= before or self._could_see_change(listed, before)
+
+    def _peer_address(self) -> str:
+        host, port = self.endpoint.peer.address
+        return f"{host}:{port}"
 
     def on_sent(self, node: Node, data: bytes) -> None:
         """Bytes from a balancer to a sender."""
@@ -62,11 +77,11 @@
             self.rid = request.headers.get("x-request-id", "")
             sender = simulation.by_name[self.endpoint.peer_name()]
             simulation.world.trace(f"{node.name} sends {self.rid} to {sender.name}")
-            at = f"{self.endpoint.peer.address[0]}:{self.endpoint.peer.address[1]}"
-            mistaken = node.instance_at.get(at, sender.name) != sender.name
+            listed = node.instance_at.get(self._peer_address(), sender.name)
+            mistaken = listed != sender.name
             address_reused = node.told_by_discovery and mistaken
             if self.change_visible is None:
-                self.change_visible = mistaken and self._could_see_change(node.instance_at[at])
+                self.change_visible = mistaken and self._could_see_change(listed, self.endpoint.opened_at)
             simulation.checker.begun(self.request_started_at, node.name, sender.name, self.rid)
             if "x-deadline-ms" in request.headers:
                 told = int(request.headers["x-deadline-ms"]) * MS
@@ -84,6 +99,7 @@
                 self.number,
                 float(request.query("cost") or 0),
                 address_reused and not self.change_visible,
+                partial(self._sees_change, node, listed),
             )
 
     def _requests(self, data: bytes) -> list[Message]:
@@ -136,7 +152,7 @@
         process = node.process
         if process is not None:
             now = max(now, process.stalled_until)  # a stalled balancer reads it only afterwards
-        node.told_by_discovery = True
+        node.told_by_discovery, node.told_at = True, now
         listed = set[str]()
         what = " ".join(f"{r['instanceId']}:{r['lifecycle']}" for r in rows["instances"])
         if rows["reset"] or what:
--- a/tests/node/test_continuity.py
+++ b/tests/node/test_continuity.py
@@ -9,7 +9,7 @@
 from dykeshift.engine.upstream import Attempt, AttemptResult, Pool
 from dykeshift.interface import Outcome
 from tests.node.messages import answer
-from tests.node.stubs import Stub, answers_with, run, wait_until
+from tests.node.stubs import Stub, answers_with, run, silent, wait_until
 from tests.node.test_upstream import REQUEST, SECOND, RecordedAttempt, make_pool
 
 
@@ -89,12 +89,27 @@
     unproven_broke.listed(2, 300)  # as late as this by a wall clock that was ahead
     assert not unproven_broke.connect("b", 400)
     assert outlived_the_listed_one.connect("a", 200)
-    outlived_the_listed_one.unlisted()
+    assert outlived_the_listed_one.unlisted(201) == ["a"]
     outlived_the_listed_one.lost("a", 203, by_peer=True)
     outlived_the_listed_one.listed(2, 300)
     assert not outlived_the_listed_one.connect("b", 400)
 
 
+def test_connections_that_are_doubted_after_they_were_opened_are_told() -> None:
+    continuity = Continuity()
+    assert continuity.connect("a", 200) and continuity.connect("b", 200 + SIGN_DELAY_NS)
+    assert continuity.lost("a", 201 + SIGN_DELAY_NS, by_peer=True) == ["b"]
+    assert continuity.refused(202 + SIGN_DELAY_NS) == []  # already doubted
+
+
+def test_connections_opened_shortly_before_their_process_leaves_the_list_are_told() -> None:
+    continuity = Continuity()
+    assert continuity.connect("a", 200) and continuity.connect("b", 201)
+    assert continuity.unlisted(200 + CONFIRMATION_DELAY_NS) == ["b"]
+    assert not continuity.is_proven("a") and not continuity.is_proven("b")
+    assert continuity.unlisted(200 + CONFIRMATION_DELAY_NS) == []
+
+
 def start(pool: Pool, ends: list[AttemptResult], uncertain: list[bool], scope_bound: bool) -> Attempt:
     return pool.start(
         1,
@@ -131,3 +146,35 @@
         assert ends[0].outcome is Outcome.OK and not uncertain
 
     run(main())
+
+
+# Guards against a key that takes effect in two scopes though the first sign of a replacement comes only while
+# its first attempt is under way.
+def test_an_attempt_under_way_is_uncertain_if_a_sign_comes_soon_after_its_connection_was_opened() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        pool = make_pool(stub.address)
+        broken, ends, uncertain = RecordedAttempt(pool), list[AttemptResult](), list[bool]()
+        start(pool, ends, uncertain, scope_bound=False)
+        await wait_until(lambda: len(stub.seen) == 2)
+        assert not uncertain
+        stub.writers[0].transport.abort()
+        assert (await broken.end()).outcome is Outcome.RESET
+        assert uncertain == [True] and not ends
+        await stub.stop()
+
+    run(main())
+
+
+def test_an_attempt_under_way_is_uncertain_if_discovery_lists_another_process_at_its_address() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        pool = make_pool(stub.address)
+        ends, uncertain = list[AttemptResult](), list[bool]()
+        start(pool, ends, uncertain, scope_bound=False)
+        await wait_until(lambda: len(stub.seen) == 1)
+        pool.put(1, stub.address, SYSTEM.monotonic_ns(), True)
+        assert uncertain == [True] and not ends
+        await stub.stop()
+
+    run(main())
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -125,6 +125,11 @@
     return [(continuity.ProcessContinuity, "is_proven", lambda self, connection: True)]
 
 
+def _ignore_late_signs() -> list[Patch]:
+    """An attempt under way stays certain, whatever shows later about its connection."""
+    return [(upstream.Pool, "_report_uncertain", staticmethod(lambda doubted: None))]
+
+
 def _keep_queued_for_gone_clients() -> list[Patch]:
     """Attempts that wait for a connection are sent after their client has left, where cancelling is off."""
 
@@ -495,6 +500,13 @@
         _trust_all_connections,
         REPLACED,
     ),
+    Mutant(
+        "forgets attempts under way at a late sign",
+        "upstream",
+        (referee.KEYED_ASTRAY, referee.EFFECT_TWICE),
+        _ignore_late_signs,
+        REPLACED,
+    ),
     Mutant("repeats keyed requests at any time", "rules", (referee.KEYED_ASTRAY,), _ignore_window),
     Mutant(
         "trusts the racks of a list from before",
--- a/tests/sim/test_day.py
+++ b/tests/sim/test_day.py
@@ -192,6 +192,7 @@
     "tries unsafe requests twice": "0",
     "repeats keyed requests in any rack": "11",
     "trusts every connection to an address": "0+replaced",
+    "forgets attempts under way at a late sign": "157+replaced",
     "repeats keyed requests at any time": "0",
     "trusts the racks of a list from before": "328",
     "believes in two senders at one address": "64",
--- a/tests/sim/test_referee.py
+++ b/tests/sim/test_referee.py
@@ -24,8 +24,12 @@
         at: int = 0,
         connection: int = 1,
         address_reused: bool = False,
+        balancer: str = "n0",
+        change_visible: bool = False,
     ) -> None:
-        self.written(at, rid, "n0", sender, cell, connection, 10.0, address_reused)
+        self.written(
+            at, rid, balancer, sender, cell, connection, 10.0, address_reused, lambda: change_visible
+        )
 
     def broken_rules(self) -> list[str]:
         return [b.rule for b in self.breaches]
@@ -124,6 +128,19 @@
         assert checker.broken_rules() == want
 
 
+def test_an_attempt_at_a_reused_address_is_excused_until_the_balancer_that_sent_it_can_tell() -> None:
+    for change_visible, repeated_by, want in (
+        (False, "n0", []),
+        (True, "n0", [rules.KEYED_ASTRAY]),
+        (True, "n1", []),  # does not know what the other balancer has seen
+    ):
+        checker = RefereeHarness()
+        checker.ask(kind="keyed", seconds=60)
+        checker.send(address_reused=True, change_visible=change_visible)
+        checker.send(sender="s1", cell=1, at=10, connection=2, balancer=repeated_by)
+        assert checker.broken_rules() == want
+
+
 def test_a_refusal_is_allowed_only_if_no_attempt_may_have_run() -> None:
     for kind, sent, want in (
         ("unsafe", False, []),
