Engine: of two attempts with one key, the later written one is held to its scope

Callers would see one 200 while their key takes effect in two racks, in two orders of events that the module cannot see, as an attempt may wait for its connection: - a repeat is decided on and waits; a sign makes the first attempt uncertain; the repeat is written all the same. - the first attempt waits; its repeat is written in the listed rack; then the first one is written on a connection that may lead to another process.

Cause: the check before the first byte asked for the connection of that attempt only, and only of the one that was decided on second. Now repeats that are not fully written are withdrawn as an attempt before them becomes uncertain, and as a repeat is sent, attempts before it that are still to be written are bound to their scope like the repeat (withheld as process-uncertain).

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -424,6 +424,10 @@
             deadline = min(deadline, now + action.timeout)
         if job.closed:
             deadline = 0  # nothing is sent, but the module still gets an outcome
+        if action.scope_bound:
+            for earlier in job.attempts:
+                if earlier is not None:
+                    earlier.scope_bound = True  # if it is written after this one, it is the repeat
         on_end = partial(self._attempt_ended, job, number, action.server)
         encode = self.pool.carrier.encoder(job.request)
         attempt = self.pool.start(
@@ -444,8 +448,14 @@
             self.loop.call_later((deadline - now) / 1e9, self._attempt_timed_out, job, attempt)
 
     def _attempt_uncertain(self, job: Job, number: int) -> None:
-        """An attempt is about to be written to what may be another process than the listed one."""
+        """An attempt is about to be written, or was, to what may be another process than the listed one.
+
+        Repeats of its key that were decided on before, and are not written yet, are withdrawn.
+        """
         self._deliver_event(self.balancer.on_attempt_uncertain, job.request.id, number, job=job)
+        for repeat in job.attempts[number + 1 :]:
+            if repeat is not None and repeat.scope_bound:
+                self._withdraw_if_unwritten(job, repeat)
 
     def _attempt_timed_out(self, job: Job, attempt: Attempt) -> None:
         """The time-out of one attempt, earlier than its request's deadline; a started answer is in time."""
@@ -523,9 +533,14 @@
     def _withdraw_unwritten(self, job: Job) -> None:
         """Withdraw attempts that are not fully written yet."""
         for attempt in job.attempts:
-            if attempt is not None and not attempt.fully_written() and attempt is not job.streaming:
-                # Not a cancellation, which settings may forbid: the upstream has not got the request.
-                attempt.give_up(Outcome.CANCELLED)
+            if attempt is not None:
+                self._withdraw_if_unwritten(job, attempt)
+
+    @staticmethod
+    def _withdraw_if_unwritten(job: Job, attempt: Attempt) -> None:
+        if not attempt.fully_written() and attempt is not job.streaming:
+            # Not a cancellation, which settings may forbid: the upstream has not got the request.
+            attempt.give_up(Outcome.CANCELLED)
 
     def _forget(self, job: Job) -> None:
         """Drop the job if it is answered and none of its attempts is in flight."""
--- a/tests/node/test_continuity.py
+++ b/tests/node/test_continuity.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 from dykeshift.clock import SYSTEM
 from dykeshift.engine.continuity import CONFIRMATION_DELAY_NS, SIGN_DELAY_NS, ProcessContinuity
+from dykeshift.engine.invariants import WithheldReason
 from dykeshift.engine.upstream import Attempt, AttemptResult, Pool
 from dykeshift.interface import Outcome
-from tests.node.messages import answer
-from tests.node.stubs import Stub, answers_with, run, silent, wait_until
+from tests.node.messages import answer, instance, listing, request
+from tests.node.stubs import Node, Stub, answers_with, node, run, silent, wait_until
 from tests.node.test_upstream import REQUEST, SECOND, RecordedAttempt, make_pool
 
 
@@ -178,3 +180,79 @@
         await stub.stop()
 
     run(main())
+
+
+# ---- an attempt and a repeat of its key, one of which waits for its connection ----
+
+
+class HeldConnects:
+    """Lets the connects of a pool wait from the n-th on, until `release` is called."""
+
+    def __init__(self, pool: Pool, first_held: int, last_held: int) -> None:
+        self.connects, self.held = 0, range(first_held, last_held + 1)
+        self.released = asyncio.Event()
+        self.connect, self.pool = pool._connect, pool
+        pool._connect = self._connect  # type: ignore[method-assign]
+
+    async def _connect(self, attempt: Attempt) -> None:
+        self.connects += 1
+        if self.connects in self.held:
+            await self.released.wait()
+        await self.connect(attempt)
+
+    async def release(self) -> None:
+        """Let them go on, until all have ended."""
+        self.released.set()
+        await wait_until(lambda: not self.pool.connecting)
+
+
+async def list_again(balancer: Node, *stubs: Stub) -> None:
+    """Let discovery list the upstreams: until it does, no key is repeated."""
+    rows = [instance(f"s{number}", stub.address) for number, stub in enumerate(stubs)]
+    balancer.registry.put(listing(2, True, *rows))
+    await wait_until(lambda: balancer.front.driver.discovery_has_answered)
+
+
+# Guards against a key that takes effect in two scopes as a repeat decided on before the first sign is written
+# after it.
+def test_a_repeat_that_is_not_written_yet_is_withdrawn_once_the_first_attempt_is_uncertain() -> None:
+    async def main() -> None:
+        stubs = [await Stub(silent).start() for _ in range(2)]
+        async with node(*stubs) as balancer:
+            await list_again(balancer, *stubs)
+            driver = balancer.front.driver
+            connects = HeldConnects(driver.pool, 2, 3)
+            caller = await balancer.open()
+            caller.writer.write(request("set"))
+            await wait_until(lambda: connects.connects == 2)
+            (job,) = driver.jobs.values()
+            assert job.attempts[0] is not None
+            job.attempts[0].on_uncertain()
+            await connects.release()
+            assert sum(len(stub.seen) for stub in stubs) == 1 and connects.connects == 2
+            assert job.attempts[1:] == [None]
+
+    run(main())
+
+
+# Guards against a key that takes effect in two scopes as its first attempt is written after its repeat.
+def test_a_first_attempt_that_waits_for_its_connection_is_bound_to_its_scope_like_the_repeat() -> None:
+    async def main() -> None:
+        stubs = [await Stub(silent).start() for _ in range(2)]
+        async with node(*stubs) as balancer:
+            await list_again(balancer, *stubs)
+            driver = balancer.front.driver
+            connects = HeldConnects(driver.pool, 1, 1)
+            caller = await balancer.open()
+            caller.writer.write(request("set"))
+            await wait_until(lambda: any(stub.seen for stub in stubs))  # the repeat
+            (job,) = driver.jobs.values()
+            first = job.attempts[0]
+            assert first is not None
+            first.upstream.continuity.refused(SYSTEM.monotonic_ns())
+            await connects.release()
+            withheld = driver.ledger.occurrences.withheld
+            assert withheld[WithheldReason.PROCESS_UNCERTAIN] == 1
+            assert sum(len(stub.seen) for stub in stubs) == 1
+
+    run(main())
