Settings: with versions, too, timeouts of connections follow what is in force

Left open by: a version of the fleet with another keepaliveNs or connectTimeoutNs came into force, and all pools kept the two of their file at the start.

The two are part of Settings now, which file and fleet both bring through Reload.apply; that is the one place that passes them on. A value that is no number from 0 on is refused with a line.

--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -106,6 +106,9 @@
     retired: frozenset[int] = frozenset()  # places whose classes are not in force: see docs/module.md
     # What `zone` is called in discovery's lists; empty: not stated. Not in the text that digests are made of.
     zone_name: str = field(default="", repr=False)
+    # Of connections to servers; None: not stated. Not in that text either.
+    keepalive: int | None = field(default=None, repr=False)  # until a server closes an idle one
+    connect_timeout: int | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/node/reload.py
+++ b/dykeshift/node/reload.py
@@ -56,11 +56,13 @@
     def apply(
         self, settings: Settings, forms: dict[str, frozenset[Idempotency]] | None = None, narrow: bool = False
     ) -> None:
-        """Use these settings from now on, in the balancer, the request reader and the client of discovery."""
+        """Use these settings from now on, in every part of the process that acts on them."""
         if settings.zone_name:
             settings = replace(settings, zone=self.discovery.reader.zone_number(settings.zone_name))
         taken = self.driver.take_settings(settings, narrow)
         self.discovery.pushed = not settings.ask_discovery
+        if settings.connect_timeout is not None and settings.keepalive is not None:
+            self.driver.pool.take_timeouts(settings.connect_timeout / 1e9, settings.keepalive / 1e9)
         self.reader.set_classes(taken.classes, taken.retired, forms)
         for follow in self.followers:
             follow(taken)
@@ -96,7 +98,6 @@
             ledger.reloads_failed += 1
         if self.accept is None:
             self.apply(new.settings)
-            self.driver.pool.take_timeouts(new.connect_timeout, new.keepalive)
         if new.discovery == self.discovery.address:
             log.info(
                 "the address of discovery is unchanged in the new configuration",
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -143,11 +143,18 @@
             worth_by_work=required(raw, "valueBy", "") == "work",
             fairness=worst / (1 - worst),
             retry_advice_limit=_retry_advice_limit(limits),
+            keepalive=_optional_duration(limits, "keepaliveNs"),
+            connect_timeout=_optional_duration(limits, "connectTimeoutNs"),
         )
     except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise SettingsError(f"settings hold a value of the wrong kind: {exc}") from None
 
 
+def _optional_duration(limits: dict[str, Any], key: str) -> int | None:
+    """A duration of `bounds` in ns, None if it is not stated; the configuration file has to state it."""
+    return int(non_negative(limits[key], f"bounds.{key}")) if key in limits else None
+
+
 def _zone_name(raw: Any) -> str:
     """The name of the balancer's own zone; empty where its position is not in the list of zones."""
     names, position = raw.get("failureDomains", ()), int(raw["az"])
--- a/dykeshift/versions/terms.py
+++ b/dykeshift/versions/terms.py
@@ -69,6 +69,8 @@
     ),
     "overload_window": FieldRule(GUARDED, "how long a server may be overloaded: the shorter time", min),
     "answer_slack": FieldRule(GUARDED, "how late a final answer may be: the earlier", min),
+    "keepalive": FieldRule(FREE, "connections to servers, which each balancer has for itself"),
+    "connect_timeout": FieldRule(FREE, "connections to servers, which each balancer has for itself"),
     "retry_advice_limit": FieldRule(FREE, "a client that gets a shorter retry delay only returns earlier"),
     "worth_by_work": FieldRule(FREE, "a goal; any value is harmless beside another"),
     "fairness": FieldRule(FREE, "a goal; any value is harmless beside another"),
--- a/tests/node/test_versions.py
+++ b/tests/node/test_versions.py
@@ -107,6 +107,30 @@
     run(main())
 
 
+# Guards against requests on connections that their upstreams close: with a version of a shorter keepalive the
+# pools kept the timeouts of the file at the start.
+def test_the_timeouts_of_connections_to_upstreams_are_those_of_the_version_in_force() -> None:
+    async def main() -> None:
+        stub = await Stub(answers_with(answer())).start()
+        one, two = nodes(stub, 2)
+        async with one as a, two as b:
+            every = [service(x) for x in (a, b)]
+            pools = [x.front.driver.pool for x in (a, b)]
+            await wait_until(lambda: all_act_on(every, 0))
+            for balancer in (a, b):
+                assert "200" in (await balancer.ask(request("check"))).start
+            assert [pool.open for pool in pools] == [1, 1]
+            bounds = {**WORDS["bounds"], "keepaliveNs": 1_000_000, "connectTimeoutNs": 3_000_000_000}
+            changed = {"settings": {**WORDS, "bounds": bounds}, "by": "op"}
+            assert (await call(every[1], "/settings/propose", changed))[0] == 200
+            await wait_until(lambda: all_act_on(every, 1) and not any(pool.open for pool in pools))
+            assert [pool.connect_timeout for pool in pools] == [3.0, 3.0]
+            for x in every:
+                x.close()
+
+    run(main())
+
+
 def test_a_ban_at_one_balancer_holds_at_all_and_any_can_lift_it() -> None:
     async def main() -> None:
         first, second = [await Stub(answers_with(answer(body))).start() for body in (b"first", b"second")]
