--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -229,6 +229,46 @@
     run(main())
 
 
+# Guards against a request whose answer is not read: the end of the answer before it on its connection had
+# filled its client's buffer, and reading stayed paused.
+def test_a_connection_is_read_again_after_an_answer_whose_end_filled_the_buffer_of_its_client() -> None:
+    async def main() -> None:
+        go_on = asyncio.Event()
+
+        async def handle(stub: Stub, _: Message, writer: asyncio.StreamWriter) -> None:
+            if len(stub.seen) > 1:
+                writer.write(answer(b"next"))
+                return
+            head, first, last = LONG_ANSWERS["length"]
+            writer.write(head + first)
+            await go_on.wait()
+            writer.write(last)
+
+        stub = await Stub(handle).start()
+        async with node(stub) as balancer:
+            with socket.socket() as slow:
+                slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+                slow.connect(balancer.address)
+                await wait_until(lambda: bool(balancer.front.clients))
+                (client,) = balancer.front.clients
+                assert client.transport is not None
+                sending = client.transport.get_extra_info("socket")
+                sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+                client.transport.set_write_buffer_limits(high=1 << 20)
+                slow.sendall(request("check"))
+                await wait_until(client.has_unsent_output)
+                client.transport.set_write_buffer_limits(high=client.transport.get_write_buffer_size() + 1)
+                go_on.set()
+                await wait_until(client.is_buffering)  # the answer has ended
+                assert client.has_unsent_output()
+                pool = balancer.front.driver.pool
+                assert [len(upstream.idle) for upstream in pool.upstreams.values()] == [1]
+                assert (await balancer.ask(request("check", rid="next"))).body == b"next"
+                assert len(stub.writers) == 1
+
+    run(main())
+
+
 # Guards against a streamed answer that is cut off as soon as its client's connection is ten seconds old.
 @pytest.mark.parametrize("chunked", [False, True])
 def test_an_answer_that_keeps_coming_is_not_cut_off_however_old_its_connection_is(chunked: bool) -> None:
