Engine: an attempt's terms are one typed object, and staleness is a module of its own

Pool.start took nine parameters and Attempt ten, most of them passed through by position. What holds for one attempt is SendTerms now; the attempt keeps apart only the two that may become stricter. No behaviour changes.

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -38,7 +38,7 @@
 from dykeshift.engine.tenants import Listed, Tenants
 from dykeshift.engine.termination import Termination
 from dykeshift.engine.terms import FAILED, LATE, SubmittedRequest, Final, FinalStatus
-from dykeshift.engine.upstream import Attempt, AttemptResult, Pool
+from dykeshift.engine.upstream import Attempt, AttemptResult, Pool, SendTerms
 from dykeshift.rules import Balancer
 from dykeshift.settings import restrict_repeats
 
@@ -430,17 +430,15 @@
                     earlier.scope_bound = True  # if it is written after this one, it is the repeat
         on_end = partial(self._attempt_ended, job, number, action.server)
         encode = self.pool.carrier.encoder(job.request)
-        attempt = self.pool.start(
-            action.server,
-            encode,
+        terms = SendTerms(
             deadline,
-            on_end,
             action.write_deadline,
             stamp,
+            action.scope_bound,
             partial(self._client_still_waits, job),
             partial(self._attempt_uncertain, job, number),
-            action.scope_bound,
         )
+        attempt = self.pool.start(action.server, encode, on_end, terms)
         job.attempts.append(attempt)
         job.sent.append(now)
         job.in_flight += 1
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -16,6 +16,7 @@
 from dykeshift.engine.invariants import WithheldReason
 from dykeshift.engine.ledger import Ledger
 from dykeshift.engine.link import Link
+from dykeshift.engine.staleness import Staleness
 from dykeshift.engine.terms import SubmittedRequest
 
 log = logging.getLogger(__name__)
@@ -23,10 +24,6 @@
 KEEPALIVE_SHARE = 0.8  # of the keepalive: longer idle connections are closed, before the upstream does so
 DUPLICATE_ANSWER_WINDOW_S = 0.01  # seconds within which an upstream may send a duplicate answer to a request
 SWEEP_INTERVAL_S = 0.5  # seconds between two checks for connections idle for too long
-# A connection is not reused after an idle time at which this share of the reuses has failed, with so many
-# successful reuses added to the observed ones: some connections break at any age, and a new one costs, too.
-MAX_BREAK_RATE, PRIOR_REUSES = 0.15, 10
-DECAY = 0.9  # factor on those counts at each check
 KEPT_ADDRESSES_FACTOR = 2  # with so many addresses per listed upstream, those that are not needed are dropped
 
 
@@ -52,6 +49,21 @@
     more_follows: bool = False  # the answer has only started: the end follows
 
 
+@dataclass(frozen=True, slots=True)
+class SendTerms:
+    """What holds for one attempt besides its upstream and request; times in ns on the monotonic clock."""
+
+    deadline: int
+    begin_by: int = 0  # the end of its key's window; 0: none
+    stamp: int = 0  # of the rules that it was decided under, where there is a gate
+    scope_bound: bool = False  # it may only be written to the listed process
+    # Whether the client still waits for the answer; called just before the first byte is written.
+    client_waits: Callable[[], bool] = lambda: True
+    # Called if the process that it is written to may be another one than the listed one: before it is
+    # written, or as soon as that shows.
+    on_uncertain: Callable[[], None] = lambda: None
+
+
 class Gate(Protocol):
     """Tells whether the rules that a decision was based on are still in force."""
 
@@ -82,18 +94,15 @@
         "pool",
         "upstream",
         "encode",
-        "deadline",
-        "begin_by",
         "on_end",
+        "terms",
+        "deadline",
+        "scope_bound",
         "connection",
         "idle_before",
         "written_at",
         "has_ended",
         "stream_end",
-        "stamp",
-        "client_waits",
-        "on_uncertain",
-        "scope_bound",
     )
 
     def __init__(
@@ -101,26 +110,15 @@
         pool: Pool,
         upstream: Upstream,
         encode: Callable[[int], Message],
-        deadline: int,
         on_end: Callable[[AttemptResult], None],
-        begin_by: int,
-        stamp: int,
-        client_waits: Callable[[], bool],
-        on_uncertain: Callable[[], None],
-        scope_bound: bool,
+        terms: SendTerms,
     ) -> None:
         self.pool = pool
         self.upstream = upstream
         self.encode = encode  # returns the request, given the nanoseconds left
-        self.deadline = deadline
-        self.begin_by = begin_by  # the end of its key's window; 0: none
-        self.stamp = stamp  # of the rules that it was decided under
-        self.client_waits = client_waits  # whether the client still waits for the answer
-        # Called if the process that it is written to may be another one than the listed one: before it is
-        # written, or as soon as that shows.
-        self.on_uncertain = on_uncertain
-        self.scope_bound = scope_bound  # it may only be written to the listed process
         self.on_end = on_end  # called with its end, and before that with the start of a streamed answer
+        self.terms = terms
+        self.deadline, self.scope_bound = terms.deadline, terms.scope_bound  # may become stricter
         self.connection: Link | None = None
         self.idle_before: float | None = None  # idle seconds of its reused connection; None: a new one
         self.written_at = 0.0
@@ -148,10 +146,10 @@
         self.connection, self.written_at = connection, self.pool.loop.time()
         self.idle_before = self.written_at - connection.idle_since if connection.used else None
         if not proven:
-            self.on_uncertain()
+            self.terms.on_uncertain()
         connection.send(self.encode(self.deadline - now), self)
-        if self.begin_by and connection.unwritten:
-            self.pool.loop.call_later((self.begin_by - now) / 1e9, self._withdraw_if_unsent)
+        if self.terms.begin_by and connection.unwritten:
+            self.pool.loop.call_later((self.terms.begin_by - now) / 1e9, self._withdraw_if_unsent)
         return True
 
     def _reason_not_to_send(self, now: int, proven: bool) -> WithheldReason | None:
@@ -161,17 +159,17 @@
         process there may not know it. The client is checked last, as that costs a system call.
         """
         gate = self.pool.gate
-        if gate is not None and gate.rules_stamp() != self.stamp:
+        if gate is not None and gate.rules_stamp() != self.terms.stamp:
             return WithheldReason.RULES_CHANGED
         if self.deadline <= now:
             return WithheldReason.NO_TIME
         if not self.upstream.open_to_new:
             return WithheldReason.UPSTREAM_CLOSED
-        if 0 < self.begin_by < now:
+        if 0 < self.terms.begin_by < now:
             return WithheldReason.KEY_WINDOW_OVER
         if self.scope_bound and not proven:
             return WithheldReason.PROCESS_UNCERTAIN
-        return None if self.client_waits() else WithheldReason.CLIENT_GONE
+        return None if self.terms.client_waits() else WithheldReason.CLIENT_GONE
 
     def _withdraw_if_unsent(self) -> None:
         """Withdraw a request that is not fully written when the window of its key ends.
@@ -236,40 +234,6 @@
         self.finish(AttemptResult(Outcome.RESET if written else Outcome.CONNECT_FAILED))
 
 
-class Staleness:
-    """After which idle time reused connections turn out dead, in buckets of powers of two of a millisecond.
-
-    Upstreams, or middleboxes before them, may drop idle connections long before the keepalive time that they
-    state. A request written to such a connection ends as a reset, after which an unsafe one cannot be
-    retried.
-    """
-
-    def __init__(self) -> None:
-        self.reuses, self.broken = [0.0] * 20, [0.0] * 20
-
-    @staticmethod
-    def _bucket(idle: float) -> int:
-        return min(int(idle * 1000).bit_length(), 19)
-
-    def record_reuse(self, idle: float, broke: bool) -> None:
-        """Count a reuse after so many idle seconds, and whether the connection broke without an answer."""
-        bucket = self._bucket(idle)
-        self.reuses[bucket] += 1
-        self.broken[bucket] += broke
-
-    def may_reuse(self, idle_s: float) -> bool:
-        """Whether reuse is safe enough after this idle time, and after all shorter ones."""
-        return all(
-            self.broken[n] < MAX_BREAK_RATE * (self.reuses[n] + PRIOR_REUSES)
-            for n in range(self._bucket(idle_s) + 1)
-        )
-
-    def decay(self) -> None:
-        """Age the counts: an idle time that is avoided gives no data, so it is tried again in seconds."""
-        for counts in (self.reuses, self.broken):
-            counts[:] = [count * DECAY for count in counts]
-
-
 class Pool:
     """The connections to all upstreams; there are never more than `limit` in total."""
 
@@ -355,25 +319,12 @@
         self,
         number: int,
         encode: Callable[[int], Message],
-        deadline: int,
         on_end: Callable[[AttemptResult], None],
-        begin_by: int = 0,
-        stamp: int = 0,
-        client_waits: Callable[[], bool] = lambda: True,
-        on_uncertain: Callable[[], None] = lambda: None,
-        scope_bound: bool = False,
+        terms: SendTerms,
     ) -> Attempt:
-        """Start an attempt, on an idle connection or on a new one; `on_end` gets its end.
-
-        `stamp`: of the rules that it was decided under, where there is a gate. `client_waits` is called just
-        before the first byte is written and returns whether the client still waits. `on_uncertain` is called
-        before it is written on a connection that may lead to another process than the listed one, or as soon
-        as that shows while it is under way; with `scope_bound` it is not written there.
-        """
+        """Start an attempt, on an idle connection or on a new one; `on_end` gets its end."""
         upstream = self.upstreams.get(number) or Upstream(("", 0), 0, listed_ready=False)
-        attempt = Attempt(
-            self, upstream, encode, deadline, on_end, begin_by, stamp, client_waits, on_uncertain, scope_bound
-        )
+        attempt = Attempt(self, upstream, encode, on_end, terms)
         if not upstream.open_to_new:
             self.loop.call_soon(attempt.finish, AttemptResult(Outcome.NOT_SENT))
             return attempt
@@ -472,7 +423,7 @@
         """Report the attempts under way on connections that may lead to another process after all."""
         for connection in doubted:
             if isinstance(connection.exchange, Attempt):
-                connection.exchange.on_uncertain()
+                connection.exchange.terms.on_uncertain()
 
     def _note_interruption(self, upstream: Upstream) -> None:
         """Keep `interrupted` up to date after an event of a connection to this upstream."""
