--- a/tests/node/test_continuity.py
+++ b/tests/node/test_continuity.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from dykeshift.clock import SYSTEM
 from dykeshift.engine.continuity import CONFIRMATION_DELAY_NS, SIGN_DELAY_NS, ProcessContinuity
+from dykeshift.engine.driver import Driver, Job
 from dykeshift.engine.invariants import WithheldReason
 from dykeshift.engine.upstream import Attempt, AttemptResult, Pool, SendTerms
 from dykeshift.interface import Outcome
 from tests.node.messages import answer, instance, listing, request
-from tests.node.stubs import Node, Stub, answers_with, node, run, silent, wait_until
+from tests.node.stubs import Stub, answers_with, node, run, silent, wait_until
 from tests.node.test_upstream import REQUEST, SECOND, RecordedAttempt, make_pool
 
 
@@ -204,30 +208,48 @@
         await wait_until(lambda: not self.pool.connecting)
 
 
-async def list_again(balancer: Node, *stubs: Stub) -> None:
-    """Let discovery list the upstreams: until it does, no key is repeated."""
-    rows = [instance(f"s{number}", stub.address) for number, stub in enumerate(stubs)]
-    balancer.registry.put(listing(2, True, *rows))
-    await wait_until(lambda: balancer.front.driver.discovery_has_answered)
+@dataclass(frozen=True)
+class Crossing:
+    """A keyed request under way, some of whose attempts wait for their connections."""
+
+    driver: Driver
+    connects: HeldConnects
+    stubs: list[Stub]
+
+    def job(self) -> Job:
+        (job,) = self.driver.jobs.values()
+        return job
+
+    def received(self) -> int:
+        """How many attempts have reached the upstreams."""
+        return sum(len(stub.seen) for stub in self.stubs)
+
+
+@asynccontextmanager
+async def asked_with_held_connects(first_held: int, last_held: int) -> AsyncIterator[Crossing]:
+    """A balancer before two upstreams of one scope that never answer; it has been sent one keyed request."""
+    stubs = [await Stub(silent).start() for _ in range(2)]
+    async with node(*stubs) as balancer:
+        rows = [instance(f"s{number}", stub.address) for number, stub in enumerate(stubs)]
+        balancer.registry.put(listing(2, True, *rows))
+        await wait_until(lambda: balancer.front.driver.discovery_has_answered)  # no key is repeated before
+        connects = HeldConnects(balancer.front.driver.pool, first_held, last_held)
+        caller = await balancer.open()
+        caller.writer.write(request("set"))
+        yield Crossing(balancer.front.driver, connects, stubs)
 
 
 # Guards against a key that takes effect in two scopes as a repeat decided on before the first sign is written
 # after it.
 def test_a_repeat_that_is_not_written_yet_is_withdrawn_once_the_first_attempt_is_uncertain() -> None:
     async def main() -> None:
-        stubs = [await Stub(silent).start() for _ in range(2)]
-        async with node(*stubs) as balancer:
-            await list_again(balancer, *stubs)
-            driver = balancer.front.driver
-            connects = HeldConnects(driver.pool, 2, 3)
-            caller = await balancer.open()
-            caller.writer.write(request("set"))
-            await wait_until(lambda: connects.connects == 2)
-            (job,) = driver.jobs.values()
+        async with asked_with_held_connects(2, 3) as crossing:
+            await wait_until(lambda: crossing.connects.connects == 2)
+            job = crossing.job()
             assert job.attempts[0] is not None
             job.attempts[0].terms.on_uncertain()
-            await connects.release()
-            assert sum(len(stub.seen) for stub in stubs) == 1 and connects.connects == 2
+            await crossing.connects.release()
+            assert crossing.received() == 1 and crossing.connects.connects == 2
             assert job.attempts[1:] == [None]
 
     run(main())
@@ -236,21 +258,14 @@
 # Guards against a key that takes effect in two scopes as its first attempt is written after its repeat.
 def test_a_first_attempt_that_waits_for_its_connection_is_bound_to_its_scope_like_the_repeat() -> None:
     async def main() -> None:
-        stubs = [await Stub(silent).start() for _ in range(2)]
-        async with node(*stubs) as balancer:
-            await list_again(balancer, *stubs)
-            driver = balancer.front.driver
-            connects = HeldConnects(driver.pool, 1, 1)
-            caller = await balancer.open()
-            caller.writer.write(request("set"))
-            await wait_until(lambda: any(stub.seen for stub in stubs))  # the repeat
-            (job,) = driver.jobs.values()
-            first = job.attempts[0]
+        async with asked_with_held_connects(1, 1) as crossing:
+            await wait_until(lambda: crossing.received() == 1)  # the repeat
+            first = crossing.job().attempts[0]
             assert first is not None
             first.upstream.continuity.refused(SYSTEM.monotonic_ns())
-            await connects.release()
-            withheld = driver.ledger.occurrences.withheld
+            await crossing.connects.release()
+            withheld = crossing.driver.ledger.occurrences.withheld
             assert withheld[WithheldReason.PROCESS_UNCERTAIN] == 1
-            assert sum(len(stub.seen) for stub in stubs) == 1
+            assert crossing.received() == 1
 
     run(main())
