Engine: the comment on reading a connection again stands above its call

The formatter had broken the call of hold(False) over three lines to keep a long comment beside it. No behaviour changes: the syntax tree of the file is equal before and after. tests/node/test_bodies.py passes; ruff check and format are clean.

--- a/dykeshift/engine/connection.py
+++ b/dykeshift/engine/connection.py
@@ -139,9 +139,8 @@
             if self.body:
                 sink.write_piece(self._take_body())
             sink.end()
-            self.hold(
-                False
-            )  # the last piece may have paused reading, and the sink does not resume it any more
+            # The last piece may have paused reading, which the sink does not resume any more.
+            self.hold(False)
         self._complete(answer, reuse)
 
     def _break(self) -> None:
