Engine: a long request whose upstream reads no more is answered in its time

Cause: the deadline of an upload starts when its last byte has been read, and reading is paused by our own back-pressure while the upstream reads nothing. A trace of each held upload (every 0.1 s): bytes left equal bytes unread and the deadline is an hour away, in 3 of 3 lost requests; excluded are a late loop (never over 0.05 s), a connection or place that is waited for, and the client's own buffer (none unacknowledged).

Change: engine/backlog.py holds since when the client may have written everything, read or not; the time runs from there. A time-out before the last byte is written ends the attempt like a broken connection, so that the module may refuse. The rest of the body is read and discarded so that the client reads its answer. Related: a client that leaves behind unread bytes, and one whose reading stayed paused after its last byte, are noticed; the last byte does not go out for a client that has left.

--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
 from typing import Protocol
 
@@ -29,6 +31,9 @@
     def hung_up(self, transport: asyncio.BaseTransport) -> bool:
         """Whether the peer has closed or reset the connection, even if that has not been read yet."""
 
+    def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
+        """Bytes that have arrived and were not read; 0 where the system does not provide it."""
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         """Nanoseconds since the last bytes arrived, read or not; 0 where the system does not provide it."""
 
@@ -56,6 +61,16 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @staticmethod
+    def unread_bytes(transport: asyncio.BaseTransport) -> int:
+        """See `Clock.unread_bytes`; Linux's FIONREAD (tcp(7): SIOCINQ)."""
+        try:
+            answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
+        except OSError:
+            return 0
+        count: int = struct.unpack("=i", answer)[0]
+        return count
+
     @staticmethod
     def input_age(transport: asyncio.BaseTransport) -> int:
         """See `Clock.input_age`; read from Linux's TCP_INFO, which counts in milliseconds."""
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -203,6 +203,25 @@
             job.sent = [max(sent, arrived) for sent in job.sent]
             self._set_deadline_timer(job)
 
+    def limit_upload(self, request_id: str, written_at: int | None) -> None:
+        """The client may have written its whole request as early as `written_at`, though it is not read yet.
+
+        Its time runs from there; with None, only once the request is complete.
+        """
+        job = self.jobs.get(request_id)
+        if job is not None and job.request.early and job.stage.may_be_answered:
+            start, limit = self.clock.monotonic_ns(), UPLOAD_TIMEOUT_NS
+            if written_at is not None:
+                start, limit = written_at, job.request.client_timeout - RESPONSE_RESERVE_NS
+            job.deadline = self.termination.limit(start + limit)
+            self._set_deadline_timer(job)
+
+    def end_upload(self, request_id: str) -> None:
+        """Give up a request whose upstream does not read it, and answer as at its deadline."""
+        job = self.jobs.get(request_id)
+        if job is not None:
+            self._expire(job)
+
     def client_gone(self, request_id: str) -> None:
         """The client of a request has disconnected; ignored if the request has been answered."""
         job = self.jobs.get(request_id)
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -12,6 +12,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.arrivals import Arrivals
+from dykeshift.engine.backlog import UploadBacklog
 from dykeshift.engine.bodies import Answer, BodyStream, Bytes, Upload
 from dykeshift.engine.budget import Budget
 from dykeshift.engine.drain import Drain, Actions
@@ -39,6 +40,7 @@
 SHORT_IDLE_TIMEOUT = 2.0  # seconds; after only one request, and for all connections when crowded
 CROWDED_SHARE = 0.5  # the frontend is crowded if more than this share of its connections have been answered
 LINGER_TIMEOUT = 0.5  # seconds for which a rejected client may go on sending, so that it can read its answer
+DISCARD_TIMEOUT = 10.0  # the same for the rest of a body of stated length whose request was answered early
 
 
 class Front:
@@ -174,6 +176,8 @@
         "pipelined",
         "answers",
         "upload",
+        "backlog",
+        "discard_left",
         "streamed_answer",
         "chunked",
         "end_marked",
@@ -198,6 +202,10 @@
         self.connected_at = self.since = front.loop.time()  # since: start of the current state, for timeouts
         self.answers = 0
         self.upload: Upload | None = None  # the body of a request that is forwarded while it is received
+        self.backlog: UploadBacklog | None = None  # with `upload`
+        self.discard_left = (
+            0  # bytes of its body that the client has yet to send, of a request answered early
+        )
         self.streamed_answer: BodyStream | None = None  # the source of the rest of a streamed answer
         # Framing of the streamed answer; end_marked: by length or chunks, so that the client sees its end.
         self.chunked = self.end_marked = False
@@ -231,11 +239,16 @@
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         stalled = self.progress.look(unsent, now)
         if self.busy:
+            if self.upload is not None and self.reading_paused and self.has_disconnected():
+                self.abort()
+                return
+            self._look_at_backlog()
             if stalled and (self.streamed_answer is not None or self.upload is not None):
-                self._abort_stalled(unsent, now)
+                self._end_stalled(unsent, now)
             return
         if self.closing:
-            late = now - self.since > LINGER_TIMEOUT if not unsent else stalled
+            linger = DISCARD_TIMEOUT if self.discard_left > 0 else LINGER_TIMEOUT
+            late = now - self.since > linger if not unsent else stalled
         elif self.is_idle():
             # Clients that send one request and stay connected would use up the connections of returning ones.
             limit = (
@@ -257,8 +270,11 @@
         elif late and not self.has_input():
             self.close_by_us(CloseReason.IDLE)
 
-    def _abort_stalled(self, unsent: int, now: float) -> None:
-        """Abort a transfer without progress; the driver takes it for a client that disconnected."""
+    def _end_stalled(self, unsent: int, now: float) -> None:
+        """End a transfer without progress: answer where the upstream stalls, abort where the client does.
+
+        The driver takes an abort for a client that disconnected.
+        """
         silent = now - self.progress.changed_at
         fields = {
             "request": self.request_id,
@@ -269,12 +285,15 @@
             "unsent": unsent,
         }
         log.warning(
-            "the transfer of request %s is aborted: no byte has passed for %.1f s",
+            "the transfer of request %s is ended: no byte has passed for %.1f s",
             self.request_id,
             silent,
             extra={"event": "transfer.stalled", "fields": fields},
         )
-        self.close_by_us(CloseReason.STALLED)
+        if self.upload is not None and self.reading_paused:
+            self.front.driver.end_upload(self.request_id)
+        else:
+            self.close_by_us(CloseReason.STALLED)
 
     def stop_reading(self) -> None:
         """Leave further input in the kernel; during a streamed answer, read on only to detect a close."""
@@ -304,9 +323,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse input, and submit, forward or reject the request."""
+        self.progress.received += len(data)
         if self.closing or self.parser is None:
+            self._discard(len(data))
             return
-        self.progress.received += len(data)
         if not self.busy or self.upload is not None:
             assert self.transport is not None
             self.last_arrival = self.front.arrivals.arrival_time(self.transport)
@@ -346,7 +366,7 @@
         """Release everything and tell the driver if a request is open."""
         self.front.clients.pop(self, None)
         self.front.answered_clients -= self.answers > 0
-        self.transport = self.parser = self.streamed_answer = self.upload = None
+        self.transport = self.parser = self.streamed_answer = self.upload = self.backlog = None
         self.front.budget.set_usage(self, 0)
         if self.busy:
             self.busy = False
@@ -443,17 +463,42 @@
         length = self.headers.get(b"content-length")
         body, self.body = self.body, bytearray()
         upload = self.upload = Upload(body, int(length) if length is not None else None, self)
+        self.backlog = UploadBacklog(upload.length, self.front.clock.monotonic_ns())
         self.hold(True)  # until a connection to an upstream accepts it
         self._submit(self.parser.get_method(), upload)
 
     def _feed_upload(self, upload: Upload) -> None:
+        if self.request_complete and self.has_disconnected():
+            self.abort()  # without its last byte the upstream does not begin it
+            return
         if self.body:
             upload.feed(bytes(self.body))
             self.body.clear()
-        if self.request_complete:
-            self.request_complete, self.upload = False, None
-            upload.finish()
-            self.front.driver.request_complete(self.request_id, self.last_arrival)
+        if not self.request_complete:
+            self._look_at_backlog()
+            return
+        assert self.backlog is not None
+        written_at = self.backlog.written_at(self.last_arrival)
+        self.request_complete, self.upload, self.backlog = False, None, None
+        upload.finish()
+        self.hold(False)  # a close of the client has to be noticed, however long the upstream takes to read
+        self.front.driver.request_complete(self.request_id, written_at)
+
+    def _look_at_backlog(self) -> None:
+        """Let the time of an upload run from when all of it may have been written, read or not."""
+        if self.backlog is None or self.transport is None:
+            return
+        unread = self.front.clock.unread_bytes(self.transport)
+        if self.backlog.look(self.front.clock.monotonic_ns(), self.size, unread):
+            written_at = self.backlog.incomplete_at if self.backlog.may_be_complete else None
+            self.front.driver.limit_upload(self.request_id, written_at)
+
+    def _discard(self, size: int) -> None:
+        """Count input that is not used; close once the rest of a request that was answered early has come."""
+        if self.discard_left > 0:
+            self.discard_left -= size
+            if self.discard_left <= 0 and self.transport is not None:
+                self.transport.close()
 
     def hold(self, wait: bool) -> None:
         """Back-pressure: pause reading the body if `wait`, else resume."""
@@ -544,7 +589,9 @@
     def _answer_written(self, keep: bool) -> None:
         assert self.transport is not None
         self.busy, self.request_began, self.request_id, self.fed = False, 0, "", 0
-        self.streamed_answer = self.upload = None
+        if self.upload is not None and self.upload.length is not None:
+            self.discard_left = self.upload.length - self.size
+        self.streamed_answer = self.upload = self.backlog = None
         if self.reading_paused:
             self.hold(False)
         if self.size > MAX_BODY:
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -186,15 +186,20 @@
         return self.connection is not None and not self.connection.unwritten
 
     def give_up(self, outcome: Outcome) -> None:
-        """End it without an answer and close its connection; if it was never written, as NOT_SENT."""
+        """End it without an answer and close its connection; if it was never written, as NOT_SENT.
+
+        A time-out before its last byte is written ends it like a connection that breaks then: it cannot run.
+        """
         if self.has_ended:
             return
         if self.connection is None:
             outcome = Outcome.NOT_SENT
         else:
+            timed_out, written = outcome is Outcome.TIMEOUT, self.fully_written()
             self.connection.close()
-            if outcome is Outcome.TIMEOUT:
+            if timed_out:
                 self.pool.close_idle_since(self.upstream, self.written_at)
+                outcome = Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED
         self.has_ended = True
         self.pool.loop.call_soon(self.on_end, AttemptResult(outcome))
 
--- a/dykeshift/scale/virtual.py
+++ b/dykeshift/scale/virtual.py
@@ -83,6 +83,10 @@
         """There are no connections."""
         return False
 
+    def unread_bytes(self, transport: Any) -> int:
+        """There are no connections."""
+        return 0
+
     def input_age(self, transport: Any) -> int:
         """There are no connections."""
         return 0
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -271,6 +271,10 @@
         """See `clock.Clock`."""
         return bool(transport.hung_up())
 
+    def unread_bytes(self, transport: Any) -> int:
+        """See `clock.Clock`."""
+        return len(transport.endpoint.received)
+
     def input_age(self, transport: Any) -> int:
         """See `clock.Clock`."""
         return max(0, self.monotonic_ns() - int(transport.endpoint.last_input_at))
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -472,6 +472,9 @@
     def hung_up(self, transport: asyncio.BaseTransport) -> bool:
         return False
 
+    def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
+        return 0
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return 0
 
