Engine: an id that may have run is not sent again, by either process of an upgrade

Callers saw: an sms-send whose client left after 0 to 250 ms and came again with the same id ran twice, 42 of 160 ids; over both processes of an upgrade, with three more tries, 118 of 160.

Cause: the open request was the only memory of its id, and it ended with its client's wait and its last attempt, though that may have run. Evidence: an id that came while its request was open heard 409; one attempt for each that came; at the other process nothing was known at all.

A claimed id hears 409. An attempt that was given up before its last byte has not run (Attempt.may_have_run).

On the code before, the new test of the upgrade fails; with the claims taken out or never released, tests of test_repeated_ids.py fail (tests/node/test_body_defects.py).

--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -15,11 +15,13 @@
 
 from dykeshift.clock import Clock
 from dykeshift.interface import (
+    NOT_RUN,
     Action,
     AttemptEnd,
     CallEnd,
     Cancel,
     Fail,
+    Idempotency,
     ListKind,
     Log,
     Outcome,
@@ -34,6 +36,7 @@
     FleetAgreement,
 )
 from dykeshift.engine.invariants import Invariant, Stage
+from dykeshift.engine.request_ids import RequestIds
 from dykeshift.engine.ledger import ClassCounts
 from dykeshift.engine.tenants import Listed, Tenants
 from dykeshift.engine.termination import Termination
@@ -50,6 +53,7 @@
 UPLOAD_TIMEOUT_NS = 3600_000_000_000  # for the body of a request that is forwarded while it is being received
 TIMER_SLACK_S = 0.0005  # seconds by which an event loop of millisecond resolution may fire a timer early
 MAX_REMEMBERED_IDS = 16_384  # most recently listed instance ids to remember: under 2 MB, whatever the churn
+DROPPED_IDS_LOGGED = 1000  # of so many ids that were forgotten before their time, one is logged
 TIMER_RETRY_S = 1.0  # seconds until a timer event on which the module raised is delivered again
 
 
@@ -64,6 +68,7 @@
     attempts: list[Attempt | None] = field(default_factory=list)  # by number; None: has ended
     sent: list[int] = field(default_factory=list)  # when each attempt was started
     in_flight: int = 0  # attempts that have not ended
+    may_have_run: bool = False  # some attempt may have; as far as attempts have ended
     stage: Stage = Stage.WAITING
     stream_started_at: int = 0  # when the first part of a streamed answer arrived
     streaming: Attempt | None = None  # the attempt whose answer is being streamed
@@ -98,6 +103,7 @@
             set()
         )  # class positions that a front end uses for its whole lifetime
         self.jobs: dict[str, Job] = {}
+        self.request_ids = RequestIds()
         self.tenants = Tenants()
         self.ready: set[int] = set()  # upstreams that are ready according to the current list
         self.recently_listed: dict[int, None] = {}  # ids, most recently listed last; bounded
@@ -152,6 +158,22 @@
         """Deliver the start event, the first that the module gets."""
         self._deliver_event(self.balancer.on_start)
 
+    def claim_id(self, request: SubmittedRequest) -> bool:
+        """Claim the id of a request that is to be submitted; False if one with it may have run lately."""
+        if request.id in self.jobs:
+            return False
+        if self.balancer.settings.classes[request.klass].idempotency is Idempotency.SAFE:
+            return True
+        dropped = self.request_ids.dropped
+        claimed = self.request_ids.claim(self.clock.monotonic_ns(), request.id)
+        if self.request_ids.dropped > dropped and dropped % DROPPED_IDS_LOGGED == 0:
+            log.warning(
+                "%d ids of requests were forgotten before their time: too many come at once",
+                self.request_ids.dropped,
+                extra={"event": "ids.dropped", "fields": {"dropped": self.request_ids.dropped}},
+            )
+        return claimed
+
     def submit(
         self,
         incoming: SubmittedRequest,
@@ -360,6 +382,7 @@
             return
         attempt, job.attempts[number] = job.attempts[number], None
         job.in_flight -= 1
+        job.may_have_run |= end.outcome not in NOT_RUN and attempt is not None and attempt.may_have_run()
         ended_at = self.clock.monotonic_ns()
         if job.streaming is not None and attempt is job.streaming:
             ended_at = job.stream_started_at  # the rest is paced by the client and does not count
@@ -565,5 +588,7 @@
         """Drop the job if it is answered and none of its attempts is in flight."""
         if job.closed and not job.in_flight:
             self.jobs.pop(job.request.id, None)
+            if not job.may_have_run:
+                self.request_ids.release(job.request.id)
             if job.deadline_timer is not None:
                 job.deadline_timer.cancel()
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -477,8 +477,8 @@
     def _submit(self, method: bytes, body: Bytes | Upload) -> None:
         try:
             incoming = self.front.reader.read(method, self.target, self.headers, body)
-            if incoming.id in self.front.driver.jobs:
-                raise BadRequestError(409, "x-request-id is in use")
+            if not self.front.driver.claim_id(incoming):
+                raise BadRequestError(409, "x-request-id is in use, or was a moment ago")
         except BadRequestError as exc:
             self.front.driver.ledger.rejected(self.headers.get(b"x-class", b"").decode("latin-1"))
             self.keep_alive = False  # slows down a client that keeps sending bad requests
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -102,6 +102,7 @@
         "idle_before",
         "written_at",
         "has_ended",
+        "withdrawn",
         "stream_end",
     )
 
@@ -123,6 +124,7 @@
         self.idle_before: float | None = None  # idle seconds of its reused connection; None: a new one
         self.written_at = 0.0
         self.has_ended = False
+        self.withdrawn = False  # given up before its last byte was written
         self.stream_end: AttemptResult | None = None  # once an answer is streamed: its end, if it completes
 
     def write(self, connection: Link) -> bool:
@@ -195,14 +197,18 @@
         if self.connection is None:
             outcome = Outcome.NOT_SENT
         else:
-            timed_out, written = outcome is Outcome.TIMEOUT, self.fully_written()
+            self.withdrawn = not self.fully_written()
             self.connection.close()
-            if timed_out:
+            if outcome is Outcome.TIMEOUT:
                 self.pool.close_idle_since(self.upstream, self.written_at)
-                outcome = Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED
+                outcome = Outcome.CONNECT_FAILED if self.withdrawn else outcome
         self.has_ended = True
         self.pool.loop.call_soon(self.on_end, AttemptResult(outcome))
 
+    def may_have_run(self) -> bool:
+        """Whether the upstream may have begun it, if its outcome does not prove the contrary."""
+        return self.connection is not None and not self.withdrawn
+
     def finish(self, end: AttemptResult) -> None:
         """Report how it ended, unless it has ended before."""
         if not self.has_ended:
--- a/dykeshift/handover/folder.py
+++ b/dykeshift/handover/folder.py
@@ -5,6 +5,7 @@
 import contextlib
 import fcntl
 import logging
+import mmap
 import os
 from collections.abc import Iterator
 
@@ -16,6 +17,7 @@
 BANS = "lifttrail-bans.json"
 LOCK = "lifttrail-bans.lock"
 SERVING = "lifttrail-serving-"
+TABLE = "lifttrail-requests"
 
 
 class Folder:
@@ -82,6 +84,22 @@
         finally:
             os.close(descriptor)
 
+    # ---- ids of requests ----
+
+    def shared_table(self, size: int) -> mmap.mmap:
+        """A table of so many bytes that all processes share; of zeros when it is new."""
+        lock = os.open(self._path_of(LOCK), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            descriptor = os.open(self._path_of(TABLE), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                os.posix_fallocate(descriptor, 0, size)  # so that no later write finds the disk full
+                return mmap.mmap(descriptor, size)
+            finally:
+                os.close(descriptor)
+        finally:
+            os.close(lock)
+
     # ---- serving processes ----
 
     def announce(self, now: int) -> None:
--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -9,6 +9,7 @@
 from dykeshift.clock import Clock
 from dykeshift.engine.discovery import instance_number
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.request_ids import TABLE_BYTES
 from dykeshift.engine.server import Front
 from dykeshift.handover.bans import Bans
 from dykeshift.handover.folder import Folder
@@ -33,6 +34,7 @@
         self.ended_bans: dict[str, tuple[int, int]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.restored = False  # the bans of earlier processes have been read
+        self.shares_ids = False  # the ids of requests are claimed in a table of all processes
         self.failing = False  # the folder could not be used at the last poll, which is logged once
         driver.must_hold_clients = self._not_ready_or(driver.must_hold_clients)
 
@@ -46,11 +48,22 @@
         """
         try:
             self._apply_bans(self.folder.read())
+            self.share_request_ids()
         except OSError as exc:
             self._note_failure(exc)
         else:
             self.restored = True
 
+    def share_request_ids(self) -> None:
+        """Claim ids of requests in a table that the processes of this balancer share.
+
+        Tried again with each poll: until it works, a request can run here whose id another process has sent.
+        """
+        if not self.shares_ids:
+            table = self.folder.shared_table(TABLE_BYTES)
+            self.driver.request_ids.share(table, self.clock.monotonic_ns())
+            self.shares_ids = True
+
     def serve(self) -> None:
         """Announce that this process serves, and begin to poll what others do."""
         self._poll()
@@ -85,6 +98,7 @@
             if not self.restored or self.folder.changed():
                 self._apply_bans(self.folder.read())
                 self.restored = True
+            self.share_request_ids()
             if not self.folder.own_file:
                 self.folder.announce(self.clock.monotonic_ns())
             others, younger = self.folder.others()
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -151,6 +151,35 @@
     run(main())
 
 
+# Guards against an sms-send that runs twice, as its id came again at the other process of an upgrade.
+def test_an_id_that_one_process_has_sent_is_not_sent_by_the_other(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with site(tmp_path, stub) as platform:
+            await platform.start()
+            kept = await platform.open()
+            for _ in range(2):
+                assert "200" in (await kept.ask(READY)).start
+            new, _ = await platform.start()
+            while "connection" not in (await kept.ask(READY)).headers:
+                kept = await platform.open()  # until the old one has seen the new one
+            leaves = [await platform.open() for _ in range(8)]
+            for number, caller in enumerate(leaves):
+                caller.writer.write(request(rid=f"again{number}"))
+            await wait_until(lambda: len(stub.seen) >= 4)
+            for caller in leaves:
+                caller.writer.transport.abort()
+            await wait_until(lambda: stub.lost == len(stub.writers))
+            sent = {message.headers["x-request-id"] for message in stub.seen}
+            for rid in sent:
+                for _ in range(4):  # to either process
+                    caller = await platform.open()
+                    assert "409" in (await caller.ask(request(rid=rid))).start
+            assert len(stub.seen) == len(sent)
+
+    run(main())
+
+
 def test_the_old_process_answers_an_accepted_request_after_sigterm(tmp_path: Path) -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
--- a/tests/node/test_body_defects.py
+++ b/tests/node/test_body_defects.py
@@ -9,11 +9,13 @@
 import pytest
 
 from dykeshift.engine import admission, server, upstream
+from dykeshift.engine.driver import Driver
+from dykeshift.engine.request_ids import RequestIds
 from dykeshift.engine.requests import Incoming
 from dykeshift.engine.server import Client
 from dykeshift.interface import Action, Request
 from dykeshift.rules import Balancer
-from tests.node import test_bodies, test_held_uploads, test_slow_crowds
+from tests.node import test_bodies, test_held_uploads, test_repeated_ids, test_slow_crowds
 
 
 def _truncated_as_if_complete() -> tuple[Any, str, Any]:
@@ -79,6 +81,16 @@
     return admission, "choose", lambda candidates, now: None
 
 
+def _ids_not_claimed() -> tuple[Any, str, Any]:
+    """An id that is not in use may be used again at once."""
+    return Driver, "claim_id", lambda self, request: request.id not in self.jobs
+
+
+def _claims_not_released() -> tuple[Any, str, Any]:
+    """An id stays claimed though its request has certainly not run."""
+    return RequestIds, "release", lambda self, request_id: None
+
+
 def _budget_not_enforced() -> tuple[Any, str, Any]:
     return server.Front, "relieve_budget", lambda self: None
 
@@ -131,6 +143,12 @@
             test_slow_crowds.test_at_the_limit_the_slowest_unfinished_request_makes_room_and_is_refused,
             (False,),
         ),
+        (
+            _ids_not_claimed,
+            test_repeated_ids.test_what_may_have_run_is_not_sent_again_after_its_client_has_left,
+            ("send", None),
+        ),
+        (_claims_not_released, test_repeated_ids.test_what_was_turned_away_by_all_is_sent_again, ()),
         (_reading_left_paused, test_held_uploads.test_a_client_is_read_again_once_its_upload_is_complete, ()),
         (_budget_not_enforced, test_bodies.test_over_the_budget_a_request_is_streamed_completely, (False,)),
     ],
