MLLP: frames that are kept have a common budget of bytes

Over it the connection whose frame under way has held most bytes for longest is reset: that frame was not taken, its sender sends it again. Connections with messages in work are not read meanwhile, and the kernel's buffers are bounded as for HTTP.

--- a/dykeshift/mllp/framing.py
+++ b/dykeshift/mllp/framing.py
@@ -77,6 +77,15 @@
         """Whether a block is under way: what a connection that ends now cuts off."""
         return self._state is not _State.BETWEEN
 
+    @property
+    def kept(self) -> int:
+        """Bytes of the block under way that are kept."""
+        return len(self._content)
+
+    def discard(self) -> None:
+        """Drop what is kept of the block under way, as its connection ends."""
+        self._content = bytearray()
+
     def late(self, now: int, limit: int) -> bool:
         """Whether the block under way has taken longer than `limit`, however its bytes trickle in."""
         return self.began is not None and now - self.began > limit
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -20,6 +20,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.arrivals import Arrivals
+from dykeshift.engine.budget import Budget
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.terms import Final, FinalStatus
 from dykeshift.interface import Settings
@@ -65,7 +66,14 @@
         limit: int = 8,
         max_frame: int = 1 << 20,
         most: int = 100,
+        buffer_limit: int = 64 << 20,
+        socket_buffer: int = 0,
     ) -> None:
+        """`buffer_limit`: bytes of frames that all connections together may keep.
+
+        `socket_buffer`: bytes that the kernel may hold of a connection in each direction; 0: its default.
+        """
+        self.budget, self.socket_buffer = Budget[Line](max(buffer_limit, 2 * max_frame)), socket_buffer
         self.loop, self.clock, self.driver, self.mapping = loop, clock, driver, mapping
         self.memory, self.journal = memory, journal
         self.storing: Counter[int] = Counter()  # messages that the journal writes, by position of their class
@@ -90,6 +98,24 @@
         self.lines[line] = None
         return True
 
+    def note_kept(self, line: Line) -> None:
+        """Keep within the budget of bytes: reset connections whose frame under way holds most for longest.
+
+        Such a frame was not taken, and its sender sends it again. While more is kept than allowed,
+        connections with messages in work are not read.
+        """
+        crowded = self.budget.exceeded
+        self.budget.set_usage(line, line.session.kept)
+        while self.budget.exceeded:
+            under_way = [one for one in self.budget.usage if one.may_be_dropped()]
+            if not under_way:
+                break
+            now = self.clock.monotonic_ns()
+            max(under_way, key=lambda one: one.held_bytes_ns(now)).abort()
+        if crowded is not self.budget.exceeded:
+            for one in list(self.lines):
+                one.settle()
+
     def take_settings(self, settings: Settings) -> None:
         """Messages that come from now on have the terms of these settings; `classes` is by position."""
         self.mapping.follow(settings.classes, settings.retired)
@@ -280,6 +306,8 @@
     def connection_made(self, transport: Any) -> None:
         """Register the connection, or reset it when the front drains or is full."""
         self.transport = transport
+        if self.front.socket_buffer:
+            self.front.clock.limit_buffers(transport, self.front.socket_buffer)
         if self.front.draining or not self.front.admit(self):
             transport.abort()
 
@@ -293,6 +321,7 @@
         """Forget the connection; its messages stay in work."""
         self.front.lines.pop(self, None)
         self.transport = None
+        self.front.budget.set_usage(self, 0)
 
     def pause_writing(self) -> None:
         """Stop reading while the client does not read its answers."""
@@ -315,6 +344,8 @@
     def _handle(self, slots: list[Slot]) -> None:
         for slot in slots:
             self.front.handle(self, slot)
+        if self.transport is not None:
+            self.front.note_kept(self)
         self.settle()
 
     def answer(self, slot: Slot, part: bytes, last: bool = True) -> None:
@@ -325,6 +356,8 @@
             self.transport.write(out)
         if taken:
             self.front.loop.call_soon(self._handle, taken)
+        if self.transport is not None:
+            self.front.note_kept(self)
         self.settle()
 
     def settle(self) -> None:
@@ -342,10 +375,22 @@
             self.transport.write_eof()
             if self.stopped:
                 self.transport.resume_reading()
-        elif (self.session.full or self.choked) != self.stopped:
+        elif (self.session.full or self.choked or self._must_wait()) != self.stopped:
             self.stopped = not self.stopped
             (self.transport.pause_reading if self.stopped else self.transport.resume_reading)()
 
+    def _must_wait(self) -> bool:
+        """Whether it may not bring more, as all connections together keep too much."""
+        return self.front.budget.exceeded and bool(self.session.open)
+
+    def may_be_dropped(self) -> bool:
+        """Whether nothing of it but a frame under way is kept, which was not taken."""
+        return self.session.deframer.kept > 0 and not self.session.open and not self.session.held
+
+    def held_bytes_ns(self, now: int) -> int:
+        """Bytes of the frame under way, times the nanoseconds since it began."""
+        return self.session.deframer.kept * (now - (self.session.deframer.began or now))
+
     def idle(self) -> bool:
         """No byte of a frame has come that is not answered, and no answer is on its way."""
         if self.front.loop.time() - self.since < LINGER:
@@ -355,7 +400,9 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        # Out of the count at once: its end is told later.
+        # Out of the counts at once: its end is told later.
         self.front.lines.pop(self, None)
+        self.front.budget.set_usage(self, 0)
+        self.session.deframer.discard()
         if self.transport is not None:
             self.transport.abort()
--- a/dykeshift/mllp/session.py
+++ b/dykeshift/mllp/session.py
@@ -79,6 +79,12 @@
             self.open.popleft()
         return bytes(out), self._take()
 
+    @property
+    def kept(self) -> int:
+        """Bytes of frames that are kept: under way, held, or open."""
+        whole = sum(len(frame.content) for frame in self.held) + sum(len(slot.content) for slot in self.open)
+        return self.deframer.kept + whole
+
     @property
     def full(self) -> bool:
         """Nothing more should be read."""
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -11,7 +11,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.listener import Listening
-from dykeshift.engine.config import Config, ConfigError, read_address
+from dykeshift.engine.config import CONNECTION_PAIR_MEMORY_MB, Config, ConfigError, read_address
 from dykeshift.engine.requests import Objection
 from dykeshift.interface import Settings
 from dykeshift.mllp import bridge
@@ -134,6 +134,11 @@
     return min(options.connections, configuration.connections // 2)
 
 
+def frames_budget(options: Options, configuration: Config) -> int:
+    """Bytes of frames that all MLLP clients together may keep: the memory of the connections set apart."""
+    return int(connections(options, configuration) * CONNECTION_PAIR_MEMORY_MB * 1e6)
+
+
 def objection(options: Options) -> Objection | None:
     """Which HTTP requests MLLP upstreams cannot take."""
     return bridge.objection if options.upstreams == "mllp" else None
@@ -176,6 +181,8 @@
         options.pipelined,
         options.max_frame_kb << 10,
         connections(options, host.configuration),
+        frames_budget(options, host.configuration),
+        host.configuration.socket_buffer,
     )
     front.take_settings(host.driver.balancer.settings)
     if host.reload is not None:
--- a/tests/mllp/test_front.py
+++ b/tests/mllp/test_front.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -15,7 +16,7 @@
 
 from dykeshift.mllp import acks
 from dykeshift.mllp.framing import Deframer, Frame, frame
-from dykeshift.mllp.front import MllpFront
+from dykeshift.mllp.front import Line, MllpFront
 from dykeshift.mllp.mapping import Mapping, MappingError, Rule, made
 from dykeshift.mllp.message import read
 from dykeshift.mllp.session import Session
@@ -531,3 +532,58 @@
             assert await clinic.say(message()) == "AA" and len(here.stub.seen) == 1
 
     run(main())
+
+
+HALF = b"\x0b" + message("half") + b"Z" * 200_000
+BUDGET = 500_000
+
+
+def is_kept_or_dropped(line: Line) -> bool:
+    return line.session.deframer.kept == len(HALF) - 1 or line.transport is None
+
+
+# Guards against clinics with half a frame each that take more memory than the process may have.
+def test_unfinished_frames_stay_within_a_common_budget_and_others_are_served() -> None:
+    async def main() -> None:
+        async with place(answers_with(answer())) as here:
+            here.front.budget.limit = BUDGET
+            calm = await here.clinic()
+            assert await calm.say(message("m0")) == "AA"
+            halves = []
+            for number in range(6):
+                halves.append(await here.clinic())
+                halves[-1].writer.write(HALF)
+                await wait_until(partial(is_kept_or_dropped, next(reversed(here.front.lines))))
+                assert here.front.budget.total <= BUDGET
+                assert await calm.say(message(f"m{number + 1}")) == "AA"
+            assert here.front.budget.total >= BUDGET // 2
+            with pytest.raises(ConnectionError):
+                await halves[0].hear()  # it has held the most for longest
+
+    run(main())
+
+
+def test_over_the_budget_connections_with_messages_in_work_are_not_read_and_all_are_answered() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def slow(_: Stub, __: object, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(answer())
+
+        async with place(slow) as here:
+            clinic = await here.clinic()
+            clinic.writer.write(frame(message("m1", text="Z" * 200_000)))
+            await wait_until(lambda: len(here.stub.seen) == 1)
+            (line,) = here.front.lines
+            here.front.budget.limit = 100_000
+            here.front.note_kept(line)
+            line.settle()
+            clinic.writer.write(frame(message("m2")))
+            await wait_until(lambda: here.node.front.clock.has_input(line.transport))
+            assert line.stopped and len(line.session.open) == 1
+            gate.set()
+            assert [ack.code.value for ack in await clinic.hear(2)] == ["AA", "AA"]
+            assert not here.front.budget.total and not line.stopped
+
+    run(main())
--- a/tests/node/test_body_defects.py
+++ b/tests/node/test_body_defects.py
@@ -15,6 +15,8 @@
 from dykeshift.engine.server import Client
 from dykeshift.interface import Action, Request
 from dykeshift.rules import Balancer
+from dykeshift.mllp.front import MllpFront
+from tests.mllp import test_front
 from tests.node import test_bodies, test_held_uploads, test_repeated_ids, test_slow_crowds
 
 
@@ -91,6 +93,11 @@
     return RequestIds, "release", lambda self, request_id: None
 
 
+def _frames_not_counted() -> tuple[Any, str, Any]:
+    """Frames of MLLP are kept without regard to a budget."""
+    return MllpFront, "note_kept", lambda self, line: None
+
+
 def _budget_not_enforced() -> tuple[Any, str, Any]:
     return server.Front, "relieve_budget", lambda self: None
 
@@ -149,6 +156,11 @@
             ("send", None),
         ),
         (_claims_not_released, test_repeated_ids.test_what_was_turned_away_by_all_is_sent_again, ()),
+        (
+            _frames_not_counted,
+            test_front.test_unfinished_frames_stay_within_a_common_budget_and_others_are_served,
+            (),
+        ),
         (_reading_left_paused, test_held_uploads.test_a_client_is_read_again_once_its_upload_is_complete, ()),
         (_budget_not_enforced, test_bodies.test_over_the_budget_a_request_is_streamed_completely, (False,)),
     ],
