Soak: ids come again after their client has left, and a daemon that forgets them is found

Need: no client of the soak sent an id twice but while it was open, so that the ids that ran twice were not seen. A drawn share of the unsafe ids whose client leaves comes again within 150 ms, at the same balancer, where no episode ends its process (another one is told nothing).

--- a/tests/soak/defects.py
+++ b/tests/soak/defects.py
@@ -183,6 +183,11 @@
 # ---- clients, drains, termination ----
 
 
+def _forget_ids_with_their_requests() -> list[Patch]:
+    """An id may come again as soon as its request is over, whether that may have run or not."""
+    return [(driver.Driver, "claim_id", lambda self, request: request.id not in self.jobs)]
+
+
 def _ignore_client_disconnects() -> list[Patch]:
     """A client that disconnects is neither noticed nor checked for."""
     return [
@@ -276,6 +281,7 @@
         _simulation_defect("takes no waiting output for no progress"),
     ),
     Defect("treats all as safe", WHOLE, REPEAT_RULES, _treat_unsafe_as_safe),
+    Defect("forgets ids with their requests", SMALL, REPEAT_RULES, _forget_ids_with_their_requests),
     Defect("takes a reset for a proof", SMALL, REPEAT_RULES, _simulation_defect("takes a reset for a proof")),
     Defect(
         "repeats keys in any rack",
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -10,6 +10,7 @@
 import itertools
 import time
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any
 
 from dykeshift.rig.tally import Tally
@@ -105,6 +106,7 @@
         self.senders_disturbed_until = 0  # end of the latest sender fault
         self.tries_by_class: Counter[str] = Counter()  # finished counted tries
         self.served_by_class: Counter[str] = Counter()
+        self.on_left: Callable[[Errand, Address], None] = lambda errand, to: None
 
     def add_breach(self, rule: str, text: str) -> None:
         """Record a breach of a rule that only the soak checks."""
@@ -185,6 +187,7 @@
         """See `Account.left`."""
         self.answers["left"] += 1
         self.referee.gone(time.monotonic_ns(), rid)
+        self.on_left(errand, to)
 
     def closed_unread(self, errand: Errand, rid: str, to: Address) -> None:
         """Record a breach if a new connection was closed unanswered although its request was sent at once."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -98,11 +98,17 @@
     longest_deadline: float = 1.5  # seconds, of any class
     idle_connections: int = 0  # opened to a balancer at its SIGTERM
     repeat_share: float = 0.0  # share of the streamed answers with a second copy right behind
+    again_share: float = 0.0  # share of the ids that come again after their client has left
 
     def deadline(self, klass: str) -> float:
         """Return the deadline of a class in seconds."""
         return self.longest_deadline * DEADLINE_SHARES[klass]
 
+    def lasting_balancers(self) -> set[int]:
+        """Return the numbers of the balancers whose process lasts throughout the run."""
+        ended = {e.target for e in self.episodes if e.fault in (Fault.TERMINATED, Fault.KILLED)}
+        return set(range(self.balancers)) - ended
+
     @property
     def socket_limit(self) -> int:
         """The configured descriptor limit of a daemon: low enough that idle connections use it up, if any."""
@@ -130,6 +136,7 @@
         idle_connections=random.choice((0, 0, 0, 200)),
         load_seconds=random.choice((SOAK_SECONDS, SOAK_SECONDS, AGED_SOAK_SECONDS)),
         repeat_share=random.choice((0.0, 0.1, 0.4)),
+        again_share=random.choice((0.0, 0.3, 1.0)),
     )
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,6 +30,7 @@
 STARTUP_S = 2.0  # time from process start until it must be able to reach discovery
 RESTART_DELAY_S = 0.3  # between the exit of a process and its next start
 SENDER_SLOTS = 3  # few enough that a cold sender is overloaded by a large part of the load
+MAX_AGAIN_S = 0.15  # from a client's leaving until its id comes again
 MAX_COST_SHARE = 0.1  # upper bound of a request's cost, as a share of its deadline
 RUN_DELAY_INTERVAL_S = 0.1  # between two readings of how long each daemon waited for a processor
 CLIENT_GRACE_S = 0.9  # time past its deadline that a client keeps reading
@@ -87,6 +88,9 @@
         self.crowd = Crowd(self.front, self.observer, self.crowd.rng, grace=CLIENT_GRACE_S)
         if not plan.idle_connections:  # at the descriptor limit, new connections may be closed unread
             self.crowd.on_unserved = self.observer.closed_unread
+        self.observer.on_left = self._send_again
+        self.again_rng = Random(f"{plan.seed}/again")
+        self.lasting: set[tuple[str, int]] = set()  # addresses of processes that last throughout the run
         self.controls: list[FaultControl] = []
         self.exits: list[tuple[str, int]] = []
         self.started_at: dict[str, float] = {}  # by balancer: start time of its process
@@ -121,6 +125,7 @@
             balancer.program = list(self.program)
             self.observer.names[balancer.address] = balancer.name
             await self._open_discovery(balancer.name)
+        self.lasting = {self.balancers[number].address for number in self.plan.lasting_balancers()}
         for sender in self.senders:
             sender.mood = self._default_mood()
 
@@ -182,6 +187,14 @@
             to=to,
         )
 
+    def _send_again(self, errand: Errand, to: tuple[str, int]) -> None:
+        """Send a request whose client has left once more, with the same id, to the same process."""
+        if errand.kind != "unsafe" or errand.leaves is None or to not in self.lasting:
+            return
+        if self.again_rng.random() < self.plan.again_share:
+            again = replace(errand, leaves=None, retries=0, pause=0.0, to=to)
+            self._call_later(self.again_rng.uniform(0.0, MAX_AGAIN_S), errand_starter(self.crowd, again))
+
     # ---- faults ----
 
     def _start_episode(self, episode: Episode) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     "takes no waiting output for no progress": 500,
     "loses an answer's end to a copy behind it": 500,
     "takes a class without a group": 500,
+    "forgets ids with their requests": 501,
     "treats all as safe": 500,
     "ignores drains": 502,
     "ignores that clients leave": 501,
@@ -45,6 +46,8 @@
     assert any(plan.idle_connections for plan in plans) and not all(plan.idle_connections for plan in plans)
     assert {SOAK_SECONDS, AGED_SOAK_SECONDS} == {plan.load_seconds for plan in plans}
     assert any(plan.repeat_share * plan.stream_share for plan in plans)
+    assert any(plan.again_share * plan.leave_share for plan in plans)
+    assert all(plan.lasting_balancers() for plan in plans)
     assert {0.2, 4.0} <= {plan.longest_deadline for plan in plans}
 
 
