--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -32,8 +32,11 @@
     def hung_up(self, transport: asyncio.BaseTransport) -> bool:
         """Whether the peer has closed or reset the connection, even if that has not been read yet."""
 
-    def limit_buffers(self, transport: asyncio.BaseTransport, size: int) -> None:
-        """Let the kernel hold about `size` bytes at most in each direction, where the system provides it."""
+    def limit_receiving(self, transport: asyncio.BaseTransport, size: int) -> None:
+        """Let the kernel hold about `size` unread bytes at most, where the system provides it."""
+
+    def limit_sending(self, transport: asyncio.BaseTransport, size: int) -> None:
+        """Let the kernel hold about `size` unsent bytes at most, where the system provides it."""
 
     def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
         """Bytes that have arrived and were not read; 0 where the system does not provide it."""
@@ -66,12 +69,16 @@
         return bool(poll.poll(0))
 
     @staticmethod
-    def limit_buffers(transport: asyncio.BaseTransport, size: int) -> None:
-        """See `Clock.limit_buffers`; Linux doubles the sizes for its own structures (socket(7))."""
-        raw = transport.get_extra_info("socket")
+    def limit_receiving(transport: asyncio.BaseTransport, size: int) -> None:
+        """See `Clock.limit_receiving`; Linux doubles the size for its own structures (socket(7))."""
+        with contextlib.suppress(OSError):
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    @staticmethod
+    def limit_sending(transport: asyncio.BaseTransport, size: int) -> None:
+        """See `Clock.limit_sending`, and above."""
         with contextlib.suppress(OSError):
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     @staticmethod
     def unread_bytes(transport: asyncio.BaseTransport) -> int:
--- a/dykeshift/engine/request_ids.py
+++ b/dykeshift/engine/request_ids.py
@@ -14,9 +14,10 @@
 
 RETENTION_NS = 60_000_000_000  # far longer than any deadline, and than servers work on what was given up
 BUCKETS, SLOTS = 4096, 8
-SLOT = struct.Struct("=QQ")  # digest of the id; when it was claimed, in ns of the machine's monotonic clock
-TABLE_BYTES = BUCKETS * SLOTS * SLOT.size
-EMPTY = (0, 0)
+# A claim: digest of the id; when it was claimed, in ns of the machine's monotonic clock. Zeros: none.
+SLOT = struct.Struct("=QQ")
+BUCKET = struct.Struct("=" + SLOTS * "QQ")
+TABLE_BYTES = BUCKETS * BUCKET.size
 
 Table = bytearray | mmap.mmap
 
@@ -32,28 +33,21 @@
     def share(self, table: Table, now: int) -> None:
         """Use a table that other processes use, too, with the claims made so far."""
         own, self.table = self.table, table
-        for offset in range(0, TABLE_BYTES, SLOT.size):
-            digest, claimed_at = SLOT.unpack_from(own, offset)
-            if self._is_claim(now, claimed_at):
-                self._write(now, self._bucket(digest), digest, claimed_at)
+        for digest, claimed_at in SLOT.iter_unpack(own):
+            if self._holds(now, claimed_at):
+                self._claim(now, digest, claimed_at)
 
     def claim(self, now: int, request_id: str) -> bool:
         """Claim an id; False if it is claimed already. `now`: ns of the machine's monotonic clock."""
-        digest = self._digest(request_id)
-        bucket = self._bucket(digest)
-        for offset in bucket:
-            found, claimed_at = SLOT.unpack_from(self.table, offset)
-            if found == digest and self._is_claim(now, claimed_at):
-                return False
-        self._write(now, bucket, digest, now)
-        return True
+        return self._claim(now, self._digest(request_id), now)
 
     def release(self, request_id: str) -> None:
         """The request has certainly not run: its id may be claimed again."""
         digest = self._digest(request_id)
-        for offset in self._bucket(digest):
-            if SLOT.unpack_from(self.table, offset)[0] == digest:
-                SLOT.pack_into(self.table, offset, *EMPTY)
+        start = self._bucket(digest)
+        digests = BUCKET.unpack_from(self.table, start)[::2]
+        if digest in digests:
+            SLOT.pack_into(self.table, start + digests.index(digest) * SLOT.size, 0, 0)
 
     @staticmethod
     def _digest(request_id: str) -> int:
@@ -61,22 +55,26 @@
         return int.from_bytes(digest, "big") or 1
 
     @staticmethod
-    def _bucket(digest: int) -> range:
-        """The offsets of the slots that may hold this digest."""
-        start = digest % BUCKETS * SLOTS * SLOT.size
-        return range(start, start + SLOTS * SLOT.size, SLOT.size)
+    def _bucket(digest: int) -> int:
+        """The offset of the bucket of this digest."""
+        return digest % BUCKETS * BUCKET.size
 
     @staticmethod
-    def _is_claim(now: int, claimed_at: int) -> bool:
+    def _holds(now: int, claimed_at: int) -> bool:
         """Whether a claim of that time still holds; one from the future is from before a restart."""
         return claimed_at > 0 and 0 <= now - claimed_at < RETENTION_NS
 
-    def _write(self, now: int, bucket: range, digest: int, claimed_at: int) -> None:
-        """Write a claim over the slot that is free, or whose claim is the oldest."""
-        age, offset = max((self._age(now, slot), slot) for slot in bucket)
-        self.dropped += age < RETENTION_NS
-        SLOT.pack_into(self.table, offset, digest, claimed_at)
-
-    def _age(self, now: int, offset: int) -> int:
-        claimed_at: int = SLOT.unpack_from(self.table, offset)[1]
-        return now - claimed_at if self._is_claim(now, claimed_at) else RETENTION_NS
+    def _claim(self, now: int, digest: int, claimed_at: int) -> bool:
+        """Write a claim unless there is one, over the slot that is free or whose claim is the oldest."""
+        start = self._bucket(digest)
+        found = BUCKET.unpack_from(self.table, start)
+        digests, times = found[::2], found[1::2]
+        if digest in digests:
+            slot = digests.index(digest)
+            if self._holds(now, times[slot]):
+                return False
+        else:
+            slot = times.index(min(times)) if max(times) <= now else times.index(max(times))
+            self.dropped += self._holds(now, times[slot])
+        SLOT.pack_into(self.table, start + slot * SLOT.size, digest, claimed_at)
+        return True
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -64,7 +64,7 @@
     ) -> None:
         """`buffer_limit`: bytes of all request bodies that are buffered until they are answered.
 
-        `socket_buffer`: bytes that the kernel may hold of a connection in each direction; 0: its default.
+        `socket_buffer`: bytes that the kernel may hold of a long body in each direction; 0: its default.
         """
         self.socket_buffer = socket_buffer
         self.loop = loop
@@ -93,8 +93,6 @@
         Protects the limit on file descriptors, and active clients from those that connect and send
         nothing, or send so slowly that they would take the connections of all others.
         """
-        if self.socket_buffer and client.transport is not None:
-            self.clock.limit_buffers(client.transport, self.socket_buffer)
         if len(self.clients) >= self.limit:
             leaving = admission.choose(self.clients, self.loop.time())
             if leaving is None:
@@ -398,6 +396,9 @@
             self.request_complete = False
             self._handle_request()
         elif len(self.body) > COUNTED_BODY:
+            if self.front.socket_buffer and not self.front.budget.usage.get(self):
+                assert self.transport is not None
+                self.front.clock.limit_receiving(self.transport, self.front.socket_buffer)
             self.front.budget.set_usage(self, len(self.body))
             self.front.relieve_budget()
 
@@ -609,6 +610,8 @@
         if not self.keep_alive:
             lines.append(b"Connection: close")
         self.streamed_answer = answer.rest
+        if self.front.socket_buffer:
+            self.front.clock.limit_sending(self.transport, self.front.socket_buffer)
         self.transport.set_write_buffer_limits(high=MAX_UNSENT_PIECES)
         self._write(b"\r\n".join(lines) + b"\r\n\r\n")
         answer.rest.stream_to(self)
--- a/dykeshift/engine/upstream.py
+++ b/dykeshift/engine/upstream.py
@@ -10,7 +10,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.interface import LoadReport, Outcome
-from dykeshift.engine.bodies import Message
+from dykeshift.engine.bodies import Message, StreamedMessage
 from dykeshift.engine.config import Address
 from dykeshift.engine.continuity import ProcessContinuity
 from dykeshift.engine.invariants import WithheldReason
@@ -149,7 +149,10 @@
         self.idle_before = self.written_at - connection.idle_since if connection.used else None
         if not proven:
             self.terms.on_uncertain()
-        connection.send(self.encode(self.deadline - now), self)
+        message = self.encode(self.deadline - now)
+        if isinstance(message, StreamedMessage):
+            self.pool.limit_sending(connection)
+        connection.send(message, self)
         if self.terms.begin_by and connection.unwritten:
             self.pool.loop.call_later((self.terms.begin_by - now) / 1e9, self._withdraw_if_unsent)
         return True
@@ -259,7 +262,7 @@
         ledger: Ledger | None = None,
         socket_buffer: int = 0,
     ) -> None:
-        """`socket_buffer`: bytes that the kernel may hold of a connection each way; 0: its default."""
+        """`socket_buffer`: bytes that the kernel may hold of a long body each way; 0: its default."""
         self.loop = loop
         self.socket_buffer = socket_buffer
         self.ledger = ledger or Ledger()
@@ -277,6 +280,11 @@
         self.connecting: set[asyncio.Task[None]] = set()
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
+    def limit_sending(self, connection: Link) -> None:
+        """Bound what the kernel holds of a long request."""
+        if self.socket_buffer and connection.transport is not None:
+            self.clock.limit_sending(connection.transport, self.socket_buffer)
+
     def take_timeouts(self, connect_timeout: float, keepalive: float) -> None:
         """Use these seconds from now on; `keepalive`: until an upstream closes an idle connection."""
         self.connect_timeout = connect_timeout
@@ -424,7 +432,7 @@
             attempt.finish(AttemptResult(Outcome.CONNECT_FAILED))
             return
         if self.socket_buffer and connection.transport is not None:
-            self.clock.limit_buffers(connection.transport, self.socket_buffer)
+            self.clock.limit_receiving(connection.transport, self.socket_buffer)
         now = self.clock.monotonic_ns()
         self._report_uncertain(upstream.continuity.opened(connection, now, Link.is_open))
         self._note_interruption(upstream)
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -307,7 +307,8 @@
         """Register the connection, or reset it when the front drains or is full."""
         self.transport = transport
         if self.front.socket_buffer:
-            self.front.clock.limit_buffers(transport, self.front.socket_buffer)
+            self.front.clock.limit_receiving(transport, self.front.socket_buffer)
+            self.front.clock.limit_sending(transport, self.front.socket_buffer)
         if self.front.draining or not self.front.admit(self):
             transport.abort()
 
--- a/dykeshift/scale/virtual.py
+++ b/dykeshift/scale/virtual.py
@@ -83,7 +83,10 @@
         """There are no connections."""
         return False
 
-    def limit_buffers(self, transport: Any, size: int) -> None:
+    def limit_receiving(self, transport: Any, size: int) -> None:
+        """There are no connections."""
+
+    def limit_sending(self, transport: Any, size: int) -> None:
         """There are no connections."""
 
     def unread_bytes(self, transport: Any) -> int:
