Engine: bodies for MLLP servers stay whole; ids that can't be shared stop nothing

A shared table that cannot be made ended each poll of the folder, so that the limits of connections were not shared. An upload whose answer had begun while it was held was looked at ten times a second for ever.

Change: no upload is started where there is an objection to parts; a table that fails is said once (handover.ids-unshared) and tried again; such an upload is aborted like any other stalled transfer.

--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -105,8 +105,10 @@
         """Over the budget, start forwarding the largest request that is still being received.
 
         One request at a time: its buffer is only released once an upstream connection accepts it, and
-        reading from its client is paused until then.
+        reading from its client is paused until then. Not where the upstreams' protocol needs whole bodies.
         """
+        if self.reader.objection is not None:
+            return
         if self.budget.exceeded and (client := self.budget.largest(Client.is_buffering)) is not None:
             client.start_upload()
 
@@ -337,7 +339,7 @@
             silent,
             extra={"event": "transfer.stalled", "fields": fields},
         )
-        if self.upload is not None and self.reading_paused:
+        if self.upload is not None and self.reading_paused and self.streamed_answer is None:
             self.front.driver.end_upload(self.request_id)
         else:
             self.close_by_us(CloseReason.STALLED)
--- a/dykeshift/node/together.py
+++ b/dykeshift/node/together.py
@@ -34,6 +34,7 @@
         self.ended_bans: dict[str, tuple[int, int]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.restored = False  # the bans of earlier processes have been read
+        self.unshared = False  # sharing the ids of requests has failed, which is logged once
         self.shares_ids = False  # the ids of requests are claimed in a table of all processes
         self.failing = False  # the folder could not be used at the last poll, which is logged once
         driver.must_hold_clients = self._not_ready_or(driver.must_hold_clients)
@@ -59,10 +60,26 @@
 
         Tried again with each poll: until it works, a request can run here whose id another process has sent.
         """
-        if not self.shares_ids:
+        if self.shares_ids:
+            return
+        try:
             table = self.folder.shared_table(TABLE_BYTES)
-            self.driver.request_ids.share(table, self.clock.monotonic_ns())
-            self.shares_ids = True
+        except OSError as exc:
+            self._note_unshared(exc)
+            return
+        self.driver.request_ids.share(table, self.clock.monotonic_ns())
+        self.shares_ids = True
+
+    def _note_unshared(self, exc: OSError) -> None:
+        """Log once that ids of requests are known to this process alone."""
+        if not self.unshared:
+            self.unshared = True
+            log.warning(
+                "the ids of requests cannot be shared with other versions: %s; until they can be, a request "
+                "whose id comes again may run at both",
+                exc,
+                extra={"event": "handover.ids-unshared", "fields": {"reason": str(exc)}},
+            )
 
     def serve(self) -> None:
         """Announce that this process serves, and begin to poll what others do."""
--- a/tests/handover/test_together.py
+++ b/tests/handover/test_together.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import mmap
 import time
 from pathlib import Path
 
@@ -9,6 +11,7 @@
 
 from dykeshift.clock import SystemClock
 from dykeshift.engine.discovery import instance_number
+from dykeshift.engine.request_ids import TABLE_BYTES, RequestIds
 from dykeshift.handover.bans import Bans
 from dykeshift.handover.folder import BANS, Folder
 from dykeshift.interface import ListKind
@@ -152,3 +155,37 @@
             assert driver.balancer.servers[S0].entry.started >= before  # cold from the end of the ban on
 
     run(main())
+
+
+# Guards against an upgrade whose processes take each the whole limits, as their ids cannot be shared.
+def test_ids_that_cannot_be_shared_are_said_once_and_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def main() -> None:
+        stub = await Stub(answers_with(answer())).start()
+        async with node(stub) as balancer:
+            folder, other = Folder(str(tmp_path)), Folder(str(tmp_path))
+            here, limit = group_of(balancer, folder), balancer.front.limit
+            ids = balancer.front.driver.request_ids
+            assert ids.claim(balancer.front.clock.monotonic_ns(), "before")
+
+            def full(size: int) -> mmap.mmap:
+                raise OSError(errno.ENOSPC, "no space")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(folder, "shared_table", full)
+                here.restore()
+                other.announce(balancer.front.clock.monotonic_ns())
+                for _ in range(3):
+                    here._poll()
+                assert here.restored and balancer.front.limit == limit // 2
+            events = [one for one in caplog.records if getattr(one, "event", "") == "handover.ids-unshared"]
+            assert len(events) == 1 and not here.shares_ids
+            here._poll()
+            assert here.shares_ids
+            elsewhere = RequestIds(other.shared_table(TABLE_BYTES))
+            assert not elsewhere.claim(balancer.front.clock.monotonic_ns(), "before")
+            here.leave()
+            other.withdraw()
+
+    run(main())
--- a/tests/mllp/test_front.py
+++ b/tests/mllp/test_front.py
@@ -24,7 +24,7 @@
 from dykeshift.node.features import Features
 from dykeshift.node.mllp import Options
 from dykeshift.standins.disk import Disk
-from tests.node.messages import answer
+from tests.node.messages import answer, read_message, request
 from tests.node.stubs import Handler, Node, Stub, answers_with, node, resets, run, silent, wait_until
 from tests.store.memory_disk import MemoryDisk
 
@@ -587,3 +587,24 @@
             assert not here.front.budget.total and not line.stopped
 
     run(main())
+
+
+# Guards against a body that is forwarded in part to a server whose protocol needs it whole.
+def test_over_the_budget_a_body_for_mllp_servers_is_kept_until_it_is_whole() -> None:
+    async def main() -> None:
+        async def acknowledges(_: Stub, __: object, writer: asyncio.StreamWriter) -> None:
+            writer.write(frame(acks.build(read(content).header, acks.Code.AA, "a1", MADE)))
+
+        content = message("m1", text="Z" * 20_000)
+        async with place(acknowledges, mllp=True) as here:
+            here.node.front.budget.limit = 0
+            whole = request("send", body=content)
+            caller = await here.node.open()
+            caller.writer.write(whole[:-1])
+            (client,) = here.node.front.clients
+            await wait_until(lambda: here.node.front.budget.total == len(content) - 1)
+            assert client.upload is None
+            caller.writer.write(whole[-1:])
+            assert "200" in (await read_message(caller.reader)).start
+
+    run(main())
