--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -194,11 +194,13 @@
         now = time.monotonic_ns()
         entry = self.referee.entries[rid]
         if not errand.pause and not self.excused_by_kill(self.names[to], entry.sent, entry.sent, now):
-            since = (now - self.terminated_at.get(self.names[to], now)) / S
+            told = self.terminated_at.get(self.names[to], now)
+            lag = max((late for _, late in self.own_lags), default=0)
             self.add_breach(
                 UNREAD,
                 f"{rid}: new connection to {self.names[to]} closed without an answer "
-                f"{since:.3f} s after its SIGTERM",
+                f"{(now - told) / S:.3f} s after its SIGTERM, the request written "
+                f"{(entry.sent - told) / S:.3f} s after; this process was up to {lag / S:.3f} s late",
             )
 
     def extra(self, to: Address, data: bytes) -> None:
