Engine: a request that claimed no id releases none, and answers under way make no room

Found by reading the whole change once more. A safe request claims no id, but where it was turned away it released that of an unsafe one that had run under the same id, which then ran again: the new test fails before (200 in place of 409).

Two comments on the kernel's buffers say what they hold.

--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -67,7 +67,7 @@
     seed: int
     connections: int  # limit of client connections, and the same of upstream connections
     buffer_limit: int  # bytes of requests that may be buffered
-    socket_buffer: int  # bytes that the kernel may hold of each connection in each direction
+    socket_buffer: int  # bytes that the kernel may hold of a long body in each direction
     cached_list: Any  # the cached list of upstreams in the format of discovery; None: none yet
     settings: Settings
     keys: frozenset[str]  # paths of the keys that the format documents and the file has
@@ -127,7 +127,7 @@
 
 
 def max_socket_buffer(limits: dict[str, Any], connections: int) -> int:
-    """The size of the kernel's buffers with which this many connections of each side fit into the memory."""
+    """The size of the kernel's buffers of long bodies, by what memory this many connections leave to each."""
     memory = _connections_memory_mb(float(limits.get("memory_mb", 192))) * 1e6
     return max(MIN_SOCKET_BUFFER, min(MAX_SOCKET_BUFFER, int(memory / connections / BUFFERS_PER_PAIR)))
 
--- a/dykeshift/engine/driver.py
+++ b/dykeshift/engine/driver.py
@@ -162,7 +162,7 @@
         """Claim the id of a request that is to be submitted; False if one with it may have run lately."""
         if request.id in self.jobs:
             return False
-        if self.balancer.settings.classes[request.klass].idempotency is Idempotency.SAFE:
+        if not self._must_not_repeat(request):
             return True
         dropped = self.request_ids.dropped
         claimed = self.request_ids.claim(self.clock.monotonic_ns(), request.id)
@@ -174,6 +174,10 @@
             )
         return claimed
 
+    def _must_not_repeat(self, request: SubmittedRequest) -> bool:
+        """Whether its id is claimed: it may not simply run once more."""
+        return self.balancer.settings.classes[request.klass].idempotency is not Idempotency.SAFE
+
     def submit(
         self,
         incoming: SubmittedRequest,
@@ -588,7 +592,7 @@
         """Drop the job if it is answered and none of its attempts is in flight."""
         if job.closed and not job.in_flight:
             self.jobs.pop(job.request.id, None)
-            if not job.may_have_run:
+            if not job.may_have_run and self._must_not_repeat(job.request):
                 self.request_ids.release(job.request.id)
             if job.deadline_timer is not None:
                 job.deadline_timer.cancel()
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -238,7 +238,7 @@
         if self.closing:
             answered = self.discard_left <= 0 and not self.busy and not self.has_unsent_output()
             return Phase.REJECTED if answered else Phase.TAKEN
-        if self.backlog is not None:
+        if self.backlog is not None and self.streamed_answer is None:
             return Phase.TAKEN if self.backlog.may_be_complete else Phase.INCOMPLETE
         return Phase.INCOMPLETE if self.request_began and not self.busy else Phase.TAKEN
 
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -61,6 +61,24 @@
     run(main())
 
 
+# Guards against a claim that ends with another request of the same id, which claimed nothing.
+def test_a_safe_request_that_was_turned_away_does_not_release_the_id_of_one_that_has_run() -> None:
+    async def main() -> None:
+        async def handle(stub: Stub, message: Message, writer: asyncio.StreamWriter) -> None:
+            safe = message.start.startswith("GET")
+            writer.write(answer(b"", "503 Full", X_Not_Run="1") if safe else answer(b"done"))
+
+        stub = await Stub(handle).start()
+        async with node(stub) as balancer:
+            assert "200" in (await balancer.ask(request(rid="again"))).start
+            assert "503" in (await balancer.ask(request("check", rid="again"))).start
+            await wait_until(lambda: not balancer.front.driver.jobs)
+            assert "409" in (await balancer.ask(request(rid="again"))).start
+            assert sum(message.start.startswith("POST") for message in stub.seen) == 1
+
+    run(main())
+
+
 def test_what_was_turned_away_by_all_is_sent_again() -> None:
     async def main() -> None:
         async def handle(stub: Stub, _: Message, writer: asyncio.StreamWriter) -> None:
