--- a/dykeshift/clock.py
+++ b/dykeshift/clock.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import fcntl
+import os
 import select
 import socket
 import struct
@@ -41,11 +42,28 @@
     def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
         """Bytes that have arrived and were not read; 0 where the system does not provide it."""
 
+    def unsent_bytes(self, transport: asyncio.BaseTransport) -> int:
+        """Bytes that the kernel holds and the peer has not acknowledged; 0 where that is not provided."""
+
+    def resident_bytes(self) -> int:
+        """Resident memory of this process; 0 where the system does not provide it."""
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         """Nanoseconds since the last bytes arrived, read or not; 0 where the system does not provide it."""
 
 
 LAST_DATA_RECEIVED = 52  # offset of `tcpi_last_data_recv` (milliseconds) in struct tcp_info of linux/tcp.h
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def _queue_size(transport: asyncio.BaseTransport, request: int) -> int:
+    """The size of one of the kernel's queues of a connection, in bytes; 0 if it cannot be read now."""
+    try:
+        answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), request, b"\0" * 4)
+    except OSError:
+        return 0
+    count: int = struct.unpack("=i", answer)[0]
+    return count
 
 
 class SystemClock:
@@ -83,12 +101,21 @@
     @staticmethod
     def unread_bytes(transport: asyncio.BaseTransport) -> int:
         """See `Clock.unread_bytes`; Linux's FIONREAD (tcp(7): SIOCINQ)."""
+        return _queue_size(transport, termios.FIONREAD)
+
+    @staticmethod
+    def unsent_bytes(transport: asyncio.BaseTransport) -> int:
+        """See `Clock.unsent_bytes`; Linux's TIOCOUTQ (tcp(7): SIOCOUTQ)."""
+        return _queue_size(transport, termios.TIOCOUTQ)
+
+    @staticmethod
+    def resident_bytes() -> int:
+        """See `Clock.resident_bytes`; read from Linux's statm (proc(5))."""
         try:
-            answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
-        except OSError:
+            with open("/proc/self/statm", "rb") as file:
+                return int(file.read().split()[1]) * PAGE_BYTES
+        except (OSError, ValueError, IndexError):
             return 0
-        count: int = struct.unpack("=i", answer)[0]
-        return count
 
     @staticmethod
     def input_age(transport: asyncio.BaseTransport) -> int:
--- a/dykeshift/node/desk.py
+++ b/dykeshift/node/desk.py
@@ -30,15 +30,18 @@
         standby: Callable[[], None],
         together: ProcessGroup | None,
         offers: ConsoleCalls,
+        memory: Callable[[], dict[str, int]] = dict,
     ) -> None:
         """`standby` begins the drain; `offers` are the calls that features answer.
 
+        `memory`: what the process's memory is used for, in bytes by owner.
+
         `together` shares bans with another process of this balancer; they are written there first.
         """
         self.offers = offers
         offers.backends.append(self)
         self.clock, self.driver, self.drain, self.begin_standby = clock, driver, drain, standby
-        self.together = together
+        self.together, self.memory = together, memory
 
     def figures(self) -> dict[str, Any]:
         """The counts and gauges of `GET /status/metrics`."""
@@ -55,6 +58,8 @@
             "hosts_down": balancer.excluded_count(self.clock.monotonic_ns()),
             "reconfig_ok": ledger.reloads,
             "reconfig_failed": ledger.reloads_failed,
+            **{f"closed_{reason.value}": count for reason, count in ledger.occurrences.closed.items()},
+            **{f"memory_{owner}": size for owner, size in self.memory().items()},
         }
 
     def immediate_answer(self, path: bytes) -> bytes | None:
--- a/dykeshift/node/features.py
+++ b/dykeshift/node/features.py
@@ -112,8 +112,9 @@
         offers: ConsoleCalls | None = None,
         reload: Reload | None = None,
         listen: Listen = listen,
+        metrics: dict[str, Callable[[], Any]] | None = None,
     ) -> list[Service]:
-        """Start all features in order. Their console calls are added to `offers`."""
+        """Start all features in order. Their console calls are added to `offers`, figures to `metrics`."""
         if not self.enabled:
             return []
         disk = self.disk
@@ -122,7 +123,16 @@
 
             disk = MachineDisk()
         host = Host(
-            loop, clock, configuration, driver, disk, listen, inherited, reload, offers or ConsoleCalls()
+            loop,
+            clock,
+            configuration,
+            driver,
+            disk,
+            listen,
+            inherited,
+            reload,
+            offers or ConsoleCalls(),
+            {} if metrics is None else metrics,
         )
         for module, options in self.enabled:
             if hasattr(module, "prepare"):
--- a/dykeshift/scale/virtual.py
+++ b/dykeshift/scale/virtual.py
@@ -93,6 +93,14 @@
         """There are no connections."""
         return 0
 
+    def unsent_bytes(self, transport: Any) -> int:
+        """There are no connections."""
+        return 0
+
+    def resident_bytes(self) -> int:
+        """All members share one process: not provided."""
+        return 0
+
     def input_age(self, transport: Any) -> int:
         """There are no connections."""
         return 0
--- a/dykeshift/sim/kernel.py
+++ b/dykeshift/sim/kernel.py
@@ -281,6 +281,14 @@
         """See `clock.Clock`."""
         return len(transport.endpoint.received)
 
+    def unsent_bytes(self, transport: Any) -> int:
+        """See `clock.Clock`; not modelled."""
+        return 0
+
+    def resident_bytes(self) -> int:
+        """See `clock.Clock`; not modelled."""
+        return 0
+
     def input_age(self, transport: Any) -> int:
         """See `clock.Clock`."""
         return max(0, self.monotonic_ns() - int(transport.endpoint.last_input_at))
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -481,6 +481,12 @@
     def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
         return 0
 
+    def unsent_bytes(self, transport: asyncio.BaseTransport) -> int:
+        return 0
+
+    def resident_bytes(self) -> int:
+        return 0
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return 0
 
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -52,6 +52,12 @@
     def unread_bytes(self, transport: asyncio.BaseTransport) -> int:
         return 0
 
+    def unsent_bytes(self, transport: asyncio.BaseTransport) -> int:
+        return 0
+
+    def resident_bytes(self) -> int:
+        return 0
+
     def input_age(self, transport: asyncio.BaseTransport) -> int:
         return self.age
 
