Engine: what a connection may hold is decided before it is read, within one budget

Callers saw: a process beside a crowd of slow clients passed memory_mb, was killed, and again 0.2 to 1.6 s after each start. Cause: up to 256 KB were read and counted afterwards, transports were counted by nobody, the limits were quotients of constants that nobody added up, and bodies growing by copies left fragments. A client that asked on and read no answer had all answers appended to its output without bound. Both are mended here, as they share the budget. Change: engine/memory.py shares out the limit; engine/reading.py reads into a shared buffer of a size that the budget allows, in turns; unread output counts and stops the next request; run maps large buffers.

--- a/dykeshift/engine/budget.py
+++ b/dykeshift/engine/budget.py
@@ -9,7 +9,10 @@
 
 
 class Budget(Generic[Holder]):
-    """Holders report the size of their buffers; over the limit, the largest is released first."""
+    """Holders reserve bytes before they read them, or report what they hold.
+
+    Where a reservation is turned down, the largest holder is released first.
+    """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit  # bytes
@@ -24,6 +27,17 @@
         else:
             self.usage.pop(holder, None)
 
+    def reserve(self, holder: Holder, size: int) -> bool:
+        """Let a holder have `size` bytes in all, if the limit allows that; else nothing changes."""
+        if self.total + size - self.usage.get(holder, 0) > self.limit:
+            return False
+        self.set_usage(holder, size)
+        return True
+
+    def has_room(self, size: int) -> bool:
+        """Whether so many bytes more may be held."""
+        return self.total + size <= self.limit
+
     @property
     def exceeded(self) -> bool:
         """Whether the buffers take more than the limit."""
--- a/dykeshift/engine/config.py
+++ b/dykeshift/engine/config.py
@@ -6,21 +6,18 @@
 from dataclasses import dataclass
 from typing import Any
 
+from dykeshift.engine.memory import BASE_BYTES, MemoryPlan, plan
 from dykeshift.interface import Settings
 from dykeshift.settings import MalformedError, documented_keys, parse_settings, required
 
 Address = tuple[str, int]
 
+MIN_CONNECTIONS = 4
 CONNECTIONS_SHARE = 0.4  # of the file descriptors, for client connections and again for upstream ones
 # File descriptors kept for other uses: 14 of the idle process, two to discovery while its address changes,
 # and some for connections that are being accepted or closed.
 RESERVED_DESCRIPTORS = 24
-BASE_MEMORY_MB = 24.0  # resident without connections
-# At least, per client connection with the one to an upstream for it: a whole short answer, or what is on its
-# way of a long body, in this process and in the kernel.
-CONNECTION_PAIR_MEMORY_MB = 0.1
-# Buffers of a transfer on its way: in the kernel, which doubles them, on both sides, and here.
-BUFFERS_PER_PAIR = 8
+DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 192  # where the file gives no limit
 # Bytes. Where segments may be 64 KB long (loopback), transfers stall with much smaller buffers, as the
 # receiver's window does not open for a whole one (RFC 9293, section 3.8.6.2).
 MIN_SOCKET_BUFFER, MAX_SOCKET_BUFFER = 40 * 1024, 128 * 1024
@@ -39,7 +36,9 @@
 DOCUMENTED_LIMITS = ("cores", "memory_mb", "sockets")
 # Operators' connections: at most so many, and at most one in so many of the file descriptors.
 MAX_OPERATOR_CONNECTIONS, OPERATOR_SHARE = 16, 16
-LONG_REQUESTS_SHARE = 0.25  # of the memory beyond BASE_MEMORY_MB, to buffer long requests
+# The kernel's buffers of long bodies are no memory of this process; they follow what it has for connections.
+# Of a transfer, the kernel doubles the buffers on both sides.
+KERNEL_MEMORY_SHARE, KERNEL_BUFFERS_PER_PAIR = 0.75, 8
 
 
 class ConfigError(Exception):
@@ -66,7 +65,8 @@
     discovery: Address
     seed: int
     connections: int  # limit of client connections, and the same of upstream connections
-    buffer_limit: int  # bytes of requests that may be buffered
+    memory_mb: float  # 1 MB is 10^6 bytes
+    memory: MemoryPlan
     socket_buffer: int  # bytes that the kernel may hold of a long body in each direction
     cached_list: Any  # the cached list of upstreams in the format of discovery; None: none yet
     settings: Settings
@@ -110,33 +110,22 @@
     return max(2, min(MAX_OPERATOR_CONNECTIONS, int(limits.get("sockets", 1024)) // OPERATOR_SHARE))
 
 
-def max_connections(limits: dict[str, Any], reserved: int = 0) -> int:
-    """The limit of client connections, and of upstream connections: descriptors and memory suffice for both.
+def memory_plan(limits: dict[str, Any], reserved: int = 0) -> MemoryPlan:
+    """How the memory is shared out, and the limit of client connections, and of upstream connections.
 
     `reserved`: descriptors set apart for other connections. The rest of the descriptors is for accepting,
     discovery and sockets that are being closed.
     """
-    sockets, memory = int(limits.get("sockets", 1024)) - reserved, float(limits.get("memory_mb", 192))
-    limit = min(int(sockets * CONNECTIONS_SHARE), (sockets - RESERVED_DESCRIPTORS) // 2)
-    return max(4, min(limit, int(_connections_memory_mb(memory) / CONNECTION_PAIR_MEMORY_MB)))
-
-
-def _connections_memory_mb(memory_mb: float) -> float:
-    """What is left for connections."""
-    return (memory_mb - BASE_MEMORY_MB) * (1 - LONG_REQUESTS_SHARE)
+    sockets = int(limits.get("sockets", DEFAULT_SOCKETS)) - reserved
+    by_descriptors = min(int(sockets * CONNECTIONS_SHARE), (sockets - RESERVED_DESCRIPTORS) // 2)
+    return plan(float(limits.get("memory_mb", DEFAULT_MEMORY_MB)), max(MIN_CONNECTIONS, by_descriptors))
 
 
 def max_socket_buffer(limits: dict[str, Any], connections: int) -> int:
     """The size of the kernel's buffers of long bodies, by what memory this many connections leave to each."""
-    memory = _connections_memory_mb(float(limits.get("memory_mb", 192))) * 1e6
-    return max(MIN_SOCKET_BUFFER, min(MAX_SOCKET_BUFFER, int(memory / connections / BUFFERS_PER_PAIR)))
-
-
-def long_request_budget(limits: dict[str, Any]) -> int:
-    """Bytes of long requests that may be buffered under these resource limits; 1 MiB at least."""
-    return max(
-        1 << 20, int((float(limits.get("memory_mb", 192)) - BASE_MEMORY_MB) * LONG_REQUESTS_SHARE * 1e6)
-    )
+    beyond_base = float(limits.get("memory_mb", DEFAULT_MEMORY_MB)) * 1e6 - BASE_BYTES
+    size = int(beyond_base * KERNEL_MEMORY_SHARE / connections / KERNEL_BUFFERS_PER_PAIR)
+    return max(MIN_SOCKET_BUFFER, min(MAX_SOCKET_BUFFER, size))
 
 
 def _documented_keys(raw: Any) -> frozenset[str]:
@@ -170,7 +159,7 @@
     seed = str(required(raw, "seed", ""))
     console = read_address(raw["console"]) if raw.get("console") else None
     callers = max_operator_connections(raw.get("limits", {})) if console else 0
-    connections = max_connections(raw.get("limits", {}), callers)
+    memory = memory_plan(raw.get("limits", {}), callers)
     settings = parse_settings(given)
     if not settings.classes:
         raise MalformedError("settings.services is empty: there is nothing to balance")
@@ -181,9 +170,10 @@
         listen=read_address(required(raw, "listen", "")),
         discovery=read_address(required(raw, "discovery", "")),
         seed=int.from_bytes(seed.encode(), "big"),
-        connections=connections,
-        socket_buffer=max_socket_buffer(raw.get("limits", {}), connections),
-        buffer_limit=long_request_budget(raw.get("limits", {})),
+        connections=memory.connections,
+        memory_mb=float(raw.get("limits", {}).get("memory_mb", DEFAULT_MEMORY_MB)),
+        memory=memory,
+        socket_buffer=max_socket_buffer(raw.get("limits", {}), memory.connections),
         cached_list=raw.get("known"),
         settings=settings,
         keys=_documented_keys(raw),
--- a/dykeshift/engine/connection.py
+++ b/dykeshift/engine/connection.py
@@ -12,6 +12,7 @@
 from dykeshift.engine.bodies import Answer, Message, Sink
 from dykeshift.engine.http1 import MAX_BODY, MAX_STREAMED_BODY, MessageCollector, UnacceptableMessageError
 from dykeshift.engine.link import Exchange, Link
+from dykeshift.engine.reading import ANSWER, UNLIMITED, ReadBuffer
 
 # An answer of unknown length is buffered until one of these limits is reached, and then streamed. Until then
 # it may turn out to be short, and if the connection breaks another upstream can still be tried.
@@ -46,10 +47,11 @@
         on_lost: Callable[[Any], None],
         max_body: int = MAX_BODY,
         streams: bool = False,
+        read_buffer: ReadBuffer = UNLIMITED,
     ) -> None:
         """`streams`: an answer longer than `max_body` is streamed; otherwise it is an error."""
         super().__init__(max_body)
-        self.set_up(loop, clock, on_idle, on_lost)
+        self.set_up(loop, clock, on_idle, on_lost, read_buffer)
         self.streams = streams
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.reusable = True
@@ -71,8 +73,7 @@
 
     def hold(self, wait: bool) -> None:
         """Back-pressure: pause reading if `wait`, else resume."""
-        if self.transport is not None and not self.transport.is_closing():
-            (self.transport.pause_reading if wait else self.transport.resume_reading)()
+        (self.pause_for if wait else self.resume_for)(ANSWER)
 
     def _forward_body(self) -> None:
         """Pass what has been received to the sink, or start streaming if the answer is to be streamed."""
@@ -95,6 +96,8 @@
     def _should_commit(self) -> bool:
         if self.in_head or not self.streams:
             return False
+        if not self.read_buffer.reserve(self, len(self.body)):
+            return True  # it cannot be kept
         return self.oversized or (
             not self.headers.get(b"content-length")
             and self.size > 0
@@ -104,6 +107,7 @@
     def _take_body(self) -> bytes:
         body = bytes(self.body)
         self.body.clear()
+        self.read_buffer.release(self)
         return body
 
     # ---- callbacks of the transport ----
@@ -134,6 +138,8 @@
 
     def _end(self, reuse: bool) -> None:
         answer, self.answer = self.answer, None
+        self.headers = {}  # the answer has them; an idle connection keeps none
+        self.read_buffer.release(self)
         sink, self.sink = self.sink, None
         if sink is not None:
             if self.body:
@@ -152,11 +158,13 @@
     def close(self) -> None:
         """Close the connection; the sink is not called any more."""
         self.sink = None
+        self.read_buffer.release(self)
         super().close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the parser."""
         super().connection_lost(exc)
+        self.read_buffer.release(self)
         self.parser = None  # breaks the reference cycle, so that no garbage collection is needed
 
     # ---- callbacks of the parser ----
--- a/dykeshift/engine/http_carrier.py
+++ b/dykeshift/engine/http_carrier.py
@@ -11,6 +11,7 @@
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.engine.bodies import Answer, Message
 from dykeshift.engine.connection import Connection
+from dykeshift.engine.reading import UNLIMITED, ReadBuffer
 from dykeshift.engine.terms import SubmittedRequest
 from dykeshift.engine.upstream import AttemptResult
 from dykeshift.settings import load_report
@@ -42,12 +43,24 @@
 class HttpCarrier:
     """The `Carrier` for HTTP/1.1."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
-        self.loop, self.clock = loop, clock
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        read_buffer: ReadBuffer = UNLIMITED,
+    ) -> None:
+        self.loop, self.clock, self.read_buffer = loop, clock, read_buffer
 
     def connection(self, on_idle: Callable[[Any], None], on_lost: Callable[[Any], None]) -> Connection:
         """A new connection, which delivers long answers as they arrive."""
-        return Connection(self.loop, self.clock, on_idle, on_lost, streams=True)
+        return Connection(
+            self.loop,
+            self.clock,
+            on_idle,
+            on_lost,
+            streams=True,
+            read_buffer=self.read_buffer,
+        )
 
     def encoder(self, asked: SubmittedRequest) -> Callable[[int], Message]:
         """The encoder of a request, given the nanoseconds left to the upstream."""
--- a/dykeshift/engine/invariants.py
+++ b/dykeshift/engine/invariants.py
@@ -61,6 +61,7 @@
     ENDING = "ending"  # the process ends
     ANSWER_CUT = "answer-cut"  # a streamed answer was truncated
     REJECTED = "rejected"  # invalid input
+    MEMORY = "memory"  # no memory for more of its request
     UNFINISHED = "unfinished"  # its request was incomplete when the process had to end
 
 
--- a/dykeshift/engine/link.py
+++ b/dykeshift/engine/link.py
@@ -9,9 +9,9 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.bodies import StreamedMessage, Message, Upload
+from dykeshift.engine.memory import MAX_PIECE_BYTES
+from dykeshift.engine.reading import PieceReader, ReadBuffer
 
-
-WRITE_CHUNK_BYTES = 64 * 1024
 Buffer = bytes | bytearray | memoryview
 
 
@@ -34,7 +34,7 @@
         """The answer will not be completed; `written`: the whole message had been passed to the kernel."""
 
 
-class Link(asyncio.Protocol):
+class Link(PieceReader):
     """A connection to an upstream.
 
     A subclass parses what arrives (`data_received`) and calls `_complete` or `_break`.
@@ -45,6 +45,8 @@
     SLOTS = (
         "loop",
         "clock",
+        "read_buffer",
+        "pauses",
         "transport",
         "exchange",
         "idle_since",
@@ -58,9 +60,7 @@
         "closed_by_peer",
     )
 
-    loop: asyncio.AbstractEventLoop
     clock: Clock
-    transport: asyncio.Transport | None
     exchange: Exchange | None
     idle_since: float
     write_paused: bool  # the transport still buffers bytes that were written to it
@@ -79,11 +79,13 @@
         clock: Clock,
         on_idle: Callable[[Any], None],
         on_lost: Callable[[Any], None],
+        read_buffer: ReadBuffer,
     ) -> None:
         """Initialize the attributes; called by the subclass in place of `__init__`."""
-        self.loop, self.clock = loop, clock
+        self.loop, self.clock, self.read_buffer = loop, clock, read_buffer
         self.on_idle, self.on_lost = on_idle, on_lost
         self.transport = self.exchange = None
+        self.pauses = 0
         self.idle_since = loop.time()
         self.write_paused = self.has_unexpected_data = self.used = self.closed_by_peer = False
         self.upload = None
@@ -137,16 +139,16 @@
         self._report_if_written()
 
     def _write_body(self) -> None:
-        """Write the body in chunks: a transport copies what it cannot send, even a whole long body."""
+        """Write the body in pieces: a transport copies what it cannot send, even a whole long body."""
         while self.unwritten_body and not self.write_paused and self.transport is not None:
             data = self.unwritten_body[0]
-            chunk = bytes(data[:WRITE_CHUNK_BYTES])
-            if len(data) <= WRITE_CHUNK_BYTES:
+            chunk = bytes(data[:MAX_PIECE_BYTES])
+            if len(data) <= MAX_PIECE_BYTES:
                 self.unwritten_body.popleft()
             elif isinstance(data, bytearray):
-                del data[:WRITE_CHUNK_BYTES]  # cheap at the front; memory is freed once half is gone
+                del data[:MAX_PIECE_BYTES]  # cheap at the front; memory is freed once half is gone
             else:
-                self.unwritten_body[0] = memoryview(data)[WRITE_CHUNK_BYTES:]
+                self.unwritten_body[0] = memoryview(data)[MAX_PIECE_BYTES:]
             self.transport.write(chunk)
 
     def _report_if_written(self) -> None:
--- a/dykeshift/engine/requests.py
+++ b/dykeshift/engine/requests.py
@@ -10,6 +10,7 @@
 from dykeshift.engine.http1 import MAX_BODY
 from dykeshift.interface import Idempotency, RequestClass
 
+MAX_COPIED_BODY = 4 * 1024  # bytes; each attempt has a copy of a shorter body, in one piece with its head
 _ID = re.compile(rb"[!-~]{1,128}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,9}\Z")
 _TARGET = re.compile(rb"/[!-~]*\Z")
@@ -46,7 +47,7 @@
         head = b"%s%d\r\n\r\n" % (self.head, max(1, min(left, self.client_timeout) // 1_000_000))
         if isinstance(self.body, Upload):
             return StreamedMessage(head, upload=self.body)
-        return head + self.body if len(self.body) <= MAX_BODY else StreamedMessage(head, self.body)
+        return head + self.body if len(self.body) <= MAX_COPIED_BODY else StreamedMessage(head, self.body)
 
 
 def _read_number(headers: dict[bytes, bytes], name: bytes) -> int:
--- a/dykeshift/engine/server.py
+++ b/dykeshift/engine/server.py
@@ -28,8 +28,9 @@
     status_of,
 )
 from dykeshift.engine.progress import TransferProgress
+from dykeshift.engine.reading import ENDING, OUTPUT, UPLOAD, PieceReader, ReadBuffer
 from dykeshift.engine.replies import Reply, render, reply_to
-from dykeshift.engine.requests import BadRequestError, Reader
+from dykeshift.engine.requests import BadRequestError, Incoming, Reader
 from dykeshift.engine.terms import FAILED, Final, FinalStatus
 
 log = logging.getLogger(__name__)
@@ -39,11 +40,14 @@
 # Seconds until a request is complete, plus the time that its body takes at this rate, in bytes per second.
 REQUEST_TIMEOUT, MIN_BODY_RATE = 2.5, 32 * 1024
 SILENCE_TIMEOUT = 2.7  # seconds without a byte of a request that has begun; its client is owed an error in 3
-COUNTED_BODY = 8 * 1024  # bytes: longer bodies count towards the limit of all that are buffered
+# Bytes: what is kept of longer requests counts towards the limit of all. Shorter ones, and such heads, are
+# part of what each connection has.
+COUNTED_BODY, COUNTED_HEAD = 1024, 3 * 1024
+HEADER_OBJECT_BYTES = 160  # of a header in memory, beside its text
 IDLE_TIMEOUT = 30.0  # seconds that an idle keep-alive connection is kept open
 SHORT_IDLE_TIMEOUT = 2.0  # seconds; after only one request, and for all connections when crowded
 CROWDED_SHARE = 0.5  # the frontend is crowded if more than this share of its connections have been answered
-MAX_UNSENT_PIECES = 0  # bytes of a streamed answer that may wait for a slow reader when another piece is read
+MAX_UNSENT_PIECES = 0  # bytes of output that may wait for a slow reader when another piece or request is read
 LINGER_TIMEOUT = 0.5  # seconds for which a rejected client may go on sending, so that it can read its answer
 DISCARD_TIMEOUT = 10.0  # the same for the rest of a body of stated length whose request was answered early
 
@@ -59,13 +63,17 @@
         reader: Reader,
         limit: int,
         drain: Drain | None = None,
-        buffer_limit: int = 1 << 20,
         socket_buffer: int = 0,
+        read_buffer: ReadBuffer | None = None,
     ) -> None:
-        """`buffer_limit`: bytes of all request bodies that are buffered until they are answered.
+        """`socket_buffer`: bytes that the kernel may hold of a long body in each direction; 0: its default.
 
-        `socket_buffer`: bytes that the kernel may hold of a long body in each direction; 0: its default.
+        `read_buffer`: with the budget of all that is held; without one, 1 MiB.
         """
+        self.budget = Budget[Any](1 << 20)
+        if read_buffer is not None and read_buffer.budget is not None:
+            self.budget = read_buffer.budget
+        self.read_buffer = read_buffer or ReadBuffer(self.budget)
         self.socket_buffer = socket_buffer
         self.loop = loop
         self.clock = clock
@@ -74,7 +82,6 @@
         self.limit = limit
         self.clients: dict[Client, None] = {}  # a dict as an ordered set: in order of arrival
         self.answered_clients = 0  # the number of open connections on which an answer has been sent
-        self.budget = Budget[Client](buffer_limit)
         self.drain = drain or Drain()
         self.arrivals = Arrivals(loop, clock)
         self.sweeper = loop.call_later(SWEEP_INTERVAL, self.sweep)
@@ -101,16 +108,24 @@
             leaving.make_room()
         self.clients[client] = None
 
-    def relieve_budget(self) -> None:
-        """Over the budget, start forwarding the largest request that is still being received.
+    def relieve_budget(self, client: Client) -> None:
+        """There is no memory for more of this client's request: go on without keeping it, or refuse it.
 
-        One request at a time: its buffer is only released once an upstream connection accepts it, and
-        reading from its client is paused until then. Not where the upstreams' protocol needs whole bodies.
+        Its body is forwarded while it comes, and so is the largest that is being received, so that shorter
+        ones can be kept again: a buffer is released once an upstream connection accepts it, and reading
+        from its client is paused until then. Not where the upstreams' protocol needs whole bodies, which
+        are short. A head cannot be forwarded: nothing of it has been sent, so trying again is harmless.
         """
+        if not client.is_receiving_body():
+            client.refuse_for_memory()
+            return
         if self.reader.objection is not None:
+            client.keep_over_budget()
             return
-        if self.budget.exceeded and (client := self.budget.largest(Client.is_buffering)) is not None:
-            client.start_upload()
+        largest = self.budget.largest(lambda one: isinstance(one, Client) and one.is_receiving_body())
+        client.start_upload()
+        if largest is not None and largest is not client:
+            largest.start_upload()
 
     def sweep(self) -> None:
         """Check all connections for timeouts; runs every SWEEP_INTERVAL."""
@@ -168,11 +183,14 @@
                     client.close_by_us(CloseReason.DRAINING)
 
 
-class Client(MessageCollector, asyncio.Protocol):
+class Client(MessageCollector, PieceReader):
     """A client's connection: receives one request at a time, submits it and sends its answer."""
 
     __slots__ = (
         "front",
+        "loop",
+        "read_buffer",
+        "pauses",
         "transport",
         "parser",
         "target",
@@ -195,13 +213,15 @@
         "chunked",
         "end_marked",
         "progress",
-        "reading_paused",
         "paused_at",
+        "kept",
+        "output_waits",
     )
 
     def __init__(self, front: Front) -> None:
         super().__init__(MAX_STREAMED_BODY if front.reader.objection is None else MAX_BODY)
         self.front = front
+        self.loop, self.read_buffer, self.pauses = front.loop, front.read_buffer, 0
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.target = b""
@@ -223,10 +243,16 @@
         self.streamed_answer: BodyStream | None = None  # the source of the rest of a streamed answer
         # Framing of the streamed answer; end_marked: by length or chunks, so that the client sees its end.
         self.chunked = self.end_marked = False
-        self.reading_paused = False  # the request's body is not read, as there is no buffer space for it
         self.paused_at = 0.0
+        self.output_waits = False  # output is buffered that the client has not read
+        self.kept = 0  # bytes that are counted for its request
         self.progress = TransferProgress(self.connected_at)
 
+    @property
+    def reading_paused(self) -> bool:
+        """Whether the body of its request is not read, as it cannot be forwarded now."""
+        return bool(self.pauses & UPLOAD)
+
     def is_idle(self) -> bool:
         """Whether it is idle between requests: none received even in part, and all answers sent."""
         return not self.busy and not self.request_began and not self.closing and not self.has_unsent_output()
@@ -309,6 +335,8 @@
             late = stalled  # its answer has not been sent completely
         if late and self.request_began and not self.closing:
             self._reject(408, "the request did not come in time")
+        elif late and unsent:
+            self.close_by_us(CloseReason.STALLED)
         elif late and not self.has_input():
             self.close_by_us(CloseReason.IDLE)
 
@@ -347,8 +375,8 @@
     def stop_reading(self) -> None:
         """Leave further input in the kernel; during a streamed answer, read on only to detect a close."""
         self.closing = True
-        if self.streamed_answer is None and self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        if self.streamed_answer is None:
+            self.pause_for(ENDING)
 
     def close_by_us(self, reason: CloseReason) -> None:
         """Close the connection at once, whatever its state, and count the reason."""
@@ -376,6 +404,8 @@
         if self.closing or self.parser is None:
             self._discard(len(data))
             return
+        if not self.busy and self.has_unsent_output() and self.transport is not None:
+            self.transport.set_write_buffer_limits(high=MAX_UNSENT_PIECES)  # calls pause_writing
         if not self.busy or self.upload is not None:
             assert self.transport is not None
             self.last_arrival = self.front.arrivals.arrival_time(self.transport)
@@ -397,22 +427,63 @@
         elif self.request_complete:
             self.request_complete = False
             self._handle_request()
-        elif len(self.body) > COUNTED_BODY:
-            if self.front.socket_buffer and not self.front.budget.usage.get(self):
-                assert self.transport is not None
-                self.front.clock.limit_receiving(self.transport, self.front.socket_buffer)
-            self.front.budget.set_usage(self, len(self.body))
-            self.front.relieve_budget()
+        elif self.request_began and not self.busy and not self.closing:
+            self._reserve_for_more()
+
+    def _reserve_for_more(self) -> None:
+        """Reserve what an incomplete request holds, so that the next piece is what the connection has."""
+        held = self._held_bytes()
+        if not held:
+            return
+        if self.front.socket_buffer and not self.front.budget.usage.get(self):
+            assert self.transport is not None
+            self.front.clock.limit_receiving(self.transport, self.front.socket_buffer)
+        if self.front.budget.reserve(self, held):
+            self.kept = held
+        else:
+            self.front.relieve_budget(self)
+
+    def keep_over_budget(self) -> None:
+        """Count what an incomplete request holds though there is no room for it."""
+        self._count(self._held_bytes())
+
+    def _count(self, kept: int) -> None:
+        """Count what is kept of its request, and the output that it has not read."""
+        self.kept = kept
+        size = kept + (self.transport.get_write_buffer_size() if self.transport is not None else 0)
+        if size or self in self.front.budget.usage:
+            self.front.budget.set_usage(self, size)
+
+    def _held_bytes(self) -> int:
+        """Bytes that an incomplete request takes, without what each connection has for a short one."""
+        head = len(self.target) + HEADER_OBJECT_BYTES * len(self.headers)
+        # The parser keeps an unfinished header, so in the head all bytes count.
+        texts = (len(name) + len(value) for name, value in self.headers.items())
+        head += self.fed if self.in_head else sum(texts)
+        body = len(self.body)
+        return (head if head > COUNTED_HEAD else 0) + (body if body > COUNTED_BODY else 0)
+
+    def refuse_for_memory(self) -> None:
+        """Refuse an incomplete request of which nothing has been sent."""
+        self._reject(503, "refused: try again", CloseReason.MEMORY)
 
     def pause_writing(self) -> None:
-        """Back-pressure from the client: stop reading the streamed answer."""
+        """Back-pressure from the client: stop reading the streamed answer, or further requests."""
+        self.output_waits = True
+        self._count(self.kept)
         if self.streamed_answer is not None:
             self.streamed_answer.hold(True)
+        else:
+            self.pause_for(OUTPUT)
 
     def resume_writing(self) -> None:
-        """Continue reading the streamed answer."""
+        """Continue reading the streamed answer, or the next request."""
+        self.output_waits = False
+        self._count(self.kept)
         if self.streamed_answer is not None:
             self.streamed_answer.hold(False)
+        else:
+            self.resume_for(OUTPUT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release everything and tell the driver if a request is open."""
@@ -488,9 +559,10 @@
             self.answer(Reply(exc.status, f"{exc}\n".encode()))
             return
         self.request_id = incoming.id
-        if not incoming.early and len(self.body) > COUNTED_BODY:
-            self.front.budget.set_usage(self, len(self.body))
+        if not incoming.early:
+            self._count_kept(incoming)
         self.body = bytearray()  # a long one belongs to the request now, of a short one it has a copy
+        self.headers, self.target = {}, b""
         try:
             self.front.driver.submit(incoming, self.last_arrival, self.final, self.has_disconnected)
         except Exception:  # a bug: an attempt may have been sent, so the request fails and is not refused
@@ -502,11 +574,16 @@
             if self.busy:
                 self.final(FAILED)
 
+    def _count_kept(self, incoming: Incoming) -> None:
+        """Count what a request keeps until it is answered, in place of what was reserved for it."""
+        head, body = len(incoming.head), len(incoming.body)
+        self._count((head if head > COUNTED_HEAD else 0) + (body if body > COUNTED_BODY else 0))
+
     # ---- streamed requests ----
 
-    def is_buffering(self) -> bool:
-        """Whether a request is being received and buffered."""
-        return not self.busy and self.parser is not None and not self.closing
+    def is_receiving_body(self) -> bool:
+        """Whether the body of a request is being received and buffered."""
+        return not self.busy and not self.in_head and self.parser is not None and not self.closing
 
     def start_upload(self) -> None:
         """Submit the request before it is complete; from now on its body is forwarded, not buffered."""
@@ -524,8 +601,11 @@
             self.abort()  # without its last byte the upstream does not begin it
             return
         if self.body:
+            size = len(self.body)
             upload.feed(bytes(self.body))
             self.body.clear()
+            if self.reading_paused:
+                self._count(size)  # at most so much of it waits for the upstream
         if not self.request_complete:
             self._look_at_backlog()
             return
@@ -554,15 +634,16 @@
 
     def hold(self, wait: bool) -> None:
         """Back-pressure: pause reading the body if `wait`, else resume."""
-        if self.transport is not None and self.reading_paused is not wait and not self.transport.is_closing():
-            self.reading_paused = wait
-            if wait:
-                self.paused_at = self.front.loop.time()
-            else:
-                self.since += self.front.loop.time() - self.paused_at  # its client could not go on
-            if not wait and self.upload is not None:
-                self.front.budget.set_usage(self, 0)  # its buffer has been forwarded
-            (self.transport.pause_reading if wait else self.transport.resume_reading)()
+        if self.transport is None or self.reading_paused is wait or self.transport.is_closing():
+            return
+        if wait:
+            self.paused_at = self.loop.time()
+            self.pause_for(UPLOAD)
+            return
+        self.since += self.loop.time() - self.paused_at  # its client could not go on
+        if self.upload is not None:
+            self._count(0)  # its buffer has been forwarded
+        self.resume_for(UPLOAD)
 
     # ---- answers ----
 
@@ -653,7 +734,7 @@
         self.streamed_answer = self.upload = self.backlog = None
         if self.reading_paused:
             self.hold(False)
-        if self.size > COUNTED_BODY:
+        if self.front.budget.usage.get(self):
             self.front.budget.set_usage(self, 0)
         self.front.answered_clients += not self.answers
         self.since, self.answers = self.front.loop.time(), self.answers + 1
@@ -665,6 +746,8 @@
                 self.transport.write_eof()
             else:
                 self.transport.close()
+        elif self.output_waits:
+            self.pause_for(OUTPUT)  # else the answers to further requests would pile up
 
     def refuse_unfinished(self) -> None:
         """Refuse a request that has been received in part and not been submitted, and close.
@@ -683,6 +766,7 @@
         be read as a part of it, so that answer is aborted instead.
         """
         self.keep_alive, self.request_complete, self.answered_early = False, False, True
+        self.body, self.headers, self.target = bytearray(), {}, b""
         if self.busy:
             self.front.driver.client_gone(self.request_id)
             self.upload = self.backlog = None
--- a/dykeshift/mllp/carrier.py
+++ b/dykeshift/mllp/carrier.py
@@ -22,6 +22,7 @@
 from dykeshift.clock import Clock
 from dykeshift.engine.bodies import Message
 from dykeshift.engine.link import Exchange, Link
+from dykeshift.engine.reading import UNLIMITED
 from dykeshift.engine.terms import SubmittedRequest
 from dykeshift.engine.upstream import AttemptResult
 from dykeshift.interface import Outcome
@@ -88,7 +89,7 @@
         on_lost: Callable[[Any], None],
         max_frame: int,
     ) -> None:
-        self.set_up(loop, clock, on_idle, on_lost)
+        self.set_up(loop, clock, on_idle, on_lost, UNLIMITED)
         self.fed = 0
         self.deframer = Deframer(max_frame)
         self.dialogue: Dialogue | None = None
--- a/dykeshift/mllp/front.py
+++ b/dykeshift/mllp/front.py
@@ -22,6 +22,7 @@
 from dykeshift.engine.arrivals import Arrivals
 from dykeshift.engine.budget import Budget
 from dykeshift.engine.driver import Driver
+from dykeshift.engine.reading import FULL, UNLIMITED, PieceReader
 from dykeshift.engine.terms import Final, FinalStatus
 from dykeshift.interface import Settings
 from dykeshift.mllp import acks, message
@@ -290,14 +291,16 @@
         line.answer(slot, accept or self._ack(header, code, problem))
 
 
-class Line(asyncio.Protocol):
+class Line(PieceReader):
     """One connection of a clinic."""
 
+    read_buffer = UNLIMITED
+
     def __init__(self, front: MllpFront) -> None:
         self.front = front
         self.session = Session(front.limit, front.max_frame)
+        self.loop, self.pauses = front.loop, 0
         self.transport: Any = None
-        self.stopped = False  # reading is
         self.choked = False  # the client does not read its answers
         self.since = front.loop.time()  # when it last wrote, or began
         self.ended = False  # the client has ended its sending
@@ -374,11 +377,16 @@
             # last answer with it: read on until it closes, or for LINGER at the most.
             self.closing = self.front.loop.time()
             self.transport.write_eof()
-            if self.stopped:
-                self.transport.resume_reading()
-        elif (self.session.full or self.choked or self._must_wait()) != self.stopped:
-            self.stopped = not self.stopped
-            (self.transport.pause_reading if self.stopped else self.transport.resume_reading)()
+            self.resume_for(FULL)
+        elif self.session.full or self.choked or self._must_wait():
+            self.pause_for(FULL)
+        else:
+            self.resume_for(FULL)
+
+    @property
+    def stopped(self) -> bool:
+        """Whether nothing is read, as it may not bring more."""
+        return bool(self.pauses & FULL)
 
     def _must_wait(self) -> bool:
         """Whether it may not bring more, as all connections together keep too much."""
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -30,6 +30,7 @@
 from dykeshift.node import features
 from dykeshift.node.assembly import Assembly, assemble
 from dykeshift.node.features import NONE, Features, Service
+from dykeshift.node.memory import MemoryWatch
 from dykeshift.node.reload import Reload
 from dykeshift.node.shutdown import Shutdown
 from dykeshift.engine.server import Front
@@ -72,9 +73,10 @@
         parts.reader,
         limit,
         drain,
-        configuration.buffer_limit,
         configuration.socket_buffer,
+        parts.read_buffer,
     )
+    memory = MemoryWatch(loop, clock, driver, front, configuration.memory_mb)
     loop.add_signal_handler(signal.SIGTERM, shutdown.terminate)
     loop.add_signal_handler(signal.SIGINT, shutdown.terminate)
     loop.add_signal_handler(signal.SIGHUP, parts.reload)
@@ -84,11 +86,20 @@
         await wait_for_first_list(driver, together, shutdown)
     offers = features.ConsoleCalls()
     services = await feature_set.start(
-        loop, clock, configuration, driver, inherited is not None, offers, parts.reload, listen
+        loop,
+        clock,
+        configuration,
+        driver,
+        inherited is not None,
+        offers,
+        parts.reload,
+        listen,
+        {"memory": memory.figures},
     )
+    memory.mllp_budgets = [service.front.budget for service in services if hasattr(service, "front")]
     if configuration.console is not None:
         services.append(
-            await open_console(loop, clock, configuration, driver, shutdown, together, offers, listen)
+            await open_console(loop, clock, configuration, driver, shutdown, together, offers, listen, memory)
         )
     if shutdown.begun:  # terminated during its start: no client has been accepted yet
         await shutdown.close(front, services)
@@ -107,6 +118,7 @@
         await shutdown.run(front, server, services)
     finally:
         server.abandon()
+        memory.close()
         if together is not None:
             together.leave()
 
@@ -128,13 +140,16 @@
     together: ProcessGroup | None,
     offers: features.ConsoleCalls,
     listen: Listen,
+    memory: MemoryWatch,
 ) -> Service:
     """Start the operators' console. Raises ConfigError if its address cannot be used."""
     from dykeshift.console.shell import Console
     from dykeshift.node.desk import ProcessBackend
 
     assert configuration.console is not None
-    backend = ProcessBackend(clock, driver, shutdown.drain, shutdown.standby, together, offers)
+    backend = ProcessBackend(
+        clock, driver, shutdown.drain, shutdown.standby, together, offers, memory.figures
+    )
     console = Console(loop, backend, configuration.operator_connections)
     try:
         await console.listen(configuration.console, listen)
--- a/dykeshift/node/assembly.py
+++ b/dykeshift/node/assembly.py
@@ -5,12 +5,15 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from dykeshift.clock import Clock
 from dykeshift.engine import config, requests
+from dykeshift.engine.budget import Budget
 from dykeshift.engine.discovery import DiscoveryClient, ListReader
 from dykeshift.engine.driver import Driver
 from dykeshift.engine.http_carrier import HttpCarrier
+from dykeshift.engine.reading import ReadBuffer
 from dykeshift.engine.upstream import Pool
 from dykeshift.node.features import NONE, Features
 from dykeshift.node.reload import Reload
@@ -25,6 +28,7 @@
     discovery: DiscoveryClient
     reader: requests.Reader
     reload: Reload
+    read_buffer: ReadBuffer  # of connections to upstreams, for those of clients, too
 
 
 def assemble(
@@ -35,7 +39,8 @@
     feature_set: Features = NONE,
 ) -> Assembly:
     """Build the parts. `load` reads the configuration again; `feature_set` may set the protocol."""
-    carrier = feature_set.carrier(loop, clock) or HttpCarrier(loop, clock)
+    read_buffer = ReadBuffer(Budget[Any](configuration.memory.buffers))
+    carrier = feature_set.carrier(loop, clock) or HttpCarrier(loop, clock, read_buffer)
     pool = Pool(
         loop,
         clock,
@@ -58,4 +63,5 @@
         not configuration.settings.ask_discovery,
     )
     reader = requests.Reader(configuration.settings.classes, feature_set.objection())
-    return Assembly(driver, discovery, reader, Reload(configuration, load, discovery, driver, reader))
+    reload = Reload(configuration, load, discovery, driver, reader)
+    return Assembly(driver, discovery, reader, reload, read_buffer)
--- a/dykeshift/node/mllp.py
+++ b/dykeshift/node/mllp.py
@@ -11,7 +11,7 @@
 
 from dykeshift.clock import Clock
 from dykeshift.engine.listener import Listening
-from dykeshift.engine.config import CONNECTION_PAIR_MEMORY_MB, Config, ConfigError, read_address
+from dykeshift.engine.config import Config, ConfigError, read_address
 from dykeshift.engine.requests import Objection
 from dykeshift.interface import Settings
 from dykeshift.mllp import bridge
@@ -136,7 +136,8 @@
 
 def frames_budget(options: Options, configuration: Config) -> int:
     """Bytes of frames that all MLLP clients together may keep: the memory of the connections set apart."""
-    return int(connections(options, configuration) * CONNECTION_PAIR_MEMORY_MB * 1e6)
+    share = connections(options, configuration) / configuration.connections
+    return int(share * configuration.memory.buffers)
 
 
 def objection(options: Options) -> Objection | None:
