Tests: the answer whose end fills its client's buffer is awaited in all its pieces

Trace: transfer.stalled after 10 s. The test set the client's limit when the first bytes waited, as an answer came in one read; it comes in pieces of 32 KiB now, and a later piece passed that limit. The test waits until all of the first part has been written.

--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -265,7 +265,8 @@
                 sending = client.transport.get_extra_info("socket")
                 sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
                 slow.sendall(request("check"))
-                await wait_until(client.has_unsent_output)
+                await wait_until(lambda: client.progress.written > len(FIRST_PIECE))  # in several pieces
+                assert client.has_unsent_output()
                 client.transport.set_write_buffer_limits(high=client.transport.get_write_buffer_size() + 1)
                 go_on.set()
                 await wait_until(client.is_receiving_body)  # the answer has ended
